--- a/architecture/architecture_test.go
+++ b/architecture/architecture_test.go
@@ -87,7 +87,7 @@
 var forbidden = map[string][]string{
 	"wire":          {"entry", "guard", "owner", "daemon", "membership", "configuration", "peer"},
 	"hop":           {"entry", "guard", "owner", "daemon", "membership", "configuration", "peer", "wire"},
-	"platform":      {"entry", "guard", "owner", "daemon", "membership", "configuration", "peer"},
+	"recordlog":     {"entry", "guard", "owner", "daemon", "membership", "configuration", "peer"},
 	"guard":         {"entry", "owner", "daemon", "configuration", "peer"},
 	"entry":         {"guard", "daemon", "membership", "peer"},
 	"owner":         {"guard", "entry", "daemon", "membership"},
--- a/cmd/dottereltiller/explain.go
+++ b/cmd/dottereltiller/explain.go
@@ -11,7 +11,7 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/policy"
 	"github.com/dottereltiller/dottereltiller/operator"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 type explainCmd struct {
@@ -48,7 +48,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	view, err := operator.NewView(ctx, platform.NewClient(c.Log))
+	view, err := operator.NewView(ctx, recordlog.NewClient(c.Log))
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/dottereltiller/logflags.go
+++ b/cmd/dottereltiller/logflags.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/policy"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // logFlags tell how to reach the platform's log.
@@ -19,7 +19,7 @@
 	Timeout time.Duration `arg:"--timeout" default:"15s" help:"how long to try"`
 }
 
-func (f logFlags) client() platform.Log { return platform.NewClient(f.Log) }
+func (f logFlags) client() recordlog.Log { return recordlog.NewClient(f.Log) }
 
 func (f logFlags) context(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, f.Timeout)
--- a/cmd/dottereltiller/platform.go
+++ b/cmd/dottereltiller/platform.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 type platformCmd struct {
@@ -22,14 +22,14 @@
 // run serves the stand-in of the platform's log until it is interrupted. PUT
 // /v1/faults changes its faults.
 func (c *platformCmd) run(ctx context.Context) error {
-	log := platform.NewFaulty(&platform.Memory{Retention: c.Retention})
-	log.Set(platform.Faults{Latency: c.Latency, Down: c.Down})
+	log := recordlog.NewFaulty(&recordlog.Memory{Retention: c.Retention})
+	log.Set(recordlog.Faults{Latency: c.Latency, Down: c.Down})
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
 	fmt.Printf("log at %s; set faults with PUT http://%s/v1/faults\n", ln.Addr(), ln.Addr())
-	srv := &http.Server{Handler: platform.FaultHandler(log), ReadHeaderTimeout: headerTimeout}
+	srv := &http.Server{Handler: recordlog.FaultHandler(log), ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := srv.Serve(ln); ctx.Err() == nil {
--- a/cmd/dottereltillerd/main.go
+++ b/cmd/dottereltillerd/main.go
@@ -18,6 +18,7 @@
 	"github.com/dottereltiller/dottereltiller/daemon"
 	"github.com/dottereltiller/dottereltiller/exitcode"
 	"github.com/dottereltiller/dottereltiller/identity"
+	"github.com/dottereltiller/dottereltiller/platform"
 	"github.com/dottereltiller/dottereltiller/settings"
 	"github.com/dottereltiller/dottereltiller/telemetry"
 )
@@ -43,6 +44,10 @@
 		printDefaults()
 		return
 	}
+	if path := os.Getenv(platform.SettingsEnv); a.Settings == "" && path != "" {
+		onPlatform(path, a.Check)
+		return
+	}
 	if a.Settings == "" {
 		p.Fail("name a settings file by --settings or DOTTERELTILLER_SETTINGS")
 	}
@@ -107,6 +112,22 @@
 	return d.Serve(ctx)
 }
 
+// onPlatform runs beside an upstream on the users' platform, whose settings file
+// is at the path.
+func onPlatform(path string, check bool) {
+	if check {
+		if _, err := platform.LoadSettings(path); err != nil {
+			exit(err, exitcode.Usage)
+		}
+		return
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := platform.Run(ctx, path); err != nil {
+		exit(err, exitcode.Of(err))
+	}
+}
+
 // obey stops the daemon at the first signal and ends its wait for requests in
 // flight at the second. A third one ends the process at once.
 func obey(signals <-chan os.Signal, stop func(), d *daemon.Daemon) {
--- a/configuration/fleet_test.go
+++ b/configuration/fleet_test.go
@@ -19,15 +19,15 @@
 	"github.com/dottereltiller/dottereltiller/core/policy"
 	"github.com/dottereltiller/dottereltiller/operator"
 	"github.com/dottereltiller/dottereltiller/peer"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // fleet is a number of daemons with nothing but their configuration.
 type fleet struct {
 	t      testing.TB
 	ctx    context.Context
-	memory *platform.Memory
-	log    *platform.Faulty
+	memory *recordlog.Memory
+	log    *recordlog.Faulty
 	net    *controltest.Network
 	peers  []peer.Peer
 	nodes  []*node
@@ -52,9 +52,9 @@
 const zones = 5
 
 func startFleet(t testing.TB, ctx context.Context, size int) *fleet {
-	f := &fleet{t: t, ctx: ctx, memory: &platform.Memory{}, net: controltest.NewNetwork(500 * time.Microsecond),
+	f := &fleet{t: t, ctx: ctx, memory: &recordlog.Memory{}, net: controltest.NewNetwork(500 * time.Microsecond),
 		forced: map[model.Version]map[model.DaemonID]time.Time{}, chains: map[model.Version]string{}}
-	f.log = platform.NewFaulty(f.memory)
+	f.log = recordlog.NewFaulty(f.memory)
 	for i := range size {
 		f.peers = append(f.peers, peer.Peer{ID: model.DaemonID(fmt.Sprint("d", i)), Zone: zone(i % zones)})
 	}
--- a/configuration/follow.go
+++ b/configuration/follow.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/config"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // Serve follows the log until the context ends.
@@ -97,7 +97,7 @@
 	for {
 		from := s.next()
 		batch, err := s.read(ctx, from)
-		var trimmed *platform.TrimmedError
+		var trimmed *recordlog.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
 			if err := s.recover(ctx, trimmed.Oldest); err != nil {
@@ -116,10 +116,10 @@
 	}
 }
 
-func (s *Store) read(ctx context.Context, from uint64) (platform.Batch, error) {
+func (s *Store) read(ctx context.Context, from uint64) (recordlog.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return s.opts.Log.Read(ctx, platform.StreamConfig, platform.Offset(from), readLimit)
+	return s.opts.Log.Read(ctx, recordlog.StreamConfig, recordlog.Offset(from), readLimit)
 }
 
 func (s *Store) next() uint64 {
@@ -130,7 +130,7 @@
 
 // recover looks through a trimmed log for a checkpoint to fold on from. When
 // there is none, peers may still know.
-func (s *Store) recover(ctx context.Context, oldest platform.Offset) error {
+func (s *Store) recover(ctx context.Context, oldest recordlog.Offset) error {
 	for from := oldest; ; {
 		batch, err := s.read(ctx, uint64(from))
 		if err != nil {
@@ -149,7 +149,7 @@
 	}
 }
 
-func (s *Store) adopt(r platform.Record, oldest platform.Offset) bool {
+func (s *Store) adopt(r recordlog.Record, oldest recordlog.Offset) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.folder.Behind(uint64(oldest)) {
@@ -162,7 +162,7 @@
 	return true
 }
 
-func (s *Store) foldBatch(batch platform.Batch) {
+func (s *Store) foldBatch(batch recordlog.Batch) {
 	before := s.next()
 	s.mu.Lock()
 	for _, r := range batch.Records {
@@ -213,7 +213,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if _, err := s.opts.Log.Append(ctx, platform.StreamConfig, [][]byte{record}); err != nil {
+	if _, err := s.opts.Log.Append(ctx, recordlog.StreamConfig, [][]byte{record}); err != nil {
 		s.metrics.checkpointsFailed.Inc(1)
 		return
 	}
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -12,7 +12,7 @@
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/policy"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // InForce is the configuration that the data path uses. It is immutable.
@@ -23,7 +23,7 @@
 
 // Options configure a Store.
 type Options struct {
-	Log platform.Log
+	Log recordlog.Log
 	// Interval is the time between two reads by a reader. Default: 200ms.
 	Interval time.Duration
 	// IdleInterval is the time between two reads by a daemon that hears the
@@ -60,7 +60,7 @@
 	opts    Options
 	metrics metrics
 	rng     *rand.Rand
-	backoff platform.Backoff
+	backoff recordlog.Backoff
 
 	current atomic.Pointer[InForce]
 
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -15,7 +15,7 @@
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/operator"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // inFleet runs a test with a fleet in virtual time.
@@ -38,7 +38,7 @@
 		within time.Duration
 	}{
 		"healthy":               {func(*fleet) {}, size, time.Second},
-		"log slow":              {func(f *fleet) { f.log.Set(platform.Faults{Latency: time.Second}) }, size, 3 * time.Second},
+		"log slow":              {func(f *fleet) { f.log.Set(recordlog.Faults{Latency: time.Second}) }, size, 3 * time.Second},
 		"zone cut off from log": {func(f *fleet) { f.cutLog(zone(1), true) }, size, 3 * time.Second},
 		"zone cut off":          {func(f *fleet) { f.cutZone(zone(1), true) }, size * 4 / 5, 3 * time.Second},
 		"all but one zone cut off from log": {func(f *fleet) {
@@ -72,7 +72,7 @@
 		for f.at(res.Version) == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		f.log.Set(platform.Faults{Down: true})
+		f.log.Set(recordlog.Faults{Down: true})
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
 		require.Equal(t, 60, f.at(res.Version), "one daemon had read it; it handed it on")
@@ -103,7 +103,7 @@
 			f.publish(fmt.Sprint("s", i))
 		}
 		time.Sleep(20 * time.Second)
-		f.log.Set(platform.Faults{Down: true})
+		f.log.Set(recordlog.Faults{Down: true})
 		n := f.nodes[7]
 		f.kill(n)
 		f.start(n)
@@ -113,7 +113,7 @@
 		require.EqualValues(t, 70, n.store.Current().Version)
 		require.False(t, st.Sure)
 		require.NotEmpty(t, st.LogProblem)
-		f.log.Set(platform.Faults{})
+		f.log.Set(recordlog.Faults{})
 		time.Sleep(20 * time.Second)
 		synctest.Wait()
 		require.True(t, n.store.Status().Sure)
@@ -129,9 +129,9 @@
 		require.NoError(t, err)
 		f.publish("second")
 		time.Sleep(10 * time.Second)
-		f.memory.Trim(platform.StreamConfig, 2)
+		f.memory.Trim(recordlog.StreamConfig, 2)
 		// A writer that had paused appends what it had taken long before.
-		_, err = f.log.Append(t.Context(), platform.StreamConfig, [][]byte{late})
+		_, err = f.log.Append(t.Context(), recordlog.StreamConfig, [][]byte{late})
 		require.NoError(t, err)
 
 		fresh := configuration.NewStore(configuration.Options{Log: f.log, Reads: func() bool { return false }})
@@ -154,9 +154,9 @@
 
 func TestLogThatLostRecordsIsNotFollowed(t *testing.T) {
 	ctx := t.Context()
-	_, err := operator.Propose(ctx, &platform.Memory{}, proposal("x"))
+	_, err := operator.Propose(ctx, &recordlog.Memory{}, proposal("x"))
 	require.NoError(t, err)
-	log := &swappedLog{Log: &platform.Memory{}}
+	log := &swappedLog{Log: &recordlog.Memory{}}
 	for i := range 2 {
 		_, err = operator.Propose(ctx, log, proposal(fmt.Sprint("s", i)))
 		require.NoError(t, err)
@@ -164,7 +164,7 @@
 	s := configuration.NewStore(configuration.Options{Log: log})
 	s.Poll(ctx)
 	require.EqualValues(t, 2, s.Current().Version)
-	log.Log = &platform.Memory{}
+	log.Log = &recordlog.Memory{}
 	_, err = operator.Propose(ctx, log, proposal("other"))
 	require.NoError(t, err)
 	s.Poll(ctx)
@@ -172,10 +172,10 @@
 	require.Contains(t, s.Status().LogProblem, "ends before")
 }
 
-type swappedLog struct{ platform.Log }
+type swappedLog struct{ recordlog.Log }
 
 func TestTwoOperatorsAtOnceGetTheTruth(t *testing.T) {
-	for name, faults := range map[string]platform.Faults{
+	for name, faults := range map[string]recordlog.Faults{
 		"healthy":               {Latency: 5 * time.Millisecond},
 		"replies lost":          {Latency: 5 * time.Millisecond, LoseReplies: 2},
 		"taken twice":           {Latency: 5 * time.Millisecond, Duplicate: 2},
@@ -207,7 +207,7 @@
 				require.Equal(t, fmt.Sprint("op-race-", won), by.By)
 				require.Equal(t, results[won].ChangeID, by.ByChange)
 				require.Len(t, by.Changes, 1, "what it would still change")
-				f.log.Set(platform.Faults{})
+				f.log.Set(recordlog.Faults{})
 				time.Sleep(5 * time.Second)
 				synctest.Wait()
 				require.Equal(t, 10, f.at(2))
@@ -226,8 +226,8 @@
 				var held []byte
 				var heldNext uint64
 				faults := []func(on bool){
-					func(on bool) { f.log.Set(platform.Faults{Down: on}) },
-					func(on bool) { f.log.Set(platform.Faults{LoseReplies: 3, Duplicate: 2}) },
+					func(on bool) { f.log.Set(recordlog.Faults{Down: on}) },
+					func(on bool) { f.log.Set(recordlog.Faults{LoseReplies: 3, Duplicate: 2}) },
 					func(on bool) { f.cutZone(zone(int(seed)%zones), on) },
 					func(on bool) { f.cutLog(zone(3), on) },
 					func(bool) { n := f.nodes[rng.IntN(30)]; f.kill(n); f.start(n) },
@@ -240,12 +240,12 @@
 							return
 						}
 						if heldNext > 0 {
-							_, _ = f.memory.Append(f.ctx, platform.StreamConfig, [][]byte{held})
+							_, _ = f.memory.Append(f.ctx, recordlog.StreamConfig, [][]byte{held})
 						}
 					},
 					func(on bool) {
-						if b, err := f.memory.Read(f.ctx, platform.StreamConfig, 1<<40, 1); err == nil && on {
-							f.memory.Trim(platform.StreamConfig, b.Next-min(b.Next, 2))
+						if b, err := f.memory.Read(f.ctx, recordlog.StreamConfig, 1<<40, 1); err == nil && on {
+							f.memory.Trim(recordlog.StreamConfig, b.Next-min(b.Next, 2))
 						}
 					},
 				}
@@ -266,7 +266,7 @@
 					b(false)
 				}
 				publishing.Wait()
-				f.log.Set(platform.Faults{})
+				f.log.Set(recordlog.Faults{})
 				time.Sleep(40 * time.Second)
 				synctest.Wait()
 				want := f.nodes[0].store.Status()
@@ -283,13 +283,13 @@
 }
 
 func TestInvalidDocumentsAreNeverAccepted(t *testing.T) {
-	log := &platform.Memory{}
+	log := &recordlog.Memory{}
 	bad := config.Change{ID: "x", Put: map[config.DocumentKey]json.RawMessage{"Service/a": json.RawMessage(`{"kind":"Service","name":"a","spec":{"dead_line":"2s"}}`)}}
 	misnamed := config.Change{ID: "y", Put: map[config.DocumentKey]json.RawMessage{"Service/b": json.RawMessage(`{"kind":"Service","name":"a","spec":{}}`)}}
 	for _, c := range []config.Change{bad, misnamed} {
 		record, _, err := config.EncodeChange(c)
 		require.NoError(t, err)
-		_, err = log.Append(t.Context(), platform.StreamConfig, [][]byte{record})
+		_, err = log.Append(t.Context(), recordlog.StreamConfig, [][]byte{record})
 		require.NoError(t, err)
 	}
 	s := configuration.NewStore(configuration.Options{Log: log})
--- a/controltest/cost_test.go
+++ b/controltest/cost_test.go
@@ -16,7 +16,7 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/policy"
 	"github.com/dottereltiller/dottereltiller/operator"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 func (f *fleet) publish(t *testing.T, i int) (model.Version, time.Time) {
@@ -107,10 +107,10 @@
 		{"healthy", medium, func(*fleet, bool) {}, time.Second},
 		{"healthy", largest, func(*fleet, bool) {}, time.Second},
 		{"log answers in 1 s", medium, func(f *fleet, on bool) {
-			f.log.Set(platform.Faults{Latency: latency(on, time.Second)})
+			f.log.Set(recordlog.Faults{Latency: latency(on, time.Second)})
 		}, 3 * time.Second},
 		{"log down 100 ms after", medium, func(f *fleet, on bool) {
-			f.log.Set(platform.Faults{Latency: latency(false, 0), Down: on})
+			f.log.Set(recordlog.Faults{Latency: latency(false, 0), Down: on})
 		}, 3 * time.Second},
 		{"a zone cut off from the log", medium, func(f *fleet, on bool) { f.cutLog(zone(1), on) }, 3 * time.Second},
 	} {
@@ -169,11 +169,11 @@
 // replaced. With the log down the others find them.
 func TestRecoveryAfterAMassRestart(t *testing.T) {
 	for name, c := range map[string]struct {
-		faults platform.Faults
+		faults recordlog.Faults
 		within time.Duration
 	}{
-		"healthy":  {platform.Faults{Latency: 5 * time.Millisecond}, 5 * time.Second},
-		"log down": {platform.Faults{Down: true}, 20 * time.Second},
+		"healthy":  {recordlog.Faults{Latency: 5 * time.Millisecond}, 5 * time.Second},
+		"log down": {recordlog.Faults{Down: true}, 20 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inFleet(t, largest, func(t *testing.T, f *fleet) {
@@ -215,7 +215,7 @@
 	for _, size := range []int{10, medium, largest} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			inFleet(t, size, func(t *testing.T, f *fleet) {
-				f.log.Set(platform.Faults{Down: true})
+				f.log.Set(recordlog.Faults{Down: true})
 				var all []time.Duration
 				for i := range 5 {
 					time.Sleep(3 * time.Second)
--- a/controltest/fleet_test.go
+++ b/controltest/fleet_test.go
@@ -17,14 +17,14 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/membership"
 	"github.com/dottereltiller/dottereltiller/peer"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // fleet is a number of whole control planes: configuration, membership and the
 // exchange, as a daemon has them.
 type fleet struct {
 	ctx           context.Context
-	log           *platform.Faulty
+	log           *recordlog.Faulty
 	net           *controltest.Network
 	nodes         []*node
 	reads, writes atomic.Int64
@@ -49,8 +49,8 @@
 
 func newFleet(ctx context.Context, size int) *fleet {
 	f := &fleet{ctx: ctx, net: controltest.NewNetwork(500 * time.Microsecond), forced: map[model.Version][]time.Time{}}
-	f.log = platform.NewFaulty(&platform.Memory{})
-	f.log.Set(platform.Faults{Latency: 5 * time.Millisecond})
+	f.log = recordlog.NewFaulty(&recordlog.Memory{})
+	f.log.Set(recordlog.Faults{Latency: 5 * time.Millisecond})
 	for i := range size {
 		n := &node{Peer: peer.Peer{ID: model.DaemonID(fmt.Sprintf("10.0.%d.%d:7001", i/256, i%256)), Zone: zone(i)},
 			link: &controltest.Link{Log: f.log, Reads: &f.reads, Appends: &f.writes}}
--- a/controltest/log.go
+++ b/controltest/log.go
@@ -6,13 +6,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // Link is the log as one daemon reaches it: it can be cut off from it, and
 // counts what it asks.
 type Link struct {
-	Log platform.Log
+	Log recordlog.Log
 	// Reads and Appends count the operations of all links that share them.
 	Reads, Appends *atomic.Int64
 
@@ -41,20 +41,20 @@
 	return ErrUnreachable
 }
 
-// Append implements platform.Log.
-func (l *Link) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+// Append implements recordlog.Log.
+func (l *Link) Append(ctx context.Context, stream string, records [][]byte) (recordlog.Offset, error) {
 	l.Appends.Add(1)
 	if err := l.reach(ctx); err != nil {
-		return 0, &platform.AppendError{Stream: stream, Uncertain: true, Err: err}
+		return 0, &recordlog.AppendError{Stream: stream, Uncertain: true, Err: err}
 	}
 	return l.Log.Append(ctx, stream, records)
 }
 
-// Read implements platform.Log.
-func (l *Link) Read(ctx context.Context, stream string, from platform.Offset, limit int) (platform.Batch, error) {
+// Read implements recordlog.Log.
+func (l *Link) Read(ctx context.Context, stream string, from recordlog.Offset, limit int) (recordlog.Batch, error) {
 	l.Reads.Add(1)
 	if err := l.reach(ctx); err != nil {
-		return platform.Batch{}, err
+		return recordlog.Batch{}, err
 	}
 	return l.Log.Read(ctx, stream, from, limit)
 }
--- /dev/null
+++ b/core/placement/placer.go
@@ -0,0 +1,191 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+// Upstream is a candidate.
+type Upstream struct {
+	// Key names the incarnation of the upstream.
+	Key string
+	// Daemon guards it.
+	Daemon model.DaemonID
+	Zone   model.AvailabilityZone
+	Slots  int
+	// ColdUntil is when it stops being slow after its start.
+	ColdUntil model.Instant
+}
+
+// Options configure a Placer.
+type Options struct {
+	// Zone is the own availability zone.
+	Zone model.AvailabilityZone
+	// Crossing is the price of crossing into another zone as the time that an
+	// upstream there must be faster. Default: DefaultCrossing.
+	Crossing time.Duration
+	// Rand draws from 0 to 1. Default: rand.Float64.
+	Rand func() float64
+}
+
+const (
+	// DefaultCrossing is a few round trips between zones: below that a crossing
+	// gains callers nothing.
+	DefaultCrossing = 10 * time.Millisecond
+	// comfort is the share of the target latency within which an upstream of the
+	// own zone is good enough.
+	comfort = 0.6
+	// jitter spreads the choices of entries that know the same.
+	jitter = 0.1
+	// avoidance is how long an upstream is passed over after it could not be
+	// reached. Its daemon is usually back within a second or two.
+	avoidance = 300 * time.Millisecond
+	// othersWeight makes the mean load by others cover about 8 answers.
+	othersWeight = 1.0 / 8
+)
+
+// Ask is what is to be placed.
+type Ask struct {
+	// Work is the time that the request usually runs where nothing slows it.
+	Work time.Duration
+	// Target is the latency that is aimed at. Zero means none.
+	Target time.Duration
+	// Exclude reports whether an upstream is out of the question.
+	Exclude func(Upstream) bool
+}
+
+// Choice is a chosen upstream.
+type Choice struct {
+	Upstream Upstream
+	// Expected is the time until the request ends there, Alternative until it
+	// ends at the best of the others. Alternative is zero when there is none.
+	Expected    time.Duration
+	Alternative time.Duration
+}
+
+// Placer chooses among the upstreams of one service. It is not safe for
+// concurrent use.
+type Placer struct {
+	opts  Options
+	views map[string]*view
+	order []*view
+	mean  float64
+}
+
+// New returns a Placer without upstreams.
+func New(opts Options) *Placer {
+	if opts.Crossing <= 0 {
+		opts.Crossing = DefaultCrossing
+	}
+	if opts.Rand == nil {
+		opts.Rand = rand.Float64
+	}
+	return &Placer{opts: opts, views: make(map[string]*view), mean: usualSlow}
+}
+
+// Set replaces the candidates. What is known of those that stay is kept.
+func (p *Placer) Set(ups []Upstream) {
+	views := make(map[string]*view, len(ups))
+	p.order = p.order[:0]
+	for _, up := range ups {
+		v := p.views[up.Key]
+		if v == nil {
+			v = &view{}
+		}
+		v.up = up
+		views[up.Key] = v
+		p.order = append(p.order, v)
+	}
+	p.views = views
+}
+
+// Len returns the number of candidates.
+func (p *Placer) Len() int { return len(p.order) }
+
+// Mean returns the mean slowness of the service.
+func (p *Placer) Mean() float64 { return p.mean }
+
+// Choose returns the upstream for a request and counts it as sent there; Done
+// must follow. It reports false when every candidate is excluded.
+func (p *Placer) Choose(now model.Instant, ask Ask) (Choice, bool) {
+	best, second, near := p.rank(now, ask, false)
+	if best.view == nil {
+		best, second, near = p.rank(now, ask, true)
+	}
+	if best.view == nil {
+		return Choice{}, false
+	}
+	pick, other := best, second
+	if near.view != nil && near.view != best.view && ask.Target > 0 && near.time < time.Duration(comfort*float64(ask.Target)) {
+		pick, other = near, best
+	}
+	pick.view.mine++
+	return Choice{Upstream: pick.view.up, Expected: pick.time, Alternative: other.time}, true
+}
+
+// rated is a candidate with its expected time.
+type rated struct {
+	view  *view
+	score time.Duration
+	time  time.Duration
+}
+
+// rank returns the best candidate, the second best, and the best of the own zone.
+func (p *Placer) rank(now model.Instant, ask Ask, all bool) (best, second, near rated) {
+	for _, v := range p.order {
+		if v.avoidUntil > now && !all {
+			continue
+		}
+		if ask.Exclude != nil && ask.Exclude(v.up) {
+			continue
+		}
+		t := Expected(ask.Work, v.slow(now, p.mean), v.ahead(now), v.limit(), v.failing(now))
+		r := rated{view: v, time: t, score: time.Duration(float64(t) * (1 + jitter*p.opts.Rand()))}
+		local := v.up.Zone == p.opts.Zone
+		if !local {
+			r.score += p.opts.Crossing
+		}
+		switch {
+		case best.view == nil || r.score < best.score:
+			best, second = r, best
+		case second.view == nil || r.score < second.score:
+			second = r
+		}
+		if local && (near.view == nil || r.score < near.score) {
+			near = r
+		}
+	}
+	return best, second, near
+}
+
+// Done ends what Choose began. Load is nil where the guard told none.
+func (p *Placer) Done(now model.Instant, key string, load *Load) {
+	v := p.views[key]
+	if v == nil {
+		return
+	}
+	v.mine = max(v.mine-1, 0)
+	if load == nil {
+		return
+	}
+	p.learn(now, v, *load)
+}
+
+func (p *Placer) learn(now model.Instant, v *view, load Load) {
+	v.load, v.loadAt, v.known, v.mineThen = load, now, true, v.mine
+	v.avoidUntil = 0
+	others := max(float64(load.Running+load.Waiting-v.mine), 0)
+	v.others += (others - v.others) * othersWeight
+	if load.Slow > 0 {
+		p.mean += (load.Slow - p.mean) * meanWeight
+	}
+}
+
+// Unreachable passes an upstream over for a while, unless it is the last.
+func (p *Placer) Unreachable(now model.Instant, key string) {
+	if v := p.views[key]; v != nil {
+		v.avoidUntil = now.Add(avoidance)
+	}
+}
--- /dev/null
+++ b/core/retry/window.go
@@ -0,0 +1,82 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+// windowParts is the number of steps in which a Window forgets. Old counts leave
+// a step late, never early, so that the budget errs to the safe side by one part.
+const windowParts = 10
+
+// Window is one daemon's share of a re-send budget that all daemons have in
+// common: over any span, re-sends stay within ratio times the requests of the
+// span plus a slack. Each daemon counts its own requests and takes an equal part
+// of the slack, so the sum keeps the whole budget without a word between them.
+// It is not safe for concurrent use.
+type Window struct {
+	ratio    float64
+	slack    float64
+	part     time.Duration
+	at       int64
+	requests [windowParts + 1]float64
+	resends  [windowParts + 1]float64
+}
+
+// NewWindow returns a Window over a span.
+func NewWindow(span time.Duration, ratio, slack float64) *Window {
+	return &Window{ratio: ratio, slack: slack, part: max(span/windowParts, time.Millisecond)}
+}
+
+// SetSlack changes the slack.
+func (w *Window) SetSlack(slack float64) { w.slack = slack }
+
+// Request counts a first send.
+func (w *Window) Request(now model.Instant) {
+	w.turn(now)
+	w.requests[w.slot()]++
+}
+
+// Left returns how many re-sends the budget still holds.
+func (w *Window) Left(now model.Instant) float64 {
+	w.turn(now)
+	requests, resends := 0.0, 0.0
+	for i := range w.requests {
+		requests += w.requests[i]
+		resends += w.resends[i]
+	}
+	// The oldest part has partly left the span; its requests no longer count.
+	requests -= w.requests[(w.slot()+1)%(windowParts+1)]
+	return w.ratio*requests + w.slack - resends
+}
+
+// Take counts n re-sends if the budget holds them.
+func (w *Window) Take(now model.Instant, n float64) bool {
+	if w.Left(now) < n {
+		return false
+	}
+	w.Charge(now, n)
+	return true
+}
+
+// Charge counts n re-sends that were made without asking.
+func (w *Window) Charge(now model.Instant, n float64) {
+	w.turn(now)
+	w.resends[w.slot()] += n
+}
+
+func (w *Window) slot() int { return int(w.at % (windowParts + 1)) }
+
+// turn moves on to the part that holds now.
+func (w *Window) turn(now model.Instant) {
+	at := int64(now) / int64(w.part)
+	if at <= w.at {
+		return
+	}
+	for i := max(w.at+1, at-windowParts); i <= at; i++ {
+		w.requests[i%(windowParts+1)] = 0
+		w.resends[i%(windowParts+1)] = 0
+	}
+	w.at = at
+}
--- /dev/null
+++ b/core/route/table.go
@@ -0,0 +1,74 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+// Table is a configuration ready for use.
+type Table struct {
+	doc      Document
+	hosts    map[string][]*Route
+	services map[model.ServiceName]*Service
+}
+
+// New checks a configuration and returns its Table. The error is an *Error.
+func New(doc Document) (*Table, error) {
+	t := &Table{
+		doc:      doc,
+		hosts:    make(map[string][]*Route),
+		services: make(map[model.ServiceName]*Service, len(doc.Services)),
+	}
+	for i := range doc.Services {
+		t.services[doc.Services[i].Name] = &t.doc.Services[i]
+	}
+	for i := range doc.Routes {
+		r := &t.doc.Routes[i]
+		if err := r.check(doc.Version); err != nil {
+			return nil, err
+		}
+		host := hostOf(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t, nil
+}
+
+// Version is the version of the configuration.
+func (t *Table) Version() model.Version { return t.doc.Version }
+
+// Limits are the bounds on callers.
+func (t *Table) Limits() Limits { return t.doc.Limits }
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int { return len(t.doc.Routes) }
+
+// Service returns what is stated of a service.
+func (t *Table) Service(name model.ServiceName) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Lookup returns the route of a request: among those of the host, the one with
+// the longest prefix that begins the path. The path is compared byte for byte.
+func (t *Table) Lookup(host, path string) (*Route, bool) {
+	for _, r := range t.hosts[hostOf(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// hostOf returns a host without its port and in lower case.
+func hostOf(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/core/slots/slots.go
@@ -0,0 +1,208 @@
+// Package slots decides which of the requests that wait for an upstream runs
+// next, and which need not wait any longer.
+//
+// A lower rank goes first. Within a rank the request goes first that must start
+// soonest to make its target latency, so that a short nested call is not stuck
+// behind long ones; requests that have missed their target come after all that
+// can still make theirs. So that nobody starves, every so often the one that has
+// waited longest goes first, whatever its rank. A request that can no longer end
+// before its deadline is refused at once: running it would help nobody.
+package slots
+
+import (
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+// Item is a waiting request.
+type Item struct {
+	ID uint64
+	// Rank orders requests; 0 comes first.
+	Rank int
+	// Work is the time it usually runs where nothing slows it.
+	Work time.Duration
+	// Arrived, Target and Deadline are instants. A zero Target means none.
+	Arrived  model.Instant
+	Target   model.Instant
+	Deadline model.Instant
+	// GiveUp is when the request is handed back if it has not started. Zero
+	// means never.
+	GiveUp model.Instant
+}
+
+// Exit tells why a request left the queue.
+type Exit uint8
+
+// The exits.
+const (
+	// Start means that the request is to run now.
+	Start Exit = iota + 1
+	// Hopeless means that it cannot end before its deadline.
+	Hopeless
+	// Returned means that it has waited as long as its sender allowed.
+	Returned
+)
+
+// Decision is one request that leaves the queue.
+type Decision struct {
+	ID   uint64
+	Exit Exit
+}
+
+const (
+	// oldestEvery is how often the request that has waited longest goes first:
+	// one start in eight leaves seven eighths of the capacity to rank.
+	oldestEvery = 8
+)
+
+// Queue holds the requests that wait for one upstream, and counts those that
+// run. It is not safe for concurrent use.
+type Queue struct {
+	limit   int
+	running int
+	starts  int
+	items   []Item
+}
+
+// New returns a Queue that lets limit requests run at once.
+func New(limit int) *Queue { return &Queue{limit: max(limit, 1)} }
+
+// Running returns the number of requests that run.
+func (q *Queue) Running() int { return q.running }
+
+// Waiting returns the number of requests that wait.
+func (q *Queue) Waiting() int { return len(q.items) }
+
+// Limit returns how many may run at once.
+func (q *Queue) Limit() int { return q.limit }
+
+// SetLimit changes how many may run at once.
+func (q *Queue) SetLimit(n int) { q.limit = max(n, 1) }
+
+// Ahead returns how many requests would run or start before a new one of a rank.
+func (q *Queue) Ahead(rank int) int {
+	n := q.running
+	for i := range q.items {
+		if q.items[i].Rank <= rank {
+			n++
+		}
+	}
+	return n
+}
+
+// Add lets a request wait. Next decides when it leaves.
+func (q *Queue) Add(i Item) { q.items = append(q.items, i) }
+
+// Remove takes a waiting request out and reports whether it was there.
+func (q *Queue) Remove(id uint64) bool {
+	for i := range q.items {
+		if q.items[i].ID == id {
+			q.drop(i)
+			return true
+		}
+	}
+	return false
+}
+
+// Finish ends a request that runs.
+func (q *Queue) Finish() { q.running = max(q.running-1, 0) }
+
+// Next returns a request that leaves the queue now, if any, when work takes slow
+// times as long as usual.
+func (q *Queue) Next(now model.Instant, slow float64) (Decision, bool) {
+	for i := range q.items {
+		it := &q.items[i]
+		if now.Add(scaled(it.Work, slow)/2) >= it.Deadline {
+			return q.leave(i, Hopeless), true
+		}
+		if it.GiveUp != 0 && now >= it.GiveUp && q.running >= q.limit {
+			return q.leave(i, Returned), true
+		}
+	}
+	if q.running >= q.limit || len(q.items) == 0 {
+		return Decision{}, false
+	}
+	best := q.first(now, slow)
+	q.running++
+	q.starts++
+	return q.leave(best, Start), true
+}
+
+// Wake returns when Next may have a decision without anything else happening.
+// Zero means never.
+func (q *Queue) Wake(slow float64) model.Instant {
+	var at model.Instant
+	for i := range q.items {
+		it := &q.items[i]
+		end := it.Deadline.Add(-scaled(it.Work, slow) / 2)
+		if it.GiveUp != 0 {
+			end = min(end, it.GiveUp)
+		}
+		if at == 0 || end < at {
+			at = end
+		}
+	}
+	return at
+}
+
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+// first returns the index of the request to start.
+func (q *Queue) first(now model.Instant, slow float64) int {
+	if q.starts%oldestEvery == oldestEvery-1 {
+		return q.oldest()
+	}
+	best := 0
+	for i := 1; i < len(q.items); i++ {
+		if before(&q.items[i], &q.items[best], now, slow) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (q *Queue) oldest() int {
+	best := 0
+	for i := range q.items {
+		if q.items[i].Arrived < q.items[best].Arrived {
+			best = i
+		}
+	}
+	return best
+}
+
+// before reports whether a starts ahead of b.
+func before(a, b *Item, now model.Instant, slow float64) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	aStart, bStart := a.startBy(slow), b.startBy(slow)
+	aLate, bLate := aStart < now, bStart < now
+	if aLate != bLate {
+		return bLate
+	}
+	if aStart != bStart {
+		return aStart < bStart
+	}
+	return a.Arrived < b.Arrived
+}
+
+// startBy is the last instant at which the request must start to make its target.
+func (i *Item) startBy(slow float64) model.Instant {
+	end := i.Target
+	if end == 0 {
+		end = i.Deadline
+	}
+	return end.Add(-scaled(i.Work, slow))
+}
+
+func (q *Queue) leave(i int, e Exit) Decision {
+	d := Decision{ID: q.items[i].ID, Exit: e}
+	q.drop(i)
+	return d
+}
+
+func (q *Queue) drop(i int) {
+	q.items = append(q.items[:i], q.items[i+1:]...)
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -10,7 +10,7 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/membership"
 	"github.com/dottereltiller/dottereltiller/peer"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/wire"
 )
 
@@ -30,8 +30,8 @@
 // exchange between them. Further topics are registered on d.Exchanger, and
 // further messages on d.PeerService, before Serve starts.
 func (d *Daemon) buildControl() {
-	client := platform.NewClient(d.settings.Log.Address)
-	d.Log = platform.NewLimited(&platform.Batcher{Log: client})
+	client := recordlog.NewClient(d.settings.Log.Address)
+	d.Log = recordlog.NewLimited(&recordlog.Batcher{Log: client})
 	interval := time.Duration(d.settings.Log.Interval)
 	seed := uint64(time.Now().UnixNano())
 	hint := func() { d.Exchanger.Hint() }
--- a/daemon/control_test.go
+++ b/daemon/control_test.go
@@ -12,14 +12,14 @@
 	"github.com/dottereltiller/dottereltiller/core/member"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/policy"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // TestADaemonThatStopsTellsItsPeersWhileTheLogIsDown runs two daemons that met
 // through the log, takes the log away and stops one of them.
 func TestADaemonThatStopsTellsItsPeersWhileTheLogIsDown(t *testing.T) {
-	log := platform.NewFaulty(&platform.Memory{})
-	srv := httptest.NewServer(platform.Handler(log))
+	log := recordlog.NewFaulty(&recordlog.Memory{})
+	srv := httptest.NewServer(recordlog.Handler(log))
 	defer srv.Close()
 	s := testSettings()
 	s.Log.Address = strings.TrimPrefix(srv.URL, "http://")
@@ -38,7 +38,7 @@
 	}
 	require.Eventually(t, func() bool { return takesWork(stays) == 2 && takesWork(stops) == 2 }, waitLimit, waitStep)
 
-	log.Set(platform.Faults{Down: true})
+	log.Set(recordlog.Faults{Down: true})
 	stop()
 	require.NoError(t, <-done)
 	require.Equal(t, 1, takesWork(stays), "it was told before the other's addresses closed")
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,8 +23,8 @@
 	"github.com/dottereltiller/dottereltiller/membership"
 	"github.com/dottereltiller/dottereltiller/owner"
 	"github.com/dottereltiller/dottereltiller/peer"
-	"github.com/dottereltiller/dottereltiller/platform"
 	"github.com/dottereltiller/dottereltiller/quarantine"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/settings"
 	"github.com/dottereltiller/dottereltiller/telemetry"
 	"github.com/dottereltiller/dottereltiller/trace"
@@ -39,7 +39,7 @@
 	// Metrics counts decisions. Parts take a sub-scope of its Scope.
 	Metrics *telemetry.Metrics
 	// Log is the platform's log within this daemon's share of appends.
-	Log     *platform.Limited
+	Log     *recordlog.Limited
 	Config  *configuration.Store
 	Members *membership.Registry
 	Guard   *guard.Guard
--- a/daemon/quickstart_test.go
+++ b/daemon/quickstart_test.go
@@ -14,7 +14,7 @@
 	"github.com/dottereltiller/dottereltiller/daemon"
 	"github.com/dottereltiller/dottereltiller/load"
 	"github.com/dottereltiller/dottereltiller/operator"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/settings"
 	"github.com/dottereltiller/dottereltiller/standin"
 	"github.com/dottereltiller/dottereltiller/telemetry"
@@ -25,7 +25,7 @@
 // TestTheQuickStartWorks does what docs/OPERATORS.md tells a new user to do,
 // with the files of examples/quickstart on free ports.
 func TestTheQuickStartWorks(t *testing.T) {
-	log := httptest.NewServer(platform.Handler(&platform.Memory{}))
+	log := httptest.NewServer(recordlog.Handler(&recordlog.Memory{}))
 	defer log.Close()
 	s, err := settings.Load(quickstart + "daemon.json")
 	require.NoError(t, err)
@@ -46,7 +46,7 @@
 	data, err := os.ReadFile(quickstart + "documents.json")
 	require.NoError(t, err)
 	require.NoError(t, json.Unmarshal(data, &docs))
-	_, err = operator.Publish(ctx, platform.NewClient(s.Log.Address), "test", docs)
+	_, err = operator.Publish(ctx, recordlog.NewClient(s.Log.Address), "test", docs)
 	require.NoError(t, err)
 	ready := func() bool {
 		ups, _ := d.Members.Upstreams("returdesk")
--- /dev/null
+++ b/decision/kinds.go
@@ -0,0 +1,90 @@
+package decision
+
+// Kind names a kind of decision. It is the message of the line.
+type Kind string
+
+// Class orders kinds by how long they are kept when lines are dropped.
+type Class uint8
+
+// The classes.
+const (
+	// Plain lines tell of the usual course of a request. They are sampled.
+	Plain Class = iota
+	// Trouble lines tell of refusals, re-sends and failures.
+	Trouble
+	// State lines tell of what the daemon believes and of its dependencies.
+	State
+)
+
+// The kinds.
+const (
+	Answered       Kind = "request answered"
+	Refused        Kind = "request refused"
+	Failed         Kind = "request failed"
+	Resent         Kind = "request sent again"
+	Hedged         Kind = "request hedged"
+	GivenBack      Kind = "request given back"
+	Withdrawn      Kind = "request withdrawn"
+	Ran            Kind = "request ran"
+	RunFailed      Kind = "run failed"
+	UpstreamState  Kind = "upstream state"
+	ReportRefused  Kind = "report refused"
+	PeerState      Kind = "peer state"
+	PeerLost       Kind = "peer lost"
+	PeerRegained   Kind = "peer regained"
+	ConfigInForce  Kind = "configuration in force"
+	ConfigRefused  Kind = "configuration refused"
+	StoreLost      Kind = "store lost"
+	StoreRegained  Kind = "store regained"
+	RecordRefused  Kind = "record refused"
+	Started        Kind = "daemon started"
+	Stopping       Kind = "daemon stopping"
+	Stopped        Kind = "daemon stopped"
+	Reloaded       Kind = "settings reloaded"
+	ReloadRefused  Kind = "settings refused"
+	LinesDropped   Kind = "lines dropped"
+	AnnounceFailed Kind = "announcement failed"
+)
+
+// Declaration tells what lines of a kind hold.
+type Declaration struct {
+	Kind  Kind
+	Class Class
+	// Tells is one sentence for the page on logs.
+	Tells string
+	// Fields are the names of the line's attributes besides time, level and
+	// request.
+	Fields []string
+}
+
+// Declarations lists every kind once, in the order of the page on logs.
+func Declarations() []Declaration {
+	return []Declaration{
+		{Answered, Plain, "The entry delivered an upstream's answer.", []string{"route", "service", "upstream", "status", "took_ms", "sends", "given_back", "config"}},
+		{Refused, Trouble, "The entry refused a request that has not run.", []string{"route", "service", "reason", "status", "retry_after_ms", "took_ms", "sends", "given_back", "candidates", "expected_ms", "config"}},
+		{Failed, Trouble, "The entry answered with a failure of its own; the request may have run.", []string{"route", "service", "reason", "status", "took_ms", "sends", "given_back", "config"}},
+		{Resent, Trouble, "The entry sent a request to another upstream after an attempt ended.", []string{"service", "upstream", "reason", "sends", "budget_left"}},
+		{Hedged, Trouble, "The entry sent an idempotent request to a second upstream while the first was at work.", []string{"service", "upstream", "instead_of", "waited_ms", "expected_ms", "budget_left"}},
+		{GivenBack, Trouble, "The guard gave a request back before it ran.", []string{"reason", "expected_ms", "alternative_ms", "slow", "slow_age_ms", "running", "waiting", "limit"}},
+		{Withdrawn, Trouble, "The entry asked a guard over a new connection what became of a request.", []string{"upstream", "result"}},
+		{Ran, Plain, "The guard had the upstream run a request.", []string{"upstream", "status", "ran_ms", "waited_ms", "slow", "running"}},
+		{RunFailed, Trouble, "An upstream was sent a request and gave no whole answer, or a failure.", []string{"upstream", "outcome", "reason", "status", "ran_ms", "error"}},
+		{UpstreamState, State, "The upstream of this VM changed its state.", []string{"upstream", "born", "sequence", "state", "cause"}},
+		{ReportRefused, State, "A report of an upstream was refused.", []string{"upstream", "error"}},
+		{PeerState, State, "The upstream of another daemon changed its state.", []string{"peer", "upstream", "born", "state", "stopping"}},
+		{PeerLost, State, "Another daemon could not be reached.", []string{"peer", "error"}},
+		{PeerRegained, State, "Another daemon was reached again.", []string{"peer"}},
+		{ConfigInForce, State, "A version of the configuration came into force.", []string{"version", "previous", "routes", "from"}},
+		{ConfigRefused, State, "A configuration was passed over.", []string{"version", "in_force", "from", "error"}},
+		{StoreLost, State, "The store could not be reached or refused.", []string{"call", "error"}},
+		{StoreRegained, State, "The store answered again.", []string{"call", "away_ms"}},
+		{RecordRefused, State, "A record of the store could not be read.", []string{"topic", "key", "error"}},
+		{Started, State, "The daemon started.", []string{"daemon", "zone", "service", "incarnation", "version"}},
+		{Stopping, State, "The daemon was told to stop.", []string{"in_flight"}},
+		{Stopped, State, "The daemon ended.", []string{"in_flight", "took_ms"}},
+		{Reloaded, State, "The settings file was read again.", []string{"changed", "kept"}},
+		{ReloadRefused, State, "The settings file could not be used; the settings in force stay.", []string{"error"}},
+		{LinesDropped, State, "Lines were dropped since the last such line.", []string{"plain", "trouble", "state"}},
+		{AnnounceFailed, State, "The daemon's record could not be written to the store yet.", []string{"error"}},
+	}
+}
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -17,7 +17,7 @@
 	"github.com/dottereltiller/dottereltiller/core/policy"
 	"github.com/dottereltiller/dottereltiller/daemon"
 	"github.com/dottereltiller/dottereltiller/operator"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/settings"
 	"github.com/dottereltiller/dottereltiller/standin"
 )
@@ -67,7 +67,7 @@
 // Deployment is a running deployment. Stop ends it.
 type Deployment struct {
 	// Log is the log behind LogAddress.
-	Log        *platform.Memory
+	Log        *recordlog.Memory
 	LogAddress string
 	Nodes      []*Node
 
@@ -88,7 +88,7 @@
 		opts.Logger = slog.New(slog.NewTextHandler(io.Discard, nil))
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	d := &Deployment{Log: &platform.Memory{}, opts: opts, ctx: ctx, cancel: cancel}
+	d := &Deployment{Log: &recordlog.Memory{}, opts: opts, ctx: ctx, cancel: cancel}
 	if err := d.start(ctx); err != nil {
 		d.Stop()
 		return nil, err
@@ -135,7 +135,7 @@
 		return err
 	}
 	d.LogAddress = ln.Addr().String()
-	d.logHTTP = &http.Server{Handler: platform.Handler(d.Log)}
+	d.logHTTP = &http.Server{Handler: recordlog.Handler(d.Log)}
 	go func() { _ = d.logHTTP.Serve(ln) }()
 	return nil
 }
@@ -202,7 +202,7 @@
 }
 
 func (d *Deployment) publish(ctx context.Context) error {
-	res, err := operator.Publish(ctx, platform.NewClient(d.LogAddress), "local", d.opts.Documents)
+	res, err := operator.Publish(ctx, recordlog.NewClient(d.LogAddress), "local", d.opts.Documents)
 	if err != nil {
 		return err
 	}
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -16,14 +16,14 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/membership"
 	"github.com/dottereltiller/dottereltiller/peer"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // fleet is a number of daemons, each with one upstream of service "s".
 type fleet struct {
 	ctx    context.Context
-	memory *platform.Memory
-	log    *platform.Faulty
+	memory *recordlog.Memory
+	log    *recordlog.Faulty
 	net    *controltest.Network
 	nodes  []*node
 	reads  atomic.Int64
@@ -46,8 +46,8 @@
 func zone(i int) model.AvailabilityZone { return model.AvailabilityZone(fmt.Sprint("z", i)) }
 
 func newFleet(ctx context.Context, size int) *fleet {
-	f := &fleet{ctx: ctx, memory: &platform.Memory{}, net: controltest.NewNetwork(500 * time.Microsecond)}
-	f.log = platform.NewFaulty(f.memory)
+	f := &fleet{ctx: ctx, memory: &recordlog.Memory{}, net: controltest.NewNetwork(500 * time.Microsecond)}
+	f.log = recordlog.NewFaulty(f.memory)
 	for i := range size {
 		f.add(fmt.Sprint("d", i), zone(i%zones))
 	}
--- a/membership/follow.go
+++ b/membership/follow.go
@@ -7,7 +7,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/member"
 	"github.com/dottereltiller/dottereltiller/peer"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 const (
@@ -87,8 +87,8 @@
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	for {
-		batch, err := r.opts.Log.Read(ctx, platform.StreamMembership, r.next, readLimit)
-		var trimmed *platform.TrimmedError
+		batch, err := r.opts.Log.Read(ctx, recordlog.StreamMembership, r.next, readLimit)
+		var trimmed *recordlog.TrimmedError
 		if errors.As(err, &trimmed) {
 			r.next = trimmed.Oldest
 			continue
@@ -188,7 +188,7 @@
 	data := member.Records{Events: events}.Encode()
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
-	_, err := r.opts.Log.Append(ctx, platform.StreamMembership, [][]byte{data})
+	_, err := r.opts.Log.Append(ctx, recordlog.StreamMembership, [][]byte{data})
 	if err == nil {
 		r.metrics.appends.Inc(1)
 		r.metrics.appended.Inc(int64(len(events)))
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -14,7 +14,7 @@
 	"github.com/dottereltiller/dottereltiller/core/member"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/peer"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // Local is an upstream of this VM as its daemon knows it.
@@ -30,7 +30,7 @@
 type Options struct {
 	Self model.DaemonID
 	Zone model.AvailabilityZone
-	Log  platform.Log
+	Log  recordlog.Log
 	// Ping reaches other daemons. Nil turns liveness checks off.
 	Ping Pinger
 	// Interval is the time between two readings of the log by a reader.
@@ -88,8 +88,8 @@
 	subsets   map[model.ServiceName]subset
 
 	// next, backoff, checkpointDue and problem are used by the log loop alone.
-	next          platform.Offset
-	backoff       platform.Backoff
+	next          recordlog.Offset
+	backoff       recordlog.Backoff
 	checkpointDue time.Time
 	problem       bool
 }
@@ -119,7 +119,7 @@
 		directory: member.New(o.Directory),
 		leases:    make(map[model.UpstreamID]lease),
 		subsets:   make(map[model.ServiceName]subset),
-		backoff:   platform.Backoff{Min: o.Interval},
+		backoff:   recordlog.Backoff{Min: o.Interval},
 	}
 	r.checks.init()
 	r.tick()
--- a/membership/registry_test.go
+++ b/membership/registry_test.go
@@ -12,18 +12,18 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/membership"
 	"github.com/dottereltiller/dottereltiller/peer"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 func TestLeavingIsKnownEverywhereWithinTwoSeconds(t *testing.T) {
 	for name, c := range map[string]struct {
-		fault platform.Faults
+		fault recordlog.Faults
 		state member.State
 	}{
-		"draining":                {platform.Faults{}, member.Draining},
-		"draining, log down":      {platform.Faults{Down: true}, member.Draining},
-		"left, log slow":          {platform.Faults{Latency: 3 * time.Second}, member.Left},
-		"left, log loses replies": {platform.Faults{LoseReplies: 100}, member.Left},
+		"draining":                {recordlog.Faults{}, member.Draining},
+		"draining, log down":      {recordlog.Faults{Down: true}, member.Draining},
+		"left, log slow":          {recordlog.Faults{Latency: 3 * time.Second}, member.Left},
+		"left, log loses replies": {recordlog.Faults{LoseReplies: 100}, member.Left},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inFleet(t, 60, func(t *testing.T, f *fleet) {
@@ -38,7 +38,7 @@
 
 func TestReturnUnderTheSameAddressWhileTheLogIsDown(t *testing.T) {
 	inFleet(t, 40, func(t *testing.T, f *fleet) {
-		f.log.Set(platform.Faults{Down: true})
+		f.log.Set(recordlog.Faults{Down: true})
 		n := f.nodes[3]
 		n.announce(member.Left, 0)
 		f.settle(t, 2*time.Second, "left", func() bool { return f.seen(f.nodes, "s") == 40*39 })
@@ -182,7 +182,7 @@
 
 func TestBootWhileTheLogIsDownNeedsOnePeer(t *testing.T) {
 	inFleet(t, 20, func(t *testing.T, f *fleet) {
-		f.log.Set(platform.Faults{Down: true})
+		f.log.Set(recordlog.Faults{Down: true})
 		n := f.add("new", zone(0))
 		n.first = []peer.Peer{f.nodes[11].Peer}
 		f.start(n)
@@ -193,10 +193,10 @@
 func TestTrimmedLogStillTellsAFreshDaemon(t *testing.T) {
 	inFleet(t, 10, func(t *testing.T, f *fleet) {
 		for range 10 {
-			b, err := f.memory.Read(t.Context(), platform.StreamMembership, 1<<40, 1)
+			b, err := f.memory.Read(t.Context(), recordlog.StreamMembership, 1<<40, 1)
 			require.NoError(t, err)
 			time.Sleep(2 * time.Minute)
-			f.memory.Trim(platform.StreamMembership, b.Next)
+			f.memory.Trim(recordlog.StreamMembership, b.Next)
 		}
 		fresh := membership.NewRegistry(membership.Options{Self: "x", Zone: "elsewhere", Log: f.log})
 		ctx := t.Context()
@@ -209,7 +209,7 @@
 }
 
 func TestALargeServiceIsCalledInPart(t *testing.T) {
-	r := membership.NewRegistry(membership.Options{Self: "x", Log: &platform.Memory{}, MaxUpstreams: 3})
+	r := membership.NewRegistry(membership.Options{Self: "x", Log: &recordlog.Memory{}, MaxUpstreams: 3})
 	for i := range 9 {
 		u := model.Upstream{ID: model.UpstreamID(fmt.Sprint("u", i)), Service: "s", Incarnation: 1, Daemon: "x", Slots: 1}
 		r.Announce(member.Event{Upstream: u, State: member.Joined}, 0)
@@ -232,8 +232,8 @@
 			inFleet(t, size, func(t *testing.T, f *fleet) {
 				rng := rand.New(rand.NewPCG(seed, 9))
 				faults := []func(on bool){
-					func(on bool) { f.log.Set(platform.Faults{Down: on}) },
-					func(bool) { f.log.Set(platform.Faults{LoseReplies: 5, Duplicate: 5}) },
+					func(on bool) { f.log.Set(recordlog.Faults{Down: on}) },
+					func(bool) { f.log.Set(recordlog.Faults{LoseReplies: 5, Duplicate: 5}) },
 					func(on bool) { f.cutZone(zone(1), on) },
 					func(on bool) { f.net.Silence("d4", on) },
 					func(on bool) { f.net.Block("d2", "d8", on) },
@@ -250,8 +250,8 @@
 						}
 					},
 					func(on bool) {
-						if b, err := f.memory.Read(f.ctx, platform.StreamMembership, 1<<40, 1); err == nil && on {
-							f.memory.Trim(platform.StreamMembership, b.Next)
+						if b, err := f.memory.Read(f.ctx, recordlog.StreamMembership, 1<<40, 1); err == nil && on {
+							f.memory.Trim(recordlog.StreamMembership, b.Next)
 						}
 					},
 				}
@@ -263,7 +263,7 @@
 					a(false)
 					b(false)
 				}
-				f.log.Set(platform.Faults{})
+				f.log.Set(recordlog.Faults{})
 				f.settle(t, 40*time.Second, "all see all", func() bool { return f.seen(f.nodes, "s") == size*size })
 				f.settle(t, 10*time.Second, "one view", func() bool { return f.digests() == 1 })
 			})
--- a/operator/linearizable_test.go
+++ b/operator/linearizable_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/policy"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // proposed is what an operator asked for: a change on a base.
@@ -57,7 +57,7 @@
 	for seed := range 5 {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				log := platform.NewFaulty(&platform.Memory{})
+				log := recordlog.NewFaulty(&recordlog.Memory{})
 				propose(t, log, Proposal{Documents: []policy.Document{service("a", "1s")}})
 				var mu sync.Mutex
 				var history []porcupine.Operation
@@ -75,10 +75,10 @@
 					})
 				}
 				for i := range 20 {
-					log.Set(platform.Faults{Latency: 30 * time.Millisecond, Down: (i+seed)%4 == 3, LoseReplies: i % 3, Duplicate: (i + seed) % 2})
+					log.Set(recordlog.Faults{Latency: 30 * time.Millisecond, Down: (i+seed)%4 == 3, LoseReplies: i % 3, Duplicate: (i + seed) % 2})
 					time.Sleep(400 * time.Millisecond)
 				}
-				log.Set(platform.Faults{Latency: 30 * time.Millisecond})
+				log.Set(recordlog.Faults{Latency: 30 * time.Millisecond})
 				wg.Wait()
 				require.True(t, porcupine.CheckOperations(versions.ToModel(), history), "%v", history)
 				require.Positive(t, verdicts["accepted"])
@@ -90,7 +90,7 @@
 
 // race proposes a change on the version that the operator sees, after a moment
 // in which others may come first.
-func race(ctx context.Context, log platform.Log, client, i int) porcupine.Operation {
+func race(ctx context.Context, log recordlog.Log, client, i int) porcupine.Operation {
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	view, err := NewView(ctx, log)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -17,14 +17,14 @@
 
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/policy"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 func service(name, deadline string) policy.Document {
 	return policy.Document{Kind: policy.KindService, Name: name, Spec: json.RawMessage(`{"deadline":"` + deadline + `"}`)}
 }
 
-func propose(t *testing.T, log platform.Log, p Proposal) Result {
+func propose(t *testing.T, log recordlog.Log, p Proposal) Result {
 	t.Helper()
 	res, err := Propose(t.Context(), log, p)
 	require.NoError(t, err)
@@ -32,7 +32,7 @@
 }
 
 func TestOnlyWhatDiffersIsPublished(t *testing.T) {
-	log := &platform.Memory{}
+	log := &recordlog.Memory{}
 	propose(t, log, Proposal{Documents: []policy.Document{service("a", "1s"), service("b", "1s")}})
 	res := propose(t, log, Proposal{Documents: []policy.Document{service("a", "2s"), service("b", "1s")}})
 	require.Len(t, res.Changes, 1)
@@ -49,7 +49,7 @@
 }
 
 func TestPlanPublishesNothing(t *testing.T) {
-	log := &platform.Memory{}
+	log := &recordlog.Memory{}
 	plan, err := Plan(t.Context(), log, Proposal{Documents: []policy.Document{service("a", "1s")}})
 	require.NoError(t, err)
 	require.Len(t, plan.Changes, 1)
@@ -59,7 +59,7 @@
 }
 
 func TestRollbackMakesANewVersionOfAnEarlierOne(t *testing.T) {
-	log := &platform.Memory{}
+	log := &recordlog.Memory{}
 	propose(t, log, Proposal{Documents: []policy.Document{service("a", "1s")}})
 	propose(t, log, Proposal{Documents: []policy.Document{service("a", "2s"), service("b", "2s")}})
 	res, err := Rollback(t.Context(), log, 1, Proposal{})
@@ -87,7 +87,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var log platform.Log = &platform.Memory{}
+				var log recordlog.Log = &recordlog.Memory{}
 				propose(t, log, Proposal{Documents: []policy.Document{service("a", "1s")}})
 				propose(t, log, Proposal{Documents: []policy.Document{service("a", "2s")}})
 				if c.blind {
@@ -106,25 +106,25 @@
 
 // blindLog loses every reply to an append, and cannot be read after one.
 type blindLog struct {
-	platform.Log
+	recordlog.Log
 	blind atomic.Bool
 }
 
-func (b *blindLog) Append(context.Context, string, [][]byte) (platform.Offset, error) {
+func (b *blindLog) Append(context.Context, string, [][]byte) (recordlog.Offset, error) {
 	b.blind.Store(true)
-	return 0, &platform.AppendError{Uncertain: true, Err: errors.New("lost")}
+	return 0, &recordlog.AppendError{Uncertain: true, Err: errors.New("lost")}
 }
 
-func (b *blindLog) Read(ctx context.Context, stream string, from platform.Offset, limit int) (platform.Batch, error) {
+func (b *blindLog) Read(ctx context.Context, stream string, from recordlog.Offset, limit int) (recordlog.Batch, error) {
 	if b.blind.Load() {
-		return platform.Batch{}, errors.New("down")
+		return recordlog.Batch{}, errors.New("down")
 	}
 	return b.Log.Read(ctx, stream, from, limit)
 }
 
 func TestAnAppendThatCertainlyFailedIsNotCalledUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &refusingLog{Log: &platform.Memory{}}
+		log := &refusingLog{Log: &recordlog.Memory{}}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		_, err := Propose(ctx, log, Proposal{Documents: []policy.Document{service("a", "1s")}})
@@ -136,37 +136,37 @@
 }
 
 type refusingLog struct {
-	platform.Log
+	recordlog.Log
 	tries int
 }
 
-func (r *refusingLog) Append(context.Context, string, [][]byte) (platform.Offset, error) {
+func (r *refusingLog) Append(context.Context, string, [][]byte) (recordlog.Offset, error) {
 	r.tries++
-	return 0, &platform.AppendError{Err: errors.New("refused")}
+	return 0, &recordlog.AppendError{Err: errors.New("refused")}
 }
 
 func TestViewOfATrimmedLogNeedsACheckpoint(t *testing.T) {
-	log := &platform.Memory{}
+	log := &recordlog.Memory{}
 	propose(t, log, Proposal{Documents: []policy.Document{service("a", "1s")}})
 	view, err := NewView(t.Context(), log)
 	require.NoError(t, err)
 	checkpoint, err := view.State().Checkpoint()
 	require.NoError(t, err)
-	log.Trim(platform.StreamConfig, 1)
+	log.Trim(recordlog.StreamConfig, 1)
 	_, err = NewView(t.Context(), log)
 	require.ErrorIs(t, err, ErrNoCheckpoint)
-	_, err = log.Append(t.Context(), platform.StreamConfig, [][]byte{checkpoint})
+	_, err = log.Append(t.Context(), recordlog.StreamConfig, [][]byte{checkpoint})
 	require.NoError(t, err)
 	res := propose(t, log, Proposal{Documents: []policy.Document{service("b", "1s")}})
 	require.EqualValues(t, 2, res.Version)
 }
 
 func TestStartOverIsForALogThatForgot(t *testing.T) {
-	log := &platform.Memory{}
+	log := &recordlog.Memory{}
 	propose(t, log, Proposal{Documents: []policy.Document{service("a", "1s")}})
 	propose(t, log, Proposal{Documents: []policy.Document{service("a", "2s")}})
 	require.ErrorIs(t, StartOver(t.Context(), log, 2), ErrNotLost)
-	log.Trim(platform.StreamConfig, 1)
+	log.Trim(recordlog.StreamConfig, 1)
 	_, err := Propose(t.Context(), log, Proposal{Documents: []policy.Document{service("a", "3s")}})
 	require.ErrorIs(t, err, ErrNoCheckpoint)
 	var invalid *InvalidError
@@ -212,7 +212,7 @@
 func TestChangeTooLargeIsInvalid(t *testing.T) {
 	d := service("a", "1s")
 	d.Labels = map[string]string{"x": strings.Repeat("x", config.MaxChange)}
-	_, err := Propose(t.Context(), &platform.Memory{}, Proposal{Documents: []policy.Document{d}})
+	_, err := Propose(t.Context(), &recordlog.Memory{}, Proposal{Documents: []policy.Document{d}})
 	var invalid *InvalidError
 	require.ErrorAs(t, err, &invalid)
 }
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -13,7 +13,7 @@
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/policy"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // Proposal is what an operator wants to have in force.
@@ -42,13 +42,13 @@
 
 // Publish proposes the documents as a change on top of the current version and
 // reads the log back to learn the verdict.
-func Publish(ctx context.Context, log platform.Log, author string, docs []policy.Document) (Result, error) {
+func Publish(ctx context.Context, log recordlog.Log, author string, docs []policy.Document) (Result, error) {
 	return Propose(ctx, log, Proposal{Author: author, Documents: docs})
 }
 
 // Plan works out what a proposal would change, without publishing it. It
 // returns an *InvalidError when the outcome would not compile.
-func Plan(ctx context.Context, log platform.Log, p Proposal) (Result, error) {
+func Plan(ctx context.Context, log recordlog.Log, p Proposal) (Result, error) {
 	view, err := NewView(ctx, log)
 	if err != nil {
 		return Result{}, err
@@ -59,7 +59,7 @@
 
 // Propose publishes a proposal. The error is an *InvalidError, a
 // *SupersededError or an *UnknownError when that is what became of it.
-func Propose(ctx context.Context, log platform.Log, p Proposal) (Result, error) {
+func Propose(ctx context.Context, log recordlog.Log, p Proposal) (Result, error) {
 	view, err := NewView(ctx, log)
 	if err != nil {
 		return Result{}, err
@@ -128,10 +128,10 @@
 		return Entry{}, &InvalidError{Problem: err}
 	}
 	rng := rand.New(rand.NewPCG(uint64(c.UnixMilli), uint64(len(record))))
-	var backoff platform.Backoff
+	var backoff recordlog.Backoff
 	sent := false
 	for {
-		_, failure := v.log.Append(ctx, platform.StreamConfig, [][]byte{record})
+		_, failure := v.log.Append(ctx, recordlog.StreamConfig, [][]byte{record})
 		sent = sent || mayHaveEffect(failure)
 		if err := v.Advance(ctx); err != nil {
 			failure = errors.Join(failure, err)
@@ -151,7 +151,7 @@
 
 // mayHaveEffect reports whether an append with this error may have been made.
 func mayHaveEffect(err error) bool {
-	var failed *platform.AppendError
+	var failed *recordlog.AppendError
 	return !errors.As(err, &failed) || failed.Uncertain
 }
 
@@ -175,7 +175,7 @@
 }
 
 // Rollback proposes the documents of an earlier version as a new one.
-func Rollback(ctx context.Context, log platform.Log, to model.Version, p Proposal) (Result, error) {
+func Rollback(ctx context.Context, log recordlog.Log, to model.Version, p Proposal) (Result, error) {
 	old, err := StateAt(ctx, log, to)
 	if err != nil {
 		return Result{}, err
--- a/operator/startover.go
+++ b/operator/startover.go
@@ -8,7 +8,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/model"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // ErrNotLost tells that the log can be folded, so that there is no reason to
@@ -20,7 +20,7 @@
 // case that no daemon holds the configuration any more either: a daemon that
 // does would not follow. The version must be at least the highest that was ever
 // accepted.
-func StartOver(ctx context.Context, log platform.Log, version model.Version) error {
+func StartOver(ctx context.Context, log recordlog.Log, version model.Version) error {
 	if version == 0 {
 		return &InvalidError{Problem: errors.New("the version must be at least the highest that was ever accepted")}
 	}
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := log.Append(ctx, platform.StreamConfig, [][]byte{record}); err != nil {
+	if _, err := log.Append(ctx, recordlog.StreamConfig, [][]byte{record}); err != nil {
 		return fmt.Errorf("run start-over again, it does nothing when this took effect: %w", err)
 	}
 	_, err = NewView(ctx, log)
@@ -51,11 +51,11 @@
 }
 
 // endOf returns the offset after the newest record.
-func endOf(ctx context.Context, log platform.Log) (platform.Offset, error) {
-	batch, err := log.Read(ctx, platform.StreamConfig, 0, 1)
-	var trimmed *platform.TrimmedError
+func endOf(ctx context.Context, log recordlog.Log) (recordlog.Offset, error) {
+	batch, err := log.Read(ctx, recordlog.StreamConfig, 0, 1)
+	var trimmed *recordlog.TrimmedError
 	if errors.As(err, &trimmed) {
-		batch, err = log.Read(ctx, platform.StreamConfig, trimmed.Oldest, 1)
+		batch, err = log.Read(ctx, recordlog.StreamConfig, trimmed.Oldest, 1)
 	}
 	return batch.Next, err
 }
--- a/operator/view.go
+++ b/operator/view.go
@@ -8,7 +8,7 @@
 	"github.com/dottereltiller/dottereltiller/configuration"
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/model"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // Entry is one change on the log.
@@ -24,7 +24,7 @@
 
 // View is the config stream as read so far.
 type View struct {
-	log     platform.Log
+	log     recordlog.Log
 	folder  *config.Folder
 	entries []Entry
 	// want is a version whose state is kept while reading.
@@ -35,11 +35,11 @@
 const readLimit = 1024
 
 // NewView reads the config stream to its end.
-func NewView(ctx context.Context, log platform.Log) (*View, error) {
+func NewView(ctx context.Context, log recordlog.Log) (*View, error) {
 	return newView(ctx, log, 0)
 }
 
-func newView(ctx context.Context, log platform.Log, want model.Version) (*View, error) {
+func newView(ctx context.Context, log recordlog.Log, want model.Version) (*View, error) {
 	v := &View{log: log, folder: configuration.NewFolder(), want: want}
 	return v, v.Advance(ctx)
 }
@@ -57,8 +57,8 @@
 // Advance reads what the log has had since.
 func (v *View) Advance(ctx context.Context) error {
 	for {
-		batch, err := v.log.Read(ctx, platform.StreamConfig, platform.Offset(v.folder.Next()), readLimit)
-		var trimmed *platform.TrimmedError
+		batch, err := v.log.Read(ctx, recordlog.StreamConfig, recordlog.Offset(v.folder.Next()), readLimit)
+		var trimmed *recordlog.TrimmedError
 		if errors.As(err, &trimmed) {
 			if err := v.recover(ctx, trimmed.Oldest); err != nil {
 				return err
@@ -77,7 +77,7 @@
 	}
 }
 
-func (v *View) fold(r platform.Record) {
+func (v *View) fold(r recordlog.Record) {
 	res := v.folder.Fold(uint64(r.Offset), r.Data)
 	if res.Change != nil {
 		v.entries = append(v.entries, Entry{
@@ -91,9 +91,9 @@
 	}
 }
 
-func (v *View) recover(ctx context.Context, oldest platform.Offset) error {
+func (v *View) recover(ctx context.Context, oldest recordlog.Offset) error {
 	for from := oldest; ; {
-		batch, err := v.log.Read(ctx, platform.StreamConfig, from, readLimit)
+		batch, err := v.log.Read(ctx, recordlog.StreamConfig, from, readLimit)
 		if err != nil {
 			return err
 		}
@@ -131,7 +131,7 @@
 
 // StateAt returns the configuration of an earlier version, as long as the log
 // still holds it.
-func StateAt(ctx context.Context, log platform.Log, version model.Version) (config.State, error) {
+func StateAt(ctx context.Context, log recordlog.Log, version model.Version) (config.State, error) {
 	v, err := newView(ctx, log, version)
 	if err != nil {
 		return config.State{}, err
--- a/owner/bench_test.go
+++ b/owner/bench_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dottereltiller/dottereltiller/core/claims"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // BenchmarkClaim compares claiming a key at its owner with claiming it by a
@@ -20,10 +20,10 @@
 // appends, which is 20 a second for few daemons and 300 for all together.
 func BenchmarkClaim(b *testing.B) {
 	const workers = 64
-	memory := &platform.Memory{}
-	server := httptest.NewServer(platform.Handler(memory))
+	memory := &recordlog.Memory{}
+	server := httptest.NewServer(recordlog.Handler(memory))
 	defer server.Close()
-	log := &platform.Batcher{Log: platform.NewLimited(platform.NewClient(strings.TrimPrefix(server.URL, "http://")))}
+	log := &recordlog.Batcher{Log: recordlog.NewLimited(recordlog.NewClient(strings.TrimPrefix(server.URL, "http://")))}
 	s := New(Options{Self: "127.0.0.1:1", Log: log})
 	s.ledger.Apply(0, ownsAll(s.self))
 	for name, claim := range map[string]func(claims.Key){
--- a/owner/drain.go
+++ b/owner/drain.go
@@ -11,8 +11,8 @@
 	"github.com/dottereltiller/dottereltiller/core/claims"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/peer"
-	"github.com/dottereltiller/dottereltiller/platform"
 	peerv1 "github.com/dottereltiller/dottereltiller/proto/dottereltiller/peer/v1"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // ErrNoSuccessor is returned when no daemon took in the claims.
@@ -159,7 +159,7 @@
 	defer cancel()
 	rec := claims.Record{Transfer: &claims.Transfer{From: s.self.Life, To: successor}}
 	for !s.released() {
-		if _, err := s.opts.Log.Append(ctx, platform.StreamGrants, [][]byte{rec.Encode()}); err != nil {
+		if _, err := s.opts.Log.Append(ctx, recordlog.StreamGrants, [][]byte{rec.Encode()}); err != nil {
 			s.metrics.appendFailed.Inc(1)
 		}
 		s.read(ctx)
--- a/owner/faults_test.go
+++ b/owner/faults_test.go
@@ -13,8 +13,8 @@
 	"github.com/dottereltiller/dottereltiller/core/claims"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
-	"github.com/dottereltiller/dottereltiller/platform"
 	peerv1 "github.com/dottereltiller/dottereltiller/proto/dottereltiller/peer/v1"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/wire"
 )
 
@@ -124,7 +124,7 @@
 
 func TestLostAndDoubledAppends(t *testing.T) {
 	d := deploy(t, 3, time.Second)
-	for _, f := range []platform.Faults{{LoseReplies: 100}, {Duplicate: 100}, {Latency: 20 * time.Millisecond}} {
+	for _, f := range []recordlog.Faults{{LoseReplies: 100}, {Duplicate: 100}, {Latency: 20 * time.Millisecond}} {
 		d.log.Set(f)
 		before := d.memoryEnd()
 		d.await("grants are renewed all the same", func() bool { return d.memoryEnd() > before+6 })
@@ -137,15 +137,15 @@
 	}
 }
 
-func (d *deployment) memoryEnd() platform.Offset {
-	b, err := d.memory.Read(d.t.Context(), platform.StreamGrants, 0, 1)
+func (d *deployment) memoryEnd() recordlog.Offset {
+	b, err := d.memory.Read(d.t.Context(), recordlog.StreamGrants, 0, 1)
 	require.NoError(d.t, err)
 	return b.Next
 }
 
 func TestOutageLongerThanAGrant(t *testing.T) {
 	d := deploy(t, 2, time.Second)
-	d.log.Set(platform.Faults{Down: true})
+	d.log.Set(recordlog.Faults{Down: true})
 	key := d.keyOwnedBy(d.nodes[1])
 	require.Equal(t, outcome.Answered, d.nodes[0].submit(key, "", "x", testTimeout).outcome.Kind, "grants still reach")
 	var last claims.Stamp
@@ -160,7 +160,7 @@
 	require.True(t, live, "keys are handed out with stamps that the grants reach")
 	require.Equal(t, outcome.Answered, d.nodes[1].submit(handed, "", "x", testTimeout).outcome.Kind)
 	require.Equal(t, "done "+key.String(), d.nodes[0].submit(key, "", "x", testTimeout).body)
-	d.log.Set(platform.Faults{})
+	d.log.Set(recordlog.Faults{})
 	require.Eventually(t, func() bool {
 		return d.nodes[0].submit(stamped, "", "x", testTimeout).outcome.Kind == outcome.Answered
 	}, testTimeout, 10*time.Millisecond, "after the outage the key runs")
@@ -172,7 +172,7 @@
 	fresh := d.nodes[1]
 	key := d.keyOwnedBy(d.nodes[0])
 	fresh.kill()
-	d.memory.Trim(platform.StreamGrants, d.memoryEnd())
+	d.memory.Trim(recordlog.StreamGrants, d.memoryEnd())
 	fresh.restart()
 	r := fresh.submit(key, "", "x", 3*time.Second)
 	require.Equal(t, outcome.ReasonKeyNotOwned, r.outcome.Reason, "it cannot tell who owns what")
@@ -188,7 +188,7 @@
 	n.mu.Lock()
 	rec := claims.Record{Checkpoint: n.ledger.Checkpoint()}
 	n.mu.Unlock()
-	_, err := d.memory.Append(d.t.Context(), platform.StreamGrants, [][]byte{rec.Encode()})
+	_, err := d.memory.Append(d.t.Context(), recordlog.StreamGrants, [][]byte{rec.Encode()})
 	require.NoError(d.t, err)
 }
 
@@ -201,7 +201,7 @@
 		n.mu.Unlock()
 	}
 	d.await("a checkpoint", func() bool { return d.memoryEnd() > end })
-	b, err := d.memory.Read(t.Context(), platform.StreamGrants, end, 1)
+	b, err := d.memory.Read(t.Context(), recordlog.StreamGrants, end, 1)
 	require.NoError(t, err)
 	rec, err := claims.DecodeRecord(b.Records[0].Data)
 	require.NoError(t, err)
@@ -218,12 +218,12 @@
 			key := d.keyOwnedBy(d.nodes[0])
 			fresh.kill()
 			for range 400 {
-				_, err := d.memory.Append(t.Context(), platform.StreamGrants, [][]byte{{0}})
+				_, err := d.memory.Append(t.Context(), recordlog.StreamGrants, [][]byte{{0}})
 				require.NoError(t, err)
 			}
 			d.checkpoint()
 			for range since {
-				_, err := d.memory.Append(t.Context(), platform.StreamGrants, [][]byte{{0}})
+				_, err := d.memory.Append(t.Context(), recordlog.StreamGrants, [][]byte{{0}})
 				require.NoError(t, err)
 			}
 			fresh.Service = New(Options{Self: fresh.id, Log: d.log, Ranges: testRanges, Candidates: d.ids})
@@ -233,7 +233,7 @@
 			require.Equal(t, claims.Owned, standing)
 			read := fresh.ledger.Next()
 			require.EqualValues(t, d.memoryEnd(), read)
-			require.LessOrEqual(t, fresh.window, platform.Offset(4*windowGrowth*windowGrowth), "it read %d records at most", fresh.window)
+			require.LessOrEqual(t, fresh.window, recordlog.Offset(4*windowGrowth*windowGrowth), "it read %d records at most", fresh.window)
 			fresh.restart()
 		})
 	}
--- a/owner/fold.go
+++ b/owner/fold.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/claims"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 const (
@@ -85,10 +85,10 @@
 		return true, s.seek(ctx)
 	}
 	s.mu.Lock()
-	from := platform.Offset(s.ledger.Next())
+	from := recordlog.Offset(s.ledger.Next())
 	s.mu.Unlock()
-	batch, err := s.opts.Log.Read(ctx, platform.StreamGrants, from, readLimit)
-	var trimmed *platform.TrimmedError
+	batch, err := s.opts.Log.Read(ctx, recordlog.StreamGrants, from, readLimit)
+	var trimmed *recordlog.TrimmedError
 	if errors.As(err, &trimmed) {
 		s.metrics.trimmed.Inc(1)
 		s.opts.Logger.Warn("grants no longer kept, looking for a checkpoint", "next", from, "oldest", trimmed.Oldest)
@@ -121,12 +121,12 @@
 // seek starts the ledger anew near the end of the log, so that a fresh daemon
 // need not read all that is kept, or at its beginning when it is short.
 func (s *Service) seek(ctx context.Context) error {
-	oldest := platform.Offset(0)
-	batch, err := s.opts.Log.Read(ctx, platform.StreamGrants, oldest, 1)
-	var trimmed *platform.TrimmedError
+	oldest := recordlog.Offset(0)
+	batch, err := s.opts.Log.Read(ctx, recordlog.StreamGrants, oldest, 1)
+	var trimmed *recordlog.TrimmedError
 	if errors.As(err, &trimmed) {
 		oldest = trimmed.Oldest
-		batch, err = s.opts.Log.Read(ctx, platform.StreamGrants, oldest, 1)
+		batch, err = s.opts.Log.Read(ctx, recordlog.StreamGrants, oldest, 1)
 	}
 	if err != nil {
 		return err
@@ -143,7 +143,7 @@
 }
 
 // apply folds one record. s.mu is held.
-func (s *Service) apply(rec platform.Record) {
+func (s *Service) apply(rec recordlog.Record) {
 	r, err := claims.DecodeRecord(rec.Data)
 	if err != nil {
 		s.metrics.badRecords.Inc(1)
--- a/owner/options.go
+++ b/owner/options.go
@@ -12,8 +12,8 @@
 	"github.com/dottereltiller/dottereltiller/core/claims"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/hop"
-	"github.com/dottereltiller/dottereltiller/platform"
 	peerv1 "github.com/dottereltiller/dottereltiller/proto/dottereltiller/peer/v1"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/wire"
 )
 
@@ -27,7 +27,7 @@
 	// Self is this daemon.
 	Self model.DaemonID
 	// Log is the platform's log.
-	Log platform.Log
+	Log recordlog.Log
 	// Run sends a claimed request to an upstream, at most once.
 	Run func(context.Context, *wire.Call) *wire.Answer
 	// Candidates lists the daemons that may own keys.
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -19,8 +19,8 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/hop"
-	"github.com/dottereltiller/dottereltiller/platform"
 	peerv1 "github.com/dottereltiller/dottereltiller/proto/dottereltiller/peer/v1"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/wire"
 )
 
@@ -32,8 +32,8 @@
 // deployment is a few owners on one log, each behind a real listener.
 type deployment struct {
 	t      *testing.T
-	memory *platform.Memory
-	log    *platform.Faulty
+	memory *recordlog.Memory
+	log    *recordlog.Faulty
 	grant  time.Duration
 	nodes  []*testNode
 
@@ -54,8 +54,8 @@
 }
 
 func deploy(t *testing.T, n int, grant time.Duration) *deployment {
-	d := &deployment{t: t, memory: &platform.Memory{}, grant: grant, runs: make(map[string]int)}
-	d.log = platform.NewFaulty(d.memory)
+	d := &deployment{t: t, memory: &recordlog.Memory{}, grant: grant, runs: make(map[string]int)}
+	d.log = recordlog.NewFaulty(d.memory)
 	listeners := make([]net.Listener, n)
 	for i := range listeners {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/owner/service.go
+++ b/owner/service.go
@@ -9,7 +9,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/claims"
 	"github.com/dottereltiller/dottereltiller/core/model"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
 // Service routes keyed requests and owns a part of the keys. It is safe for
@@ -40,7 +40,7 @@
 	// this is the oldest record kept.
 	sought   bool
 	whole    bool
-	window   platform.Offset
+	window   recordlog.Offset
 	reads    atomic.Uint64
 	lastRead time.Time
 	current  atomic.Bool
@@ -155,7 +155,7 @@
 		return
 	}
 	for _, rec := range s.due() {
-		_, err := s.opts.Log.Append(ctx, platform.StreamGrants, [][]byte{rec.Encode()})
+		_, err := s.opts.Log.Append(ctx, recordlog.StreamGrants, [][]byte{rec.Encode()})
 		if err != nil {
 			s.metrics.appendFailed.Inc(1)
 			continue
--- a/proctest/cluster_test.go
+++ b/proctest/cluster_test.go
@@ -21,7 +21,7 @@
 	"github.com/dottereltiller/dottereltiller/core/policy"
 	"github.com/dottereltiller/dottereltiller/daemon"
 	"github.com/dottereltiller/dottereltiller/operator"
-	"github.com/dottereltiller/dottereltiller/platform"
+	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/standin"
 )
 
@@ -55,7 +55,7 @@
 type cluster struct {
 	t   testing.TB
 	vms []*vm
-	log *platform.Memory
+	log *recordlog.Memory
 	// logDown makes the log refuse every request.
 	logDown atomic.Bool
 	logAddr string
@@ -70,7 +70,7 @@
 	if testing.Short() {
 		t.Skip("starts processes; not in short runs")
 	}
-	c := &cluster{t: t, log: &platform.Memory{}}
+	c := &cluster{t: t, log: &recordlog.Memory{}}
 	c.startLog()
 	binary := buildDaemon(t)
 	octet := 64 + os.Getpid()%128
@@ -109,7 +109,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(c.t, err)
 	c.logAddr = ln.Addr().String()
-	handler := platform.Handler(c.log)
+	handler := recordlog.Handler(c.log)
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			c.logAppends.Add(1)
@@ -240,7 +240,7 @@
 // publish publishes documents and returns the accepted version.
 func (c *cluster) publish(docs []policy.Document) uint64 {
 	c.t.Helper()
-	res, err := operator.Publish(c.t.Context(), platform.NewClient(c.logAddr), "proctest", docs)
+	res, err := operator.Publish(c.t.Context(), recordlog.NewClient(c.logAddr), "proctest", docs)
 	require.NoError(c.t, err)
 	require.Equal(c.t, config.Accepted, res.Verdict)
 	return uint64(res.Version)
--- /dev/null
+++ b/sidecar/config.go
@@ -0,0 +1,178 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/decision"
+)
+
+// inForce is a configuration in force.
+type inForce struct {
+	table *route.Table
+	raw   []byte
+}
+
+// configuration holds the newest configuration seen. Versions only rise: a
+// reading that is older, gone or cannot be read changes nothing. It is safe for
+// concurrent use.
+type configuration struct {
+	source    Source
+	decisions *decision.Log
+	current   atomic.Pointer[inForce]
+	// mu orders changes.
+	mu       sync.Mutex
+	onChange []func(*route.Table)
+}
+
+func (c *configuration) table() *route.Table {
+	if f := c.current.Load(); f != nil {
+		return f.table
+	}
+	return nil
+}
+
+func (c *configuration) raw() []byte {
+	if f := c.current.Load(); f != nil {
+		return f.raw
+	}
+	return nil
+}
+
+func (c *configuration) version() model.Version {
+	if t := c.table(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+// take brings a document into force if it is newer than what is.
+func (c *configuration) take(raw []byte, from string) {
+	doc, err := c.source.Decode(raw)
+	if err == nil && doc.Version <= c.version() {
+		return
+	}
+	var table *route.Table
+	if err == nil {
+		table, err = route.New(doc)
+	}
+	if err != nil {
+		c.decisions.Write(decision.ConfigRefused, "", slog.Uint64("version", uint64(doc.Version)),
+			slog.Uint64("in_force", uint64(c.version())), slog.String("from", from), slog.String("error", err.Error()))
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	previous := c.version()
+	if doc.Version <= previous {
+		return
+	}
+	c.current.Store(&inForce{table: table, raw: raw})
+	c.decisions.Write(decision.ConfigInForce, "", slog.Uint64("version", uint64(doc.Version)),
+		slog.Uint64("previous", uint64(previous)), slog.Int("routes", table.Routes()), slog.String("from", from))
+	for _, f := range c.onChange {
+		f(table)
+	}
+}
+
+const (
+	// askPeersEvery is how often another daemon is asked for its configuration
+	// while the store cannot be reached: a change must be in force in two
+	// seconds.
+	askPeersEvery = 400 * time.Millisecond
+)
+
+// follower keeps the configuration up to date from the store, and from other
+// daemons while the store is away. It is a part of the daemon.
+type follower struct {
+	d *Daemon
+	// lost carries whether the store is away.
+	lost chan bool
+}
+
+// String names the part.
+func (f *follower) String() string { return "configuration" }
+
+// Serve follows the store until the context ends.
+func (f *follower) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.askPeers(ctx)
+	return f.d.opts.Source.Follow(ctx, f.d.config.take, f.reachable)
+}
+
+// reachable takes in whether the store is.
+func (f *follower) reachable(ok bool) {
+	select {
+	case <-f.lost:
+	default:
+	}
+	f.lost <- !ok
+}
+
+// askPeers asks others for the configuration while the store is away.
+func (f *follower) askPeers(ctx context.Context) {
+	lost := false
+	for {
+		var tick <-chan time.Time
+		if lost {
+			tick = time.After(askPeersEvery)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case lost = <-f.lost:
+		case <-tick:
+			f.askOne(ctx)
+		}
+	}
+}
+
+// askOne exchanges records with one other daemon, which brings its version.
+func (f *follower) askOne(ctx context.Context) {
+	addresses := f.d.peers.reachable()
+	if len(addresses) == 0 {
+		return
+	}
+	address := addresses[rand.IntN(len(addresses))]
+	pool := f.d.peers.pool(address)
+	if pool == nil {
+		return
+	}
+	reply, err := sendSync(ctx, pool, syncMessage{From: f.d.peers.self(), Version: f.d.config.version()})
+	if err != nil {
+		f.d.peers.missed(address, err)
+		return
+	}
+	f.d.peers.merge([]Record{reply.From})
+	if reply.Version > f.d.config.version() {
+		f.d.behind(address, reply.Version)
+	}
+}
+
+// behind fetches a newer configuration from the daemon that told of it, once at
+// a time.
+func (d *Daemon) behind(address string, v model.Version) {
+	if v <= d.config.version() || !d.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer d.fetching.Store(false)
+		pool := d.peers.pool(address)
+		if pool == nil {
+			return
+		}
+		raw, err := fetchConfig(context.Background(), pool)
+		if err != nil {
+			d.peers.missed(address, err)
+			return
+		}
+		d.config.take(raw, address)
+	}()
+}
--- /dev/null
+++ b/sidecar/daemon.go
@@ -0,0 +1,313 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/telemetry"
+)
+
+// Registry takes in what the own upstream reports of itself.
+type Registry interface {
+	// Report takes in a report. A stale one changes nothing.
+	Report(r lifecycle.Report) lifecycle.Verdict
+	// Leave takes in that an incarnation leaves for good.
+	Leave(i lifecycle.Incarnation) lifecycle.Verdict
+	// Refused takes in that a report could not be read.
+	Refused(id string, err error)
+}
+
+// Daemon is a running daemon.
+type Daemon struct {
+	opts     Options
+	origin   time.Time
+	metrics  *metrics
+	config   *configuration
+	peers    *peers
+	guard    *guard
+	entry    *entry
+	servers  []*server
+	callers  *server
+	fetching atomic.Bool
+	// ready is set once the daemon has a configuration and knows the others.
+	ready    atomic.Bool
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New binds the addresses and returns a Daemon. Serve runs it.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{opts: o, origin: time.Now(), metrics: newMetrics(o.Scope)}
+	d.config = &configuration{source: o.Source, decisions: o.Decisions}
+	d.guard = newGuard(&d.opts, d.now, d.metrics)
+	d.guard.version = d.config.version
+	d.guard.health = d.healthPath
+	d.peers = newPeers(Record{
+		Address: o.Addresses.Peers, Incarnation: d.origin.UnixMilli(), Sequence: 1, Zone: o.Zone, Service: o.Service,
+	}, d.now, o.Decisions)
+	d.peers.version = d.config.version
+	d.peers.behind = d.behind
+	d.peers.restore = d.guard.restore
+	d.entry = newEntry(d)
+	if err := d.listen(); err != nil {
+		d.closeServers()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) now() model.Instant { return model.Instant(time.Since(d.origin)) }
+
+func (d *Daemon) healthPath() string {
+	t := d.config.table()
+	if t == nil {
+		return ""
+	}
+	s, ok := t.Service(d.opts.Service)
+	if !ok {
+		return ""
+	}
+	return s.HealthPath
+}
+
+// listen binds every address.
+func (d *Daemon) listen() error {
+	a := d.opts.Addresses
+	d.callers = newServer("callers", d.entry)
+	d.config.onChange = append(d.config.onChange, func(t *route.Table) { d.callers.limit(t.Limits()) })
+	bind := []struct {
+		address string
+		server  *server
+	}{
+		{a.Callers, d.callers},
+		{a.Peers, newServer("peers", peerHandler{d})},
+		{a.Control, newServer("control", d.opts.Control(d))},
+		{a.Ready, newServer("ready", http.HandlerFunc(d.serveReady))},
+		{a.Metrics, newServer("metrics", d.opts.Metrics)},
+	}
+	for _, b := range bind {
+		if b.address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", b.address)
+		if err != nil {
+			return err
+		}
+		b.server.listener = ln
+		d.servers = append(d.servers, b.server)
+	}
+	return nil
+}
+
+func (d *Daemon) closeServers() {
+	for _, s := range d.servers {
+		s.close()
+	}
+}
+
+func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != d.opts.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !d.ready.Load() || d.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Report implements Registry.
+func (d *Daemon) Report(r lifecycle.Report) lifecycle.Verdict {
+	v := d.guard.report(r, "report")
+	if v == lifecycle.Started || v == lifecycle.Changed {
+		d.tellState()
+	}
+	return v
+}
+
+// Leave implements Registry.
+func (d *Daemon) Leave(i lifecycle.Incarnation) lifecycle.Verdict {
+	v := d.guard.leave(i)
+	if v == lifecycle.Changed {
+		d.tellState()
+	}
+	return v
+}
+
+// Refused implements Registry.
+func (d *Daemon) Refused(id string, err error) {
+	d.opts.Decisions.Write(decision.ReportRefused, "", slog.String("upstream", id), slog.String("error", err.Error()))
+}
+
+// tellState tells the other daemons of the own upstream's state.
+func (d *Daemon) tellState() {
+	cur, departed := d.guard.current()
+	d.peers.update(func(r *Record) {
+		r.Service, r.Upstream, r.State, r.Slots = cur.Service, cur.Incarnation, cur.State, cur.Slots
+		r.ColdMS = cur.ColdFor.Milliseconds()
+		r.Departed = departed[max(len(departed)-maxTold, 0):]
+	})
+}
+
+const (
+	// greetingWait bounds the wait for another daemon at the start before the own
+	// upstream is asked who it is.
+	greetingWait = 500 * time.Millisecond
+	// readyWait bounds the wait for another daemon before this one is ready.
+	readyWait = 1500 * time.Millisecond
+	// readyPoll is how often the start looks for the configuration.
+	readyPoll = 20 * time.Millisecond
+	// serverBackoff is the pause of a part that keeps failing.
+	serverBackoff = time.Second
+	// lingering is how long a stopping daemon goes on taking what comes: callers
+	// learn that it is not ready by asking once a second, and two misses count.
+	lingering = 2200 * time.Millisecond
+	// graceMargin is the part of the grace time that is left for the end.
+	graceMargin = 400 * time.Millisecond
+	// drainPoll is how often a stopping daemon looks whether it is done.
+	drainPoll = 25 * time.Millisecond
+	// logWait bounds the wait for the last lines.
+	logWait = 100 * time.Millisecond
+)
+
+// Serve runs the daemon until the context ends, then lets what runs finish within
+// the grace time.
+func (d *Daemon) Serve(ctx context.Context) error {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	d.peers.ctx = run
+	tree := suture.New("sidecar", suture.Spec{FailureBackoff: serverBackoff, EventHook: d.event})
+	for _, s := range d.servers {
+		tree.Add(s)
+	}
+	tree.Add(&follower{d: d, lost: make(chan bool, 1)})
+	tree.Add(&joiner{d: d})
+	d.opts.Decisions.Write(decision.Started, "", slog.String("daemon", d.opts.Addresses.Peers),
+		slog.String("zone", string(d.opts.Zone)), slog.String("service", string(d.opts.Service)),
+		slog.Int64("incarnation", d.peers.self().Incarnation), slog.String("version", telemetry.Version()))
+	done := tree.ServeBackground(run)
+	select {
+	case <-ctx.Done():
+	case err := <-done:
+		return err
+	}
+	d.drain()
+	stop()
+	d.closeServers()
+	<-done
+	return nil
+}
+
+func (d *Daemon) event(e suture.Event) {
+	if d.opts.Logger != nil && e.Type() != suture.EventTypeStopTimeout {
+		d.opts.Logger.Error("part failed", "event", e.String())
+	}
+}
+
+// drain stops taking new work, tells everybody, and waits for what runs.
+func (d *Daemon) drain() {
+	began := time.Now()
+	d.stopping.Store(true)
+	d.opts.Decisions.Write(decision.Stopping, "", slog.Int64("in_flight", d.inFlight.Load()))
+	cur, _ := d.guard.current()
+	if cur.State == lifecycle.Gone {
+		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+		go func() {
+			defer cancel()
+			_ = d.opts.Directory.Remove(ctx, d.opts.Addresses.Peers)
+		}()
+	}
+	d.peers.update(func(r *Record) { r.Stopping = true })
+	d.callers.lastAnswers()
+	end := began.Add(d.opts.Grace - graceMargin)
+	for time.Now().Before(end) {
+		if time.Since(began) > lingering && d.inFlight.Load() == 0 && d.guard.idle() {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	d.guard.stop()
+	d.opts.Decisions.Write(decision.Stopped, "", slog.Int64("in_flight", d.inFlight.Load()), slog.Int64("took_ms", time.Since(began).Milliseconds()))
+	d.opts.Decisions.Close(logWait)
+}
+
+// joiner makes the daemon known and finds the others. It is a part of the daemon.
+type joiner struct{ d *Daemon }
+
+// String names the part.
+func (j *joiner) String() string { return "joiner" }
+
+// Serve joins once.
+func (j *joiner) Serve(ctx context.Context) error {
+	go j.discover(ctx)
+	go j.becomeReady(ctx)
+	backoff := firstBackoff
+	for {
+		err := j.join(ctx)
+		if err == nil || ctx.Err() != nil {
+			return suture.ErrDoNotRestart
+		}
+		j.d.opts.Decisions.Write(decision.AnnounceFailed, "", slog.String("error", err.Error()))
+		select {
+		case <-time.After(backoff):
+		case <-ctx.Done():
+			return suture.ErrDoNotRestart
+		}
+		backoff = min(2*backoff, lastBackoff)
+	}
+}
+
+// join writes the own entry and then reads all of them, so that of two daemons
+// that start together the later one sees the earlier.
+func (j *joiner) join(ctx context.Context) error {
+	self := j.d.peers.self()
+	err := j.d.opts.Directory.Announce(ctx, Listing{Address: self.Address, Incarnation: self.Incarnation, Zone: self.Zone})
+	list, listErr := j.d.opts.Directory.List(ctx)
+	if listErr == nil {
+		j.d.peers.meet(list)
+	}
+	return errors.Join(err, listErr)
+}
+
+// discover asks the own upstream who it is, unless it reports first. Others are
+// heard first, as they remember whether it was leaving.
+func (j *joiner) discover(ctx context.Context) {
+	if j.d.opts.First {
+		return
+	}
+	j.await(ctx, greetingWait)
+	for ctx.Err() == nil && j.d.healthPath() == "" {
+		time.Sleep(readyPoll)
+	}
+	j.d.guard.discover()
+	if cur, _ := j.d.guard.current(); cur.State != lifecycle.Unknown {
+		j.d.tellState()
+	}
+}
+
+func (j *joiner) await(ctx context.Context, most time.Duration) {
+	select {
+	case <-j.d.peers.greeted:
+	case <-time.After(most):
+	case <-ctx.Done():
+	}
+}
+
+// becomeReady waits until requests can be served.
+func (j *joiner) becomeReady(ctx context.Context) {
+	j.await(ctx, readyWait)
+	for ctx.Err() == nil && j.d.config.version() == 0 {
+		time.Sleep(readyPoll)
+	}
+	j.d.ready.Store(true)
+}
--- /dev/null
+++ b/sidecar/entry.go
@@ -0,0 +1,291 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/decision"
+)
+
+const (
+	// defaultDeadline is given to requests whose caller and route state none.
+	defaultDeadline = 30 * time.Second
+	// maxBody bounds request bodies where the configuration does not, in bytes.
+	maxBody = 64 << 20
+	// notReadyRetry is the advice while there is no configuration yet.
+	notReadyRetry = 300 * time.Millisecond
+	// noUpstreamRetry is the advice while no upstream is known: one that starts
+	// reports within a second or two.
+	noUpstreamRetry = 500 * time.Millisecond
+	// busyRetry is the least advice when all upstreams are full.
+	busyRetry = 100 * time.Millisecond
+)
+
+// request is a caller's request on its way.
+type request struct {
+	http       *http.Request
+	id         string
+	route      *route.Route
+	table      *route.Table
+	service    model.ServiceName
+	body       []byte
+	began      model.Instant
+	deadline   model.Instant
+	target     model.Instant
+	ctx        context.Context
+	givenBack  int
+	sends      int
+	candidates int
+	expected   time.Duration
+	upstream   string
+}
+
+// entry takes callers' requests. It is safe for concurrent use.
+type entry struct {
+	d *Daemon
+
+	mu       sync.Mutex
+	splitter route.Splitter
+	services map[model.ServiceName]*service
+	works    map[string]*work
+}
+
+func newEntry(d *Daemon) *entry {
+	return &entry{d: d, services: make(map[model.ServiceName]*service), works: make(map[string]*work)}
+}
+
+// ServeHTTP answers one request.
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.d.inFlight.Add(1)
+	defer e.d.inFlight.Add(-1)
+	attempt, err := e.d.opts.Edge.Attempt(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	req := &request{http: r, id: attempt.ID, began: e.d.now()}
+	refused := e.classify(req, attempt)
+	if refused == nil {
+		refused = e.readBody(w, req)
+	}
+	if refused != nil {
+		e.write(w, req, refused)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), req.deadline.Sub(e.d.now()))
+	defer cancel()
+	req.ctx = ctx
+	e.write(w, req, e.forward(req))
+}
+
+// classify finds the route and the service. It returns an answer when the
+// request is refused.
+func (e *entry) classify(req *request, attempt Attempt) *Answer {
+	table := e.d.config.table()
+	if table == nil {
+		return refuse(outcome.ReasonNotReady, notReadyRetry)
+	}
+	path, _, _ := strings.Cut(req.http.RequestURI, "?")
+	rt, ok := table.Lookup(req.http.Host, path)
+	if !ok {
+		return notRun(outcome.ReasonNoService)
+	}
+	req.table, req.route = table, rt
+	e.mu.Lock()
+	req.service = e.splitter.Pick(rt)
+	e.mu.Unlock()
+	left := attempt.Deadline
+	if left <= 0 {
+		left = defaultDeadline
+	}
+	if rt.Timeout > 0 {
+		left = min(left, rt.Timeout)
+	}
+	req.deadline = req.began.Add(left)
+	if rt.Target > 0 {
+		req.target = req.began.Add(rt.Target)
+	}
+	return nil
+}
+
+func refuse(r outcome.Reason, after time.Duration) *Answer {
+	a := notRun(r)
+	a.Outcome.RetryAfter = after
+	return a
+}
+
+func (e *entry) readBody(w http.ResponseWriter, req *request) *Answer {
+	limit := req.table.Limits().BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.http.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return notRun(outcome.ReasonTooLarge)
+	case err != nil:
+		return notRun(outcome.ReasonBadRequest)
+	}
+	req.body = body
+	return nil
+}
+
+// statuses are the statuses of reasons that have one of their own.
+var statuses = map[outcome.Reason]int{
+	outcome.ReasonNoService:  http.StatusNotFound,
+	outcome.ReasonBadRequest: http.StatusBadRequest,
+	outcome.ReasonTooLarge:   http.StatusRequestEntityTooLarge,
+}
+
+// statusOf returns the status of an outcome that is no answer. 503 promises that
+// the request has not run.
+func statusOf(o outcome.Outcome) int {
+	if status, ok := statuses[o.Reason]; ok {
+		return status
+	}
+	switch {
+	case o.Kind == outcome.NotRun:
+		return http.StatusServiceUnavailable
+	case o.Reason == outcome.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// write answers the caller and logs how the request ended.
+func (e *entry) write(w http.ResponseWriter, req *request, a *Answer) {
+	took := e.d.now().Sub(req.began)
+	name := "none"
+	if req.route != nil {
+		name = req.route.Name
+	}
+	e.d.metrics.answered(name, a.Outcome, took)
+	if a.Outcome.Kind == outcome.Answered {
+		copyHeader(w.Header(), a.Header)
+		writeWhole(w, req.http.Method, a)
+		e.tell(decision.Answered, req, name, a, a.Status, took)
+		return
+	}
+	status := statusOf(a.Outcome)
+	h := w.Header()
+	e.d.opts.Edge.Sign(h, req.id)
+	h.Set("Content-Type", "text/plain")
+	if a.Outcome.RetryAfter > 0 {
+		h.Set("Retry-After", seconds(a.Outcome.RetryAfter))
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, string(a.Outcome.Reason)+"\n")
+	kind := decision.Failed
+	if a.Outcome.Kind == outcome.NotRun {
+		kind = decision.Refused
+	}
+	e.tell(kind, req, name, a, status, took)
+}
+
+// seconds returns a duration as Retry-After has it, with a fraction.
+func seconds(d time.Duration) string {
+	const digits, bits = 3, 64
+	return strconv.FormatFloat(math.Max(d.Seconds(), 0.001), 'f', digits, bits)
+}
+
+func (e *entry) tell(k decision.Kind, req *request, name string, a *Answer, status int, took time.Duration) {
+	if k == decision.Answered && !e.d.opts.Decisions.Keeps(req.id) {
+		return
+	}
+	e.d.opts.Decisions.Write(k, req.id,
+		slog.String("route", name), slog.String("service", string(req.service)), slog.String("upstream", req.upstream),
+		slog.String("reason", string(a.Outcome.Reason)), slog.Int("status", status),
+		slog.Int64("retry_after_ms", a.Outcome.RetryAfter.Milliseconds()), slog.Int64("took_ms", took.Milliseconds()),
+		slog.Int("sends", req.sends), slog.Int("given_back", req.givenBack), slog.Int("candidates", req.candidates),
+		slog.Int64("expected_ms", req.expected.Milliseconds()), slog.Uint64("config", uint64(e.d.config.version())))
+}
+
+// service is what the entry holds of one service. Its mutex guards all of it.
+type service struct {
+	mu         sync.Mutex
+	placer     *placement.Placer
+	targets    map[string]target
+	generation uint64
+	filled     bool
+	resends    *resends
+}
+
+// service returns the state of a service.
+func (e *entry) service(name model.ServiceName) *service {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.services[name]
+	if s == nil {
+		s = &service{
+			placer:  placement.New(placement.Options{Zone: e.d.opts.Zone}),
+			resends: newResends(e.d.opts.Resends),
+		}
+		e.services[name] = s
+	}
+	return s
+}
+
+// refresh follows what is known of the other daemons. s.mu is held.
+func (e *entry) refresh(s *service, name model.ServiceName) {
+	generation := e.d.peers.current()
+	if s.filled && generation == s.generation {
+		return
+	}
+	ups, targets := e.d.peers.candidates(name)
+	s.placer.Set(ups)
+	s.targets, s.generation, s.filled = targets, generation, true
+}
+
+// work is the usual time of a route's requests where nothing slows them.
+type work struct {
+	mean time.Duration
+}
+
+const (
+	// firstWork is assumed of a route that nothing is known of.
+	firstWork = 50 * time.Millisecond
+	// workWeight makes the mean cover about 16 requests.
+	workWeight = 1.0 / 16
+	// maxWorks bounds the routes whose work is known.
+	maxWorks = 4096
+)
+
+// workOf returns the usual work of a route.
+func (e *entry) workOf(name string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if w := e.works[name]; w != nil {
+		return w.mean
+	}
+	return firstWork
+}
+
+// worked takes in how long a request of a route ran, at a slowness.
+func (e *entry) worked(name string, ran time.Duration, slow float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	usual := time.Duration(float64(ran) / max(slow, 1))
+	w := e.works[name]
+	if w == nil {
+		if len(e.works) >= maxWorks {
+			clear(e.works)
+		}
+		e.works[name] = &work{mean: usual}
+		return
+	}
+	w.mean += time.Duration(float64(usual-w.mean) * workWeight)
+}
--- /dev/null
+++ b/sidecar/guard.go
@@ -0,0 +1,481 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/slots"
+	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/hop"
+)
+
+const (
+	// freshFor is how old a figure of slowness may be when a call is taken that
+	// could go elsewhere. Shared VMs change their speed every few hundred
+	// milliseconds, so an older figure is wrong one time in four.
+	freshFor = 80 * time.Millisecond
+	// probeTimeout bounds the wait for a health answer, which comes at once from
+	// an upstream that is well.
+	probeTimeout = 50 * time.Millisecond
+	// startProbeTimeout bounds the same at the start, when nothing waits for it.
+	startProbeTimeout = 500 * time.Millisecond
+	// worseFactor and worseBy are how much later than elsewhere a call must be
+	// expected to end before it is given back: the way back costs a round trip
+	// and the figures from elsewhere are older.
+	worseFactor = 1.25
+	worseBy     = 10 * time.Millisecond
+	// failWeight makes the failing share cover about 8 requests.
+	failWeight = 1.0 / 8
+	// keptIdle is how long a connection may have been idle to carry a request
+	// that must not run twice: an upstream that forgets connections resets the
+	// request, and then nobody knows whether it ran.
+	keptIdle = time.Second
+	// minDeadline is the least time that an upstream is given.
+	minDeadline = 2 * time.Millisecond
+)
+
+// guard admits calls to the own upstream. It is safe for concurrent use.
+type guard struct {
+	opts    *Options
+	now     func() model.Instant
+	version func() model.Version
+	health  func() string
+	metrics *metrics
+
+	mu      sync.Mutex
+	tracker lifecycle.Tracker
+	pool    *hop.Pool
+	queue   *slots.Queue
+	waiting map[uint64]chan slots.Exit
+	nextID  uint64
+	wake    *time.Timer
+	slow    float64
+	slowAt  model.Instant
+	told    bool
+	failing float64
+	probing chan struct{}
+	// closed tells that the daemon stops and sends nothing new.
+	closed   bool
+	attempts *attempts
+}
+
+func newGuard(o *Options, now func() model.Instant, m *metrics) *guard {
+	g := &guard{
+		opts: o, now: now, metrics: m,
+		queue:    slots.New(1),
+		waiting:  make(map[uint64]chan slots.Exit),
+		slow:     1,
+		attempts: newAttempts(now),
+	}
+	g.wake = time.AfterFunc(time.Hour, g.pump)
+	g.wake.Stop()
+	g.pool = g.newPool()
+	return g
+}
+
+func (g *guard) newPool() *hop.Pool {
+	return hop.NewPool(g.opts.Addresses.Upstream, hop.PoolOptions{Dialed: g.metrics.upstreamConns})
+}
+
+// report takes in what the upstream says of itself.
+func (g *guard) report(r lifecycle.Report, cause string) lifecycle.Verdict {
+	g.mu.Lock()
+	v := g.tracker.Observe(r)
+	g.follow(v)
+	cur := g.tracker.Current()
+	g.mu.Unlock()
+	if v == lifecycle.Started || v == lifecycle.Changed {
+		g.tell(cur, cause)
+	}
+	g.pump()
+	return v
+}
+
+// leave takes in that an incarnation leaves for good.
+func (g *guard) leave(i lifecycle.Incarnation) lifecycle.Verdict {
+	g.mu.Lock()
+	v := g.tracker.Leave(i)
+	cur := g.tracker.Current()
+	g.mu.Unlock()
+	if v == lifecycle.Changed {
+		g.tell(cur, "deregistered")
+	}
+	g.pump()
+	return v
+}
+
+// restore takes in which incarnations others know to have left.
+func (g *guard) restore(departed []lifecycle.Incarnation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.Restore(departed)
+}
+
+func (g *guard) tell(r lifecycle.Report, cause string) {
+	g.opts.Decisions.Write(decision.UpstreamState, "",
+		slog.String("upstream", string(r.ID)), slog.Int64("born", r.Born), slog.Uint64("sequence", r.Sequence),
+		slog.String("state", r.State.String()), slog.String("cause", cause))
+}
+
+// follow starts afresh with a new incarnation. g.mu is held.
+func (g *guard) follow(v lifecycle.Verdict) {
+	if v != lifecycle.Started {
+		return
+	}
+	g.pool.Close()
+	g.pool = g.newPool()
+	g.queue.SetLimit(placement.LimitOf(g.tracker.Current().Slots))
+	g.told, g.failing = false, 0
+}
+
+// current returns the newest report of the upstream.
+func (g *guard) current() (lifecycle.Report, []lifecycle.Incarnation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	departed := g.tracker.Departed()
+	return g.tracker.Current(), append([]lifecycle.Incarnation(nil), departed...)
+}
+
+// stop lets no further call start.
+func (g *guard) stop() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+}
+
+// idle reports whether nothing waits or runs.
+func (g *guard) idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Running() == 0 && g.queue.Waiting() == 0
+}
+
+// Do has the upstream run a call at most once and returns what came of it. When
+// the context ends, a call that waits is withdrawn and an idempotent one that
+// runs is cancelled.
+func (g *guard) Do(ctx context.Context, c *Call) *Answer {
+	at, known := g.attempts.begin(c.Key())
+	if known {
+		return g.finish(at.again())
+	}
+	if c.Alternative > 0 {
+		g.refresh(ctx)
+	}
+	id, exits, refused := g.arrive(c)
+	if refused != nil {
+		at.end(refused)
+		return g.finish(refused)
+	}
+	arrived := g.now()
+	if a := g.wait(ctx, c, at, id, exits); a != nil {
+		at.end(a)
+		return g.finish(a)
+	}
+	if c.Idempotent {
+		return g.finish(g.run(ctx, c, at, arrived))
+	}
+	// A run that must not be repeated goes on when its sender is cut off, who
+	// asks for the answer on another connection.
+	go g.run(context.WithoutCancel(ctx), c, at, arrived)
+	return g.finish(at.wait(ctx))
+}
+
+// finish puts the load and the version on an answer.
+func (g *guard) finish(a *Answer) *Answer {
+	out := *a
+	out.Version = g.version()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out.Load = &placement.Load{
+		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
+		Slow: g.slow, SlowAge: g.now().Sub(g.slowAt), Failing: g.failing,
+	}
+	if !g.told {
+		out.Load.Slow = 0
+	}
+	return &out
+}
+
+// arrive lets a call wait for its start, unless it is refused at once.
+func (g *guard) arrive(c *Call) (uint64, <-chan slots.Exit, *Answer) {
+	g.mu.Lock()
+	cur := g.tracker.Current()
+	if reason := g.refusal(cur, c); reason != outcome.ReasonNone {
+		g.mu.Unlock()
+		return 0, nil, notRun(reason)
+	}
+	now := g.now()
+	ahead := g.queue.Ahead(c.Rank)
+	expected := placement.Expected(c.Work, g.slow, ahead, g.queue.Limit(), g.failing)
+	if c.Alternative > 0 && expected > time.Duration(worseFactor*float64(c.Alternative))+worseBy {
+		g.mu.Unlock()
+		g.tellGivenBack(c, "slower-here", expected)
+		return 0, nil, notRun(outcome.ReasonWithdrawn)
+	}
+	it := slots.Item{
+		Rank: c.Rank, Work: c.Work, Arrived: now, Deadline: now.Add(c.Deadline),
+	}
+	if c.Within != 0 {
+		it.Target = now.Add(c.Within)
+	}
+	if c.Alternative > 0 {
+		it.GiveUp = now.Add(c.Alternative/2 + worseBy)
+	}
+	g.nextID++
+	it.ID = g.nextID
+	exits := make(chan slots.Exit, 1)
+	g.waiting[it.ID] = exits
+	g.queue.Add(it)
+	g.mu.Unlock()
+	g.pump()
+	return it.ID, exits, nil
+}
+
+// refusal returns why a call cannot run here. g.mu is held.
+func (g *guard) refusal(cur lifecycle.Report, c *Call) outcome.Reason {
+	switch {
+	case g.closed:
+		return outcome.ReasonDraining
+	case cur.State == lifecycle.Unknown, cur.Service != c.Service, !sameLife(cur.Incarnation, c.Upstream):
+		return outcome.ReasonNoUpstream
+	case cur.State != lifecycle.Ready:
+		return outcome.ReasonDraining
+	default:
+		return outcome.ReasonNone
+	}
+}
+
+// sameLife reports whether two names may mean one incarnation: a start that was
+// not told matches any.
+func sameLife(a, b lifecycle.Incarnation) bool {
+	return a.ID == b.ID && (a.Born == b.Born || a.Born == 0 || b.Born == 0)
+}
+
+func (g *guard) tellGivenBack(c *Call, reason string, expected time.Duration) {
+	g.metrics.givenBack.Inc(1)
+	g.mu.Lock()
+	slow, age := g.slow, g.now().Sub(g.slowAt)
+	running, waiting, limit := g.queue.Running(), g.queue.Waiting(), g.queue.Limit()
+	g.mu.Unlock()
+	g.opts.Decisions.Write(decision.GivenBack, c.ID,
+		slog.String("reason", reason), slog.Int64("expected_ms", expected.Milliseconds()),
+		slog.Int64("alternative_ms", c.Alternative.Milliseconds()), slog.Float64("slow", slow),
+		slog.Int64("slow_age_ms", age.Milliseconds()), slog.Int("running", running),
+		slog.Int("waiting", waiting), slog.Int("limit", limit))
+}
+
+// wait returns nil once the call may start, else why it does not.
+func (g *guard) wait(ctx context.Context, c *Call, at *attempt, id uint64, exits <-chan slots.Exit) *Answer {
+	select {
+	case e := <-exits:
+		return g.exit(c, e)
+	case <-ctx.Done():
+	case <-at.withdrawn:
+	}
+	if g.withdraw(id) {
+		return notRun(outcome.ReasonWithdrawn)
+	}
+	return g.exit(c, <-exits)
+}
+
+func (g *guard) exit(c *Call, e slots.Exit) *Answer {
+	switch e {
+	case slots.Start:
+		return nil
+	case slots.Hopeless:
+		return notRun(outcome.ReasonDeadline)
+	default:
+		g.tellGivenBack(c, "waited", 0)
+		return notRun(outcome.ReasonWithdrawn)
+	}
+}
+
+func (g *guard) withdraw(id uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.queue.Remove(id) {
+		return false
+	}
+	delete(g.waiting, id)
+	return true
+}
+
+// pump hands out every decision that the queue has now.
+func (g *guard) pump() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if g.tracker.Current().State > lifecycle.Ready || g.closed {
+		g.giveAllBack()
+		return
+	}
+	for {
+		d, ok := g.queue.Next(now, g.slow)
+		if !ok {
+			break
+		}
+		g.waiting[d.ID] <- d.Exit
+		delete(g.waiting, d.ID)
+	}
+	if at := g.queue.Wake(g.slow); at != 0 {
+		g.wake.Reset(max(at.Sub(now), time.Millisecond))
+	}
+}
+
+// giveAllBack hands back every call that waits. g.mu is held.
+func (g *guard) giveAllBack() {
+	for id, exits := range g.waiting {
+		if g.queue.Remove(id) {
+			exits <- slots.Returned
+			delete(g.waiting, id)
+		}
+	}
+}
+
+// run sends a started call to the upstream.
+func (g *guard) run(ctx context.Context, c *Call, at *attempt, arrived model.Instant) *Answer {
+	left := c.Deadline - g.now().Sub(arrived)
+	a := notRun(outcome.ReasonDeadline)
+	if left >= minDeadline && at.start() {
+		a = g.send(ctx, c, left, g.now().Sub(arrived))
+	} else if left >= minDeadline {
+		a = notRun(outcome.ReasonWithdrawn)
+	}
+	g.mu.Lock()
+	g.queue.Finish()
+	g.mu.Unlock()
+	at.end(a)
+	g.pump()
+	return a
+}
+
+func (g *guard) send(ctx context.Context, c *Call, left, waited time.Duration) *Answer {
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	h := endToEnd(c.Header)
+	g.opts.Edge.Dress(h, Dressing{ID: c.ID, Deadline: left, Caller: c.Caller, Upstream: c.Upstream.ID})
+	x := hop.Exchange{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body,
+		Accept: func(r *http.Response) bool { return g.mine(c, r) },
+	}
+	if !c.Idempotent {
+		x.MaxIdle = keptIdle
+	}
+	g.mu.Lock()
+	pool, running := g.pool, g.queue.Running()
+	g.mu.Unlock()
+	began := g.now()
+	reply, err := pool.Do(ctx, x)
+	ran := g.now().Sub(began)
+	a := g.read(ctx, c, reply, err)
+	a.Ran = ran
+	g.judge(ctx, a)
+	g.tellRun(c, a, err, waited, running)
+	return a
+}
+
+// mine reports whether a response belongs to a call.
+func (g *guard) mine(c *Call, r *http.Response) bool {
+	reading := g.opts.Edge.Read(r.StatusCode, r.Header)
+	return reading.ID == c.ID || reading.ID == "" && (reading.NotRun || reading.Mistaken)
+}
+
+// read turns what came back into an answer.
+func (g *guard) read(ctx context.Context, c *Call, reply *hop.Reply, err error) *Answer {
+	var lost *hop.LostError
+	if errors.As(err, &lost) {
+		switch {
+		case !lost.Sent:
+			return notRun(outcome.ReasonConnect)
+		case ctx.Err() != nil:
+			return unknown(outcome.ReasonDeadline)
+		default:
+			return unknown(outcome.ReasonConnectionLost)
+		}
+	}
+	r := g.opts.Edge.Read(reply.Status, reply.Header)
+	g.learn(r.Load)
+	switch {
+	case r.Mistaken:
+		g.mistaken(c, r.Instance)
+		a := notRun(outcome.ReasonNoUpstream)
+		return a
+	case r.NotRun:
+		a := notRun(outcome.ReasonUpstreamRefused)
+		a.Arrived = true
+		return a
+	case !r.Whole:
+		return unknown(outcome.ReasonTruncated)
+	}
+	return &Answer{Outcome: outcome.Done(), Status: reply.Status, Header: endToEnd(reply.Header), Body: reply.Body, Arrived: true}
+}
+
+// mistaken takes in that the upstream at the address is another than expected.
+func (g *guard) mistaken(c *Call, found model.UpstreamID) {
+	g.mu.Lock()
+	cur := g.tracker.Current()
+	if cur.ID != c.Upstream.ID || found == cur.ID {
+		g.mu.Unlock()
+		return
+	}
+	g.tracker.Leave(cur.Incarnation)
+	cur = g.tracker.Current()
+	g.mu.Unlock()
+	g.tell(cur, "address taken by "+string(found))
+}
+
+// learn takes in what the upstream says of its load.
+func (g *guard) learn(l *UpstreamLoad) {
+	if l == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.Slow > 0 {
+		g.slow, g.slowAt, g.told = l.Slow, g.now(), true
+	}
+	if l.Slots > 0 {
+		g.queue.SetLimit(placement.LimitOf(l.Slots))
+	}
+}
+
+// judge takes in whether a run failed.
+func (g *guard) judge(ctx context.Context, a *Answer) {
+	failed := 0.0
+	switch {
+	case a.Outcome.Kind == outcome.Unknown && errors.Is(ctx.Err(), context.Canceled):
+		return
+	case a.Outcome.Kind != outcome.Answered, a.Status >= http.StatusInternalServerError:
+		failed = 1
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failing += (failed - g.failing) * failWeight
+}
+
+func (g *guard) tellRun(c *Call, a *Answer, err error, waited time.Duration, running int) {
+	attrs := []slog.Attr{slog.String("upstream", string(c.Upstream.ID)), slog.Int("status", a.Status), slog.Int64("ran_ms", a.Ran.Milliseconds())}
+	if a.Outcome.Kind == outcome.Answered && a.Status < http.StatusInternalServerError {
+		if g.opts.Decisions.Keeps(c.ID) {
+			g.mu.Lock()
+			slow := g.slow
+			g.mu.Unlock()
+			g.opts.Decisions.Write(decision.Ran, c.ID, append(attrs, slog.Int64("waited_ms", waited.Milliseconds()),
+				slog.Float64("slow", slow), slog.Int("running", running))...)
+		}
+		return
+	}
+	if err != nil {
+		attrs = append(attrs, slog.String("error", err.Error()))
+	}
+	g.opts.Decisions.Write(decision.RunFailed, c.ID, append(attrs,
+		slog.String("outcome", a.Outcome.Kind.String()), slog.String("reason", string(a.Outcome.Reason)))...)
+}
--- /dev/null
+++ b/sidecar/messages.go
@@ -0,0 +1,214 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/hop"
+)
+
+// The paths between daemons besides calls, which carry callHeader.
+const (
+	pathSync   = "/sync"
+	pathSettle = "/settle"
+	pathConfig = "/config"
+)
+
+// syncMessage exchanges records between two daemons, as question and answer.
+type syncMessage struct {
+	From Record `json:"f"`
+	// Full asks for all records; Known brings them.
+	Full    bool          `json:"w,omitempty"`
+	Known   []Record      `json:"k,omitempty"`
+	Version model.Version `json:"v"`
+}
+
+const (
+	// maxSync bounds a message between daemons, in bytes: 300 bytes a record for
+	// some thousand daemons.
+	maxSync = 4 << 20
+)
+
+// StatusError is an answer of another daemon that is no success.
+type StatusError struct {
+	Path   string
+	Status int
+}
+
+// Error names the path and the status.
+func (e *StatusError) Error() string { return fmt.Sprintf("%s: answered %d", e.Path, e.Status) }
+
+func sendSync(ctx context.Context, pool *hop.Pool, m syncMessage) (syncMessage, error) {
+	var reply syncMessage
+	body, err := json.Marshal(m)
+	if err != nil {
+		return reply, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	r, err := pool.Do(ctx, hop.Exchange{Method: http.MethodPost, Target: pathSync, Host: peerHost, Header: http.Header{}, Body: body})
+	if err != nil {
+		return reply, err
+	}
+	if r.Status != http.StatusOK {
+		return reply, &StatusError{Path: pathSync, Status: r.Status}
+	}
+	return reply, json.Unmarshal(r.Body, &reply)
+}
+
+// peerHost is the Host of messages between daemons, which none looks at.
+const peerHost = "-"
+
+func fetchConfig(ctx context.Context, pool *hop.Pool) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	r, err := pool.Do(ctx, hop.Exchange{Method: http.MethodGet, Target: pathConfig, Host: peerHost, Header: http.Header{}})
+	if err != nil {
+		return nil, err
+	}
+	if r.Status != http.StatusOK {
+		return nil, &StatusError{Path: pathConfig, Status: r.Status}
+	}
+	return r.Body, nil
+}
+
+// askSettle asks a guard over a new connection what became of an attempt, and
+// withdraws it if it has not started.
+func askSettle(ctx context.Context, pool *hop.Pool, key string) *Answer {
+	r, err := pool.Do(ctx, hop.Exchange{
+		Method: http.MethodPost, Target: pathSettle + "?key=" + url.QueryEscape(key), Host: peerHost,
+		Header: http.Header{}, MaxIdle: -1,
+	})
+	if err != nil {
+		return unknown(outcome.ReasonConnectionLost)
+	}
+	return answerOf(r)
+}
+
+// answerOf reads a call's answer from the response of another daemon.
+func answerOf(r *hop.Reply) *Answer {
+	a, err := decodeAnswer(r.Header.Get(callHeader))
+	if err != nil {
+		return unknown(outcome.ReasonConnectionLost)
+	}
+	a.Status, a.Header, a.Body = r.Status, endToEnd(r.Header), r.Body
+	return a
+}
+
+// writePeerAnswer answers another daemon.
+func writePeerAnswer(w http.ResponseWriter, method string, a *Answer) {
+	h := w.Header()
+	if a.Outcome.Kind != outcome.Answered {
+		h.Set(callHeader, a.encode())
+		h["Date"] = nil
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	copyHeader(h, a.Header)
+	h.Set(callHeader, a.encode())
+	writeWhole(w, method, a)
+}
+
+// copyHeader copies headers and keeps the server from adding some of its own.
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = values
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := src[name]; !ok {
+			dst[name] = nil
+		}
+	}
+}
+
+// writeWhole writes status and body with the body's length.
+func writeWhole(w http.ResponseWriter, method string, a *Answer) {
+	if method != http.MethodHead && bodyAllowed(a.Status) {
+		w.Header().Set("Content-Length", fmt.Sprint(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	if method != http.MethodHead && len(a.Body) > 0 {
+		_, _ = w.Write(a.Body)
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// peerHandler serves other daemons.
+type peerHandler struct{ d *Daemon }
+
+// ServeHTTP answers a call or a message.
+func (p peerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if line := r.Header.Get(callHeader); line != "" {
+		p.call(w, r, line)
+		return
+	}
+	switch r.URL.Path {
+	case pathSync:
+		p.sync(w, r)
+	case pathSettle:
+		writePeerAnswer(w, r.Method, p.d.guard.finish(p.d.guard.attempts.settle(r.Context(), r.URL.Query().Get("key"))))
+	case pathConfig:
+		p.config(w)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (p peerHandler) call(w http.ResponseWriter, r *http.Request, line string) {
+	c, err := decodeCall(line)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.RequestURI, r.Host, r.Header, body
+	writePeerAnswer(w, r.Method, p.d.guard.Do(r.Context(), c))
+}
+
+func (p peerHandler) sync(w http.ResponseWriter, r *http.Request) {
+	var m syncMessage
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxSync)).Decode(&m); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	held, _ := p.d.peers.of(m.From.Address)
+	p.d.peers.merge(append([]Record{m.From}, m.Known...))
+	if m.Version > p.d.config.version() {
+		p.d.behind(m.From.Address, m.Version)
+	}
+	reply := syncMessage{From: p.d.peers.self(), Version: p.d.config.version()}
+	if held.Sequence > 0 {
+		// The sender may have started anew and forgotten what it knew.
+		reply.Known = append(reply.Known, held)
+	}
+	if m.Full {
+		reply.Known = append(reply.Known, p.d.peers.known()[1:]...)
+	}
+	body, err := json.Marshal(reply)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (p peerHandler) config(w http.ResponseWriter) {
+	raw := p.d.config.raw()
+	if raw == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(raw)
+}
--- /dev/null
+++ b/sidecar/metrics.go
@@ -0,0 +1,46 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/telemetry"
+)
+
+// metrics are the figures of a daemon.
+type metrics struct {
+	scope     tally.Scope
+	givenBack tally.Counter
+	probes    tally.Counter
+	conns     tally.Counter
+	resent    tally.Counter
+	hedged    tally.Counter
+	denied    tally.Counter
+	settled   tally.Counter
+	outcomes  *telemetry.OutcomeCounter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	scope = telemetry.OrNoop(scope)
+	return &metrics{
+		scope:     scope,
+		givenBack: scope.Counter("given_back"),
+		probes:    scope.Counter("probes"),
+		conns:     scope.Counter("upstream_connections"),
+		resent:    scope.Counter("resent"),
+		hedged:    scope.Counter("hedged"),
+		denied:    scope.Counter("resend_budget_empty"),
+		settled:   scope.Counter("settled"),
+		outcomes:  telemetry.NewOutcomeCounter(scope, "requests"),
+	}
+}
+
+func (m *metrics) upstreamConns() { m.conns.Inc(1) }
+
+// answered records how long a request took.
+func (m *metrics) answered(route string, o outcome.Outcome, took time.Duration) {
+	m.outcomes.Count(o)
+	m.scope.Tagged(map[string]string{"route": route}).Timer("latency").Record(took)
+}
--- /dev/null
+++ b/sidecar/peers.go
@@ -0,0 +1,416 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/hop"
+)
+
+// Record is what a daemon tells the others of itself. It is its only writer, and
+// of two records of a daemon the one with the higher (Incarnation, Sequence)
+// holds.
+type Record struct {
+	Address     string                 `json:"a"`
+	Incarnation int64                  `json:"i"`
+	Sequence    uint64                 `json:"n"`
+	Zone        model.AvailabilityZone `json:"z"`
+	// Service, Upstream, State and Slots tell of the upstream beside it.
+	Service  model.ServiceName     `json:"s,omitempty"`
+	Upstream lifecycle.Incarnation `json:"u,omitzero"`
+	State    lifecycle.State       `json:"st,omitempty"`
+	Slots    int                   `json:"sl,omitempty"`
+	// ColdMS is how much longer the upstream is slow after its start.
+	ColdMS int64 `json:"c,omitempty"`
+	// Stopping tells that the daemon takes no more calls.
+	Stopping bool `json:"x,omitempty"`
+	// Departed are the last incarnations beside it that left, so that a daemon
+	// that starts anew learns of them from the others.
+	Departed []lifecycle.Incarnation `json:"d,omitempty"`
+}
+
+// newer reports whether r wins over old.
+func (r *Record) newer(old *Record) bool {
+	if r.Incarnation != old.Incarnation {
+		return r.Incarnation > old.Incarnation
+	}
+	return r.Sequence > old.Sequence
+}
+
+// maxTold bounds the departed incarnations in a record.
+const maxTold = 8
+
+// peer is another daemon.
+type peer struct {
+	record    Record
+	coldUntil model.Instant
+	pool      *hop.Pool
+	// due tells that the peer has not got the own record yet, syncing that a
+	// goroutine sees to it.
+	due     bool
+	syncing bool
+	// full asks for everything that the peer knows.
+	full bool
+	// lost is set while the peer cannot be reached, since when in lostAt.
+	lost   bool
+	lostAt model.Instant
+}
+
+const (
+	// syncTimeout bounds one exchange of records.
+	syncTimeout = 1500 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause after a failed exchange. A
+	// daemon that restarts is back within one or two seconds.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 2 * time.Second
+	// forgetAfter is how long a daemon is looked for. One that comes back later
+	// announces itself.
+	forgetAfter = time.Minute
+	// fullAsks is how many daemons a starting one asks for all that they know.
+	fullAsks = 2
+	// peerIdle is how long connections between daemons are kept.
+	peerIdle = 90 * time.Second
+)
+
+// peers holds the records of all daemons. It is safe for concurrent use.
+type peers struct {
+	now       func() model.Instant
+	decisions *decision.Log
+	version   func() model.Version
+	// behind is told of a daemon with a newer configuration.
+	behind func(address string, v model.Version)
+	// restore is told what others remember of the upstreams of this VM.
+	restore func([]lifecycle.Incarnation)
+
+	mu         sync.Mutex
+	own        Record
+	all        map[string]*peer
+	generation uint64
+	asked      int
+	ctx        context.Context
+	wg         sync.WaitGroup
+	// greeted is closed once another daemon has answered, or there is none.
+	greeted     chan struct{}
+	greetedOnce sync.Once
+}
+
+func newPeers(own Record, now func() model.Instant, d *decision.Log) *peers {
+	return &peers{
+		now: now, decisions: d, own: own,
+		all:     make(map[string]*peer),
+		ctx:     context.Background(),
+		greeted: make(chan struct{}),
+	}
+}
+
+// self returns the own record.
+func (p *peers) self() Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.own
+}
+
+// update changes the own record and tells everybody.
+func (p *peers) update(change func(*Record)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.own)
+	p.own.Sequence++
+	p.generation++
+	for _, q := range p.all {
+		p.owe(q)
+	}
+}
+
+// owe has the own record sent to a peer. p.mu is held.
+func (p *peers) owe(q *peer) {
+	q.due = true
+	if q.syncing || p.ctx.Err() != nil {
+		return
+	}
+	q.syncing = true
+	p.wg.Add(1)
+	go p.sync(q)
+}
+
+// meet takes in that there are daemons at the addresses.
+func (p *peers) meet(list []Listing) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range list {
+		if l.Address == p.own.Address || p.all[l.Address] != nil {
+			continue
+		}
+		q := p.add(Record{Address: l.Address, Incarnation: l.Incarnation, Zone: l.Zone})
+		q.full = p.asked < fullAsks
+		if q.full {
+			p.asked++
+		}
+		p.owe(q)
+	}
+	if len(p.all) == 0 {
+		p.greetedOnce.Do(func() { close(p.greeted) })
+	}
+}
+
+func (p *peers) add(r Record) *peer {
+	q := &peer{record: r, pool: hop.NewPool(r.Address, hop.PoolOptions{IdleLimit: peerIdle})}
+	p.all[r.Address] = q
+	p.generation++
+	return q
+}
+
+// merge takes in records, the first of which is its sender's.
+func (p *peers) merge(records []Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range records {
+		r := &records[i]
+		if r.Address == "" {
+			continue
+		}
+		if r.Address == p.own.Address {
+			p.meetSelf(r)
+			continue
+		}
+		p.mergeOne(r)
+	}
+}
+
+// meetSelf takes in what others hold of this daemon. A record of a life that
+// seems later than this one comes from a clock that was ahead. p.mu is held.
+func (p *peers) meetSelf(r *Record) {
+	if r.Incarnation > p.own.Incarnation {
+		p.own.Incarnation = r.Incarnation + 1
+		for _, q := range p.all {
+			p.owe(q)
+		}
+	}
+	departed := r.Departed
+	if len(departed) > 0 && p.restore != nil {
+		go p.restore(slices.Clone(departed))
+	}
+}
+
+func (p *peers) mergeOne(r *Record) {
+	q := p.all[r.Address]
+	if q == nil {
+		q = p.add(Record{Address: r.Address})
+		p.owe(q)
+	} else if !r.newer(&q.record) {
+		return
+	}
+	restarted := r.Incarnation != q.record.Incarnation && q.record.Incarnation != 0 && q.record.Sequence != 0
+	changed := r.State != q.record.State || r.Upstream != q.record.Upstream || r.Stopping != q.record.Stopping
+	departed := q.record.Departed
+	q.record = *r
+	if len(r.Departed) == 0 {
+		q.record.Departed = departed
+	}
+	q.coldUntil = p.now().Add(time.Duration(r.ColdMS) * time.Millisecond)
+	p.generation++
+	if restarted {
+		// Its memory of this daemon is gone, and so are the old connections.
+		q.pool.Close()
+		q.pool = hop.NewPool(r.Address, hop.PoolOptions{IdleLimit: peerIdle})
+		p.owe(q)
+	}
+	if changed {
+		p.decisions.Write(decision.PeerState, "", slog.String("peer", r.Address),
+			slog.String("upstream", string(r.Upstream.ID)), slog.Int64("born", r.Upstream.Born),
+			slog.String("state", r.State.String()), slog.Bool("stopping", r.Stopping))
+	}
+}
+
+// known returns every record held, the own first.
+func (p *peers) known() []Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []Record{p.own}
+	for _, q := range p.all {
+		if q.record.Sequence > 0 {
+			out = append(out, q.record)
+		}
+	}
+	return out
+}
+
+// of returns the record held of a daemon.
+func (p *peers) of(address string) (Record, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.all[address]
+	if q == nil {
+		return Record{}, false
+	}
+	return q.record, true
+}
+
+// pool returns the connections to a daemon, nil when it is not known.
+func (p *peers) pool(address string) *hop.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if q := p.all[address]; q != nil {
+		return q.pool
+	}
+	return nil
+}
+
+// size returns the number of daemons known, this one included.
+func (p *peers) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.all) + 1
+}
+
+// reachable returns the addresses of the daemons that are not lost.
+func (p *peers) reachable() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for address, q := range p.all {
+		if !q.lost {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// missed takes in that a call could not be sent to a daemon, and has it looked
+// for.
+func (p *peers) missed(address string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.all[address]
+	if q == nil || q.lost {
+		return
+	}
+	p.lose(q, err)
+	p.owe(q)
+}
+
+// lose notes that a peer cannot be reached. p.mu is held.
+func (p *peers) lose(q *peer, err error) {
+	q.lost, q.lostAt = true, p.now()
+	p.generation++
+	p.decisions.Write(decision.PeerLost, "", slog.String("peer", q.record.Address), slog.String("error", err.Error()))
+}
+
+// sync sends the own record to a peer until the peer has it.
+func (p *peers) sync(q *peer) {
+	defer p.wg.Done()
+	backoff := firstBackoff
+	for {
+		p.mu.Lock()
+		if !q.due || p.ctx.Err() != nil || p.all[q.record.Address] != q {
+			q.syncing = false
+			p.mu.Unlock()
+			return
+		}
+		q.due = false
+		message := syncMessage{From: p.own, Full: q.full}
+		pool, address := q.pool, q.record.Address
+		p.mu.Unlock()
+		message.Version = p.version()
+		reply, err := sendSync(p.ctx, pool, message)
+		if err == nil {
+			p.synced(q, address, reply)
+			backoff = firstBackoff
+			continue
+		}
+		if !p.unsynced(q, err) {
+			return
+		}
+		select {
+		case <-time.After(backoff):
+		case <-p.ctx.Done():
+		}
+		backoff = min(2*backoff, lastBackoff)
+	}
+}
+
+func (p *peers) synced(q *peer, address string, reply syncMessage) {
+	p.mu.Lock()
+	if q.lost {
+		p.decisions.Write(decision.PeerRegained, "", slog.String("peer", address))
+		p.generation++
+	}
+	q.lost, q.full = false, false
+	p.mu.Unlock()
+	p.merge(append([]Record{reply.From}, reply.Known...))
+	if reply.Version > p.version() {
+		p.behind(address, reply.Version)
+	}
+	p.greetedOnce.Do(func() { close(p.greeted) })
+}
+
+// unsynced notes a failed exchange and reports whether to try again.
+func (p *peers) unsynced(q *peer, err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q.due = true
+	if !q.lost {
+		p.lose(q, err)
+	}
+	gone := q.record.Stopping && q.record.State == lifecycle.Gone
+	if p.now().Sub(q.lostAt) < forgetAfter && !gone {
+		return true
+	}
+	delete(p.all, q.record.Address)
+	q.pool.Close()
+	q.syncing = false
+	return false
+}
+
+// candidates returns the upstreams of a service, the own among them, and the
+// generation of what is known.
+func (p *peers) candidates(s model.ServiceName) ([]placement.Upstream, map[string]target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ups []placement.Upstream
+	targets := make(map[string]target)
+	add := func(r *Record, cold model.Instant) {
+		if r.Service != s || r.State != lifecycle.Ready || r.Stopping {
+			return
+		}
+		up := placement.Upstream{
+			Key: r.Address + " " + string(r.Upstream.ID), Daemon: model.DaemonID(r.Address),
+			Zone: r.Zone, Slots: r.Slots, ColdUntil: cold,
+		}
+		ups = append(ups, up)
+		targets[up.Key] = target{address: r.Address, upstream: r.Upstream}
+	}
+	add(&p.own, 0)
+	for _, q := range p.all {
+		if !q.lost {
+			add(&q.record, q.coldUntil)
+		}
+	}
+	slices.SortFunc(ups, func(a, b placement.Upstream) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	return ups, targets
+}
+
+// current returns the generation of what is known.
+func (p *peers) current() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.generation
+}
+
+// target is where the calls to a candidate go.
+type target struct {
+	address  string
+	upstream lifecycle.Incarnation
+}
--- /dev/null
+++ b/sidecar/server.go
@@ -0,0 +1,101 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/dottereltiller/dottereltiller/core/route"
+)
+
+const (
+	// headerBytes and headerTimeout bound request heads until a configuration
+	// says otherwise.
+	headerBytes   = 64 << 10
+	headerTimeout = 10 * time.Second
+	// idleSlack is how much longer than promised an idle connection of a caller
+	// is kept, so that a request in time does not cross the close.
+	idleSlack = time.Second
+)
+
+// server serves one address. It is a part of the daemon.
+type server struct {
+	name     string
+	http     *http.Server
+	listener net.Listener
+
+	mu sync.Mutex
+	// idle closes connections that stay idle; limits change while it runs.
+	idle   map[net.Conn]*time.Timer
+	limits route.Limits
+}
+
+func newServer(name string, h http.Handler) *server {
+	s := &server{name: name, idle: make(map[net.Conn]*time.Timer)}
+	s.http = &http.Server{
+		Handler:                      h,
+		ReadHeaderTimeout:            headerTimeout,
+		MaxHeaderBytes:               headerBytes,
+		ErrorLog:                     log.New(io.Discard, "", 0),
+		DisableGeneralOptionsHandler: true,
+		ConnState:                    s.state,
+	}
+	// Without an own idle timeout the server would use that for headers.
+	s.http.IdleTimeout = idleForever
+	return s
+}
+
+// idleForever leaves idle connections to state, as http.Server cannot change its
+// timeout while it runs.
+const idleForever = 24 * time.Hour
+
+// limit takes in what callers are promised.
+func (s *server) limit(l route.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
+// state closes connections that have been idle for longer than promised.
+func (s *server) state(c net.Conn, st http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.idle[c]; t != nil {
+		t.Stop()
+		delete(s.idle, c)
+	}
+	if st == http.StateIdle && s.limits.IdleTimeout > 0 {
+		s.idle[c] = time.AfterFunc(s.limits.IdleTimeout+idleSlack, func() { _ = c.Close() })
+	}
+}
+
+// lastAnswers has every further answer close its connection.
+func (s *server) lastAnswers() { s.http.SetKeepAlivesEnabled(false) }
+
+// String names the part.
+func (s *server) String() string { return s.name }
+
+// Serve serves until the context ends.
+func (s *server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.close)
+	defer stop()
+	err := s.http.Serve(s.listener)
+	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
+		return suture.ErrDoNotRestart
+	}
+	return err
+}
+
+func (s *server) close() {
+	_ = s.http.Close()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+}
