--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -31,7 +31,9 @@
 	Caller     model.ServiceName
 	Upstream   lifecycle.Incarnation
 	Idempotent bool
-	Rank       int
+	// Repeat tells that an upstream has got the request before.
+	Repeat bool
+	Rank   int
 	// Work is how long such requests usually run where nothing slows them.
 	Work time.Duration
 	// Within is the time left to the target latency, zero where there is none;
@@ -78,12 +80,12 @@
 const callHeader = "Dt"
 
 // callFields is the number of fields of an encoded call.
-const callFields = 12
+const callFields = 13
 
 // encode returns the fields that an HTTP request does not hold by itself.
 func (c *Call) encode() string {
-	return fmt.Sprintf("%s %d %s %s %s %d %t %d %d %d %d %d",
-		c.ID, c.Send, c.Service, c.Caller, c.Upstream.ID, c.Upstream.Born, c.Idempotent, c.Rank,
+	return fmt.Sprintf("%s %d %s %s %s %d %t %t %d %d %d %d %d",
+		c.ID, c.Send, c.Service, c.Caller, c.Upstream.ID, c.Upstream.Born, c.Idempotent, c.Repeat, c.Rank,
 		c.Work.Microseconds(), c.Within.Milliseconds(), c.Deadline.Milliseconds(), c.Alternative.Milliseconds())
 }
 
@@ -102,12 +104,13 @@
 	if len(f) != callFields {
 		return nil, &FieldError{What: "call", Value: s}
 	}
-	n, err := numbers(f[1], f[5], f[7], f[8], f[9], f[10], f[11])
+	n, err := numbers(f[1], f[5], f[8], f[9], f[10], f[11], f[12])
 	if err != nil {
 		return nil, err
 	}
 	idempotent, err := strconv.ParseBool(f[6])
-	if err != nil || f[0] == "" || f[2] == "" || f[4] == "" {
+	repeat, repeatErr := strconv.ParseBool(f[7])
+	if err != nil || repeatErr != nil || f[0] == "" || f[2] == "" || f[4] == "" {
 		return nil, &FieldError{What: "call", Value: s}
 	}
 	return &Call{
@@ -117,6 +120,7 @@
 		Caller:      model.ServiceName(f[3]),
 		Upstream:    lifecycle.Incarnation{ID: model.UpstreamID(f[4]), Born: n[1]},
 		Idempotent:  idempotent,
+		Repeat:      repeat,
 		Rank:        int(n[2]),
 		Work:        time.Duration(n[3]) * time.Microsecond,
 		Within:      time.Duration(n[4]) * time.Millisecond,
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -31,6 +31,7 @@
 // Daemon is a running daemon.
 type Daemon struct {
 	opts     Options
+	tunables atomic.Pointer[Tunables]
 	origin   time.Time
 	metrics  *metrics
 	config   *configuration
@@ -49,6 +50,7 @@
 // New binds the addresses and returns a Daemon. Serve runs it.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{opts: o, origin: time.Now(), metrics: newMetrics(o.Scope)}
+	d.tunables.Store(&o.Tunables)
 	d.config = &configuration{source: o.Source, decisions: o.Decisions}
 	d.guard = newGuard(&d.opts, d.now, d.metrics)
 	d.guard.version = d.config.version
@@ -69,12 +71,23 @@
 
 func (d *Daemon) now() model.Instant { return model.Instant(time.Since(d.origin)) }
 
+// service is the service of the own upstream and of the callers on this VM.
+func (d *Daemon) service() model.ServiceName { return d.tunables.Load().Service }
+
+// Reconfigure takes over what may change while the daemon runs, from the next
+// request on.
+func (d *Daemon) Reconfigure(t Tunables) {
+	d.tunables.Store(&t)
+	d.entry.setResends(t.Resends)
+	d.guard.setService(t.Service)
+}
+
 func (d *Daemon) healthPath() string {
 	t := d.config.table()
 	if t == nil {
 		return ""
 	}
-	s, ok := t.Service(d.opts.Service)
+	s, ok := t.Service(d.service())
 	if !ok {
 		return ""
 	}
@@ -193,7 +206,7 @@
 	tree.Add(&follower{d: d, lost: make(chan bool, 1)})
 	tree.Add(&joiner{d: d})
 	d.opts.Decisions.Write(decision.Started, "", slog.String("daemon", d.opts.Addresses.Peers),
-		slog.String("zone", string(d.opts.Zone)), slog.String("service", string(d.opts.Service)),
+		slog.String("zone", string(d.opts.Zone)), slog.String("service", string(d.service())),
 		slog.Int64("incarnation", d.peers.self().Incarnation), slog.String("version", telemetry.Version()))
 	done := tree.ServeBackground(run)
 	select {
@@ -229,10 +242,13 @@
 	}
 	d.peers.update(func(r *Record) { r.Stopping = true })
 	d.callers.lastAnswers()
-	end := began.Add(d.opts.Grace - graceMargin)
+	end := began.Add(d.tunables.Load().Grace - graceMargin)
 	for time.Now().Before(end) {
-		if time.Since(began) > lingering && d.inFlight.Load() == 0 && d.guard.idle() {
-			break
+		if time.Since(began) > lingering {
+			d.callers.refuseNew()
+			if d.inFlight.Load() == 0 && d.guard.idle() {
+				break
+			}
 		}
 		time.Sleep(drainPoll)
 	}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -232,13 +232,22 @@
 	if s == nil {
 		s = &service{
 			placer:  placement.New(placement.Options{Zone: e.d.opts.Zone}),
-			resends: newResends(e.d.opts.Resends),
+			resends: newResends(e.d.tunables.Load().Resends),
 		}
 		e.services[name] = s
 	}
 	return s
 }
 
+// setResends changes the re-send budgets.
+func (e *entry) setResends(b ResendBudget) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.services {
+		s.resends.set(b)
+	}
+}
+
 // refresh follows what is known of the other daemons. s.mu is held.
 func (e *entry) refresh(s *service, name model.ServiceName) {
 	generation := e.d.peers.current()
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -80,6 +80,11 @@
 func (e *entry) forward(req *request) *Answer {
 	s := e.service(req.service)
 	s.resends.request(req.began)
+	if req.service != e.d.service() {
+		// Some of the requests that begin here are calls of the own upstream, and
+		// those of a run that is a repeat count as repeats themselves.
+		s.resends.charge(req.began, e.d.guard.repeatShare())
+	}
 	r := &race{
 		e: e, req: req, s: s, work: e.workOf(req.route.Name),
 		done: make(chan ended, req.route.MaxAttempts+maxMisses+maxGivenBack+1), tried: make(map[string]bool),
@@ -335,8 +340,8 @@
 		ID: r.req.id, Send: t.send,
 		Method: r.req.http.Method, Target: r.req.http.RequestURI, Host: r.req.http.Host,
 		Header: r.req.http.Header, Body: r.req.body,
-		Service: r.req.service, Caller: r.e.d.opts.Service, Upstream: t.target.upstream,
-		Idempotent: r.req.route.Idempotent, Rank: r.req.route.Rank, Work: r.work,
+		Service: r.req.service, Caller: r.e.d.service(), Upstream: t.target.upstream,
+		Idempotent: r.req.route.Idempotent, Repeat: r.arrived > 0 || len(r.live) > 1, Rank: r.req.route.Rank, Work: r.work,
 		Deadline: r.req.deadline.Sub(now),
 	}
 	if r.req.target != 0 {
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -38,6 +38,8 @@
 	// that must not run twice: an upstream that forgets connections resets the
 	// request, and then nobody knows whether it ran.
 	keptIdle = time.Second
+	// repeatWeight makes the share of repeats cover about 32 runs.
+	repeatWeight = 1.0 / 32
 	// minDeadline is the least time that an upstream is given.
 	minDeadline = 2 * time.Millisecond
 )
@@ -48,6 +50,7 @@
 	now     func() model.Instant
 	version func() model.Version
 	health  func() string
+	service model.ServiceName
 	metrics *metrics
 
 	mu      sync.Mutex
@@ -62,6 +65,8 @@
 	told    bool
 	failing float64
 	probing chan struct{}
+	// repeats is the recent share of runs that were repeats.
+	repeats float64
 	// closed tells that the daemon stops and sends nothing new.
 	closed   bool
 	attempts *attempts
@@ -69,7 +74,7 @@
 
 func newGuard(o *Options, now func() model.Instant, m *metrics) *guard {
 	g := &guard{
-		opts: o, now: now, metrics: m,
+		opts: o, now: now, metrics: m, service: o.Service,
 		queue:    slots.New(1),
 		waiting:  make(map[uint64]chan slots.Exit),
 		slow:     1,
@@ -151,6 +156,20 @@
 	g.mu.Unlock()
 }
 
+// repeatShare returns the recent share of runs that were repeats.
+func (g *guard) repeatShare() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.repeats
+}
+
+// setService changes the service that the upstream belongs to.
+func (g *guard) setService(s model.ServiceName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.service = s
+}
+
 // idle reports whether nothing waits or runs.
 func (g *guard) idle() bool {
 	g.mu.Lock()
@@ -370,6 +389,11 @@
 		x.MaxIdle = keptIdle
 	}
 	g.mu.Lock()
+	repeat := 0.0
+	if c.Repeat {
+		repeat = 1
+	}
+	g.repeats += (repeat - g.repeats) * repeatWeight
 	pool, running := g.pool, g.queue.Running()
 	g.mu.Unlock()
 	began := g.now()
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -17,16 +17,10 @@
 type Options struct {
 	Addresses Addresses
 	Zone      model.AvailabilityZone
-	// Service is the service of the own upstream, and so of the callers on this
-	// VM.
-	Service model.ServiceName
 	// First tells that the whole system starts for the first time, so that no
 	// other daemon remembers anything.
 	First bool
-	// Resends bounds sends beyond the first of a request over all daemons.
-	Resends ResendBudget
-	// Grace is the time from the signal to stop to the end.
-	Grace time.Duration
+	Tunables
 	// Control serves what the own upstream reports.
 	Control func(Registry) http.Handler
 	// ReadyPath is the path of the readiness answer.
@@ -41,6 +35,17 @@
 	Logger  *slog.Logger
 }
 
+// Tunables are the options that may change while a daemon runs.
+type Tunables struct {
+	// Service is the service of the own upstream, and so of the callers on this
+	// VM.
+	Service model.ServiceName
+	// Resends bounds sends beyond the first of a request over all daemons.
+	Resends ResendBudget
+	// Grace is the time from the signal to stop to the end.
+	Grace time.Duration
+}
+
 // Addresses are where the daemon listens, all as host:port.
 type Addresses struct {
 	// Callers takes the requests of local callers and of the upstream.
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -148,20 +148,21 @@
 		if l.Address == p.own.Address || p.all[l.Address] != nil {
 			continue
 		}
-		q := p.add(Record{Address: l.Address, Incarnation: l.Incarnation, Zone: l.Zone})
-		q.full = p.asked < fullAsks
-		if q.full {
-			p.asked++
-		}
-		p.owe(q)
+		p.owe(p.add(Record{Address: l.Address, Incarnation: l.Incarnation, Zone: l.Zone}))
 	}
 	if len(p.all) == 0 {
 		p.greetedOnce.Do(func() { close(p.greeted) })
 	}
 }
 
+// add notes a daemon. The first ones, however they became known, are asked for
+// all that they know: the store may be away. p.mu is held.
 func (p *peers) add(r Record) *peer {
 	q := &peer{record: r, pool: hop.NewPool(r.Address, hop.PoolOptions{IdleLimit: peerIdle})}
+	q.full = p.asked < fullAsks
+	if q.full {
+		p.asked++
+	}
 	p.all[r.Address] = q
 	p.generation++
 	return q
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -70,7 +70,6 @@
 	report := lifecycle.Report{
 		Incarnation: lifecycle.Incarnation{ID: r.Instance},
 		State:       lifecycle.Ready,
-		Service:     g.opts.Service,
 		Zone:        g.opts.Zone,
 		Address:     g.opts.Addresses.Upstream,
 		Slots:       1,
@@ -79,6 +78,7 @@
 		report.Slots = r.Load.Slots
 	}
 	g.mu.Lock()
+	report.Service = g.service
 	known := g.tracker.Current().State != lifecycle.Unknown
 	g.mu.Unlock()
 	if !known {
--- a/sidecar/resends.go
+++ b/sidecar/resends.go
@@ -8,21 +8,35 @@
 )
 
 const (
-	// resendMargin is the part of the budget that is used. The rest covers calls
-	// that were made by runs that were repeats, and callers whose daemon died with
-	// its counts.
-	resendMargin = 0.8
+	// resendMargin is the part of the budget that is used. The rest covers what the
+	// estimate of repeats by nested calls leaves out, and daemons that died with
+	// their counts.
+	resendMargin = 0.85
 )
 
 // resends is this daemon's part of the re-send budget of one service.
 type resends struct {
 	mu     sync.Mutex
+	budget ResendBudget
 	slack  float64
 	window *retry.Window
 }
 
 func newResends(b ResendBudget) *resends {
-	return &resends{slack: b.Slack * resendMargin, window: retry.NewWindow(b.Span, b.Ratio*resendMargin, 0)}
+	r := &resends{}
+	r.set(b)
+	return r
+}
+
+// set changes the budget. What was counted under another one is forgotten.
+func (r *resends) set(b ResendBudget) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.window != nil && r.budget == b {
+		return
+	}
+	r.budget, r.slack = b, b.Slack*resendMargin
+	r.window = retry.NewWindow(b.Span, b.Ratio*resendMargin, 0)
 }
 
 // request counts a request.
@@ -41,10 +55,13 @@
 }
 
 // refund takes back a send that never reached an upstream.
-func (r *resends) refund(now model.Instant) {
+func (r *resends) refund(now model.Instant) { r.charge(now, -1) }
+
+// charge counts n more sends that nobody asked the budget for.
+func (r *resends) charge(now model.Instant, n float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.window.Charge(now, -1)
+	r.window.Charge(now, n)
 }
 
 // left returns what the budget holds.
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -79,6 +79,9 @@
 // lastAnswers has every further answer close its connection.
 func (s *server) lastAnswers() { s.http.SetKeepAlivesEnabled(false) }
 
+// refuseNew takes no more connections. Those that are open are served.
+func (s *server) refuseNew() { _ = s.listener.Close() }
+
 // String names the part.
 func (s *server) String() string { return s.name }
 
@@ -87,6 +90,9 @@
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
 	err := s.http.Serve(s.listener)
+	if errors.Is(err, net.ErrClosed) {
+		return suture.ErrDoNotRestart
+	}
 	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
 		return suture.ErrDoNotRestart
 	}
