--- a/hop/exchange.go
+++ b/hop/exchange.go
@@ -28,6 +28,8 @@
 	// Accept reports whether a response belongs to this request. Others are read
 	// to their end and passed over. Nil accepts any.
 	Accept func(*http.Response) bool
+	// Informed, if set, is called for each informational response.
+	Informed func()
 }
 
 // Reply is a whole response.
@@ -161,7 +163,7 @@
 // receive reads responses until one belongs to the request.
 func (l *link) receive(x *Exchange, lost *LostError) (*Reply, error) {
 	for range maxStray {
-		resp, err := readResponse(l.reader, x.Method)
+		resp, err := readResponse(l.reader, x)
 		if err != nil {
 			return nil, err
 		}
@@ -184,15 +186,18 @@
 }
 
 // readResponse reads the head of the next final response.
-func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
+func readResponse(r *bufio.Reader, x *Exchange) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		resp, err := http.ReadResponse(r, &http.Request{Method: x.Method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols || resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		if x.Informed != nil {
+			x.Informed()
+		}
 	}
 }
 
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
@@ -28,6 +29,10 @@
 	// lateFactor is the same for a request that can no longer make its target: its
 	// upstream may have stopped answering.
 	lateFactor = 4
+	// ackWait is how long another daemon may take to show that it has got a call:
+	// a round trip between regions, acknowledgeAfter, and a pause of its
+	// processor.
+	ackWait = 120 * time.Millisecond
 	// settleFactor and settleBy tell when the guard of a request that must not run
 	// twice is asked over a new connection what became of it.
 	settleFactor = 3
@@ -37,6 +42,9 @@
 	hopelessShare = 1.0
 )
 
+// errMute is why a daemon that does not show that it gets calls is looked for.
+var errMute = errors.New("no sign that a call has arrived")
+
 // try is one attempt under way.
 type try struct {
 	choice placement.Choice
@@ -46,8 +54,14 @@
 	cancel context.CancelFunc
 	// charged tells that the budget was charged for it.
 	charged bool
+	// acknowledged is closed once the daemon beside the upstream has shown that
+	// it got the call.
+	acknowledged chan struct{}
+	once         sync.Once
 }
 
+func (t *try) acknowledge() { t.once.Do(func() { close(t.acknowledged) }) }
+
 // ended is a try with what came of it.
 type ended struct {
 	try    *try
@@ -61,6 +75,9 @@
 	s    *service
 	work time.Duration
 	done chan ended
+	// mute receives the attempts whose daemon has not shown in time that it got
+	// them.
+	mute chan *try
 	live []*try
 	// tried holds the keys that are not to be tried again.
 	tried map[string]bool
@@ -85,9 +102,10 @@
 		// those of a run that is a repeat count as repeats themselves.
 		s.resends.charge(req.began, e.d.guard.repeatShare())
 	}
+	most := req.route.MaxAttempts + maxMisses + maxGivenBack + 1
 	r := &race{
 		e: e, req: req, s: s, work: e.workOf(req.route.Name),
-		done: make(chan ended, req.route.MaxAttempts+maxMisses+maxGivenBack+1), tried: make(map[string]bool),
+		done: make(chan ended, most), mute: make(chan *try, most), tried: make(map[string]bool),
 	}
 	defer r.cancelAll()
 	if a := r.next(outcome.ReasonNone); a != nil {
@@ -106,6 +124,8 @@
 			if a := r.ended(end); a != nil {
 				return a
 			}
+		case t := <-r.mute:
+			r.muted(t)
 		case <-timer.C:
 			r.hedge()
 			if !r.late {
@@ -118,6 +138,17 @@
 	}
 }
 
+// muted takes in that nothing shows that an attempt has arrived. An idempotent
+// request is sent elsewhere; for any other its guard is asked.
+func (r *race) muted(t *try) {
+	now := r.e.d.now()
+	r.s.mu.Lock()
+	r.s.placer.Unreachable(now, t.choice.Upstream.Key)
+	r.s.mu.Unlock()
+	r.e.d.peers.missed(t.target.address, errMute)
+	r.hedge()
+}
+
 // hedgeDelay returns how long from now a hedge is due.
 func (r *race) hedgeDelay(factor float64) time.Duration {
 	due := r.live[0].sent.Add(time.Duration(factor*float64(r.live[0].choice.Expected)) + hedgeBy)
@@ -298,7 +329,7 @@
 		return nil, false
 	}
 	r.req.expected, r.req.upstream = c.Expected, c.Upstream.Key
-	return &try{choice: c, target: r.s.targets[c.Upstream.Key]}, true
+	return &try{choice: c, target: r.s.targets[c.Upstream.Key], acknowledged: make(chan struct{})}, true
 }
 
 // hedge sends an idempotent request to a second upstream if that is expected to
@@ -350,7 +381,25 @@
 	if r.req.givenBack < maxGivenBack && t.choice.Alternative > 0 {
 		c.Alternative = t.choice.Alternative
 	}
-	go func() { r.done <- ended{try: t, answer: r.e.send(ctx, t, c)} }()
+	go func() {
+		a := r.e.send(ctx, t, c)
+		t.acknowledge()
+		r.done <- ended{try: t, answer: a}
+	}()
+	if t.target.address != r.e.d.opts.Addresses.Peers {
+		go r.watch(t)
+	}
+}
+
+// watch waits for a sign that an attempt has arrived.
+func (r *race) watch(t *try) {
+	timer := time.NewTimer(ackWait)
+	defer timer.Stop()
+	select {
+	case <-t.acknowledged:
+	case <-timer.C:
+		r.mute <- t
+	}
 }
 
 // send has a call run by the guard of its upstream.
@@ -373,7 +422,9 @@
 func (e *entry) sendOnce(ctx context.Context, pool *hop.Pool, t *try, c *Call) (*Answer, bool) {
 	h := endToEnd(c.Header)
 	h.Set(callHeader, c.encode())
-	reply, err := pool.Do(ctx, hop.Exchange{Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body})
+	reply, err := pool.Do(ctx, hop.Exchange{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body, Informed: t.acknowledge,
+	})
 	var lost *hop.LostError
 	if errors.As(err, &lost) {
 		if ctx.Err() == nil && !lost.Reused {
@@ -405,6 +456,8 @@
 	}()
 	timer := time.NewTimer(time.Duration(settleFactor*float64(t.choice.Expected)) + settleBy)
 	defer timer.Stop()
+	silent := time.NewTimer(ackWait)
+	defer silent.Stop()
 	settled := make(chan *Answer, 1)
 	asked, answered := false, false
 	ask := func() {
@@ -430,6 +483,12 @@
 			answered = true
 		case <-timer.C:
 			ask()
+		case <-silent.C:
+			select {
+			case <-t.acknowledged:
+			default:
+				ask()
+			}
 		}
 	}
 }
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
@@ -174,7 +175,27 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.RequestURI, r.Host, r.Header, body
-	writePeerAnswer(w, r.Method, p.d.guard.Do(r.Context(), c))
+	writePeerAnswer(w, r.Method, p.acknowledged(w, func() *Answer { return p.d.guard.Do(r.Context(), c) }))
+}
+
+// acknowledgeAfter is how long a call may take before its sender is told that it
+// has arrived. A sender that hears nothing for ackWait takes the link for broken.
+const acknowledgeAfter = 10 * time.Millisecond
+
+// acknowledged waits for an answer, and sends an informational response when that
+// takes a while.
+func (p peerHandler) acknowledged(w http.ResponseWriter, do func() *Answer) *Answer {
+	done := make(chan *Answer, 1)
+	go func() { done <- do() }()
+	timer := time.NewTimer(acknowledgeAfter)
+	defer timer.Stop()
+	select {
+	case a := <-done:
+		return a
+	case <-timer.C:
+		w.WriteHeader(http.StatusProcessing)
+		return <-done
+	}
 }
 
 func (p peerHandler) sync(w http.ResponseWriter, r *http.Request) {
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -77,6 +77,9 @@
 	fullAsks = 2
 	// peerIdle is how long connections between daemons are kept.
 	peerIdle = 90 * time.Second
+	// peerDial bounds connecting to a daemon: a few round trips between regions.
+	// One that is cut off does not answer at all.
+	peerDial = 150 * time.Millisecond
 )
 
 // peers holds the records of all daemons. It is safe for concurrent use.
@@ -158,7 +161,7 @@
 // add notes a daemon. The first ones, however they became known, are asked for
 // all that they know: the store may be away. p.mu is held.
 func (p *peers) add(r Record) *peer {
-	q := &peer{record: r, pool: hop.NewPool(r.Address, hop.PoolOptions{IdleLimit: peerIdle})}
+	q := &peer{record: r, pool: newPeerPool(r.Address)}
 	q.full = p.asked < fullAsks
 	if q.full {
 		p.asked++
@@ -168,6 +171,10 @@
 	return q
 }
 
+func newPeerPool(address string) *hop.Pool {
+	return hop.NewPool(address, hop.PoolOptions{IdleLimit: peerIdle, DialTimeout: peerDial})
+}
+
 // merge takes in records, the first of which is its sender's.
 func (p *peers) merge(records []Record) {
 	p.mu.Lock()
@@ -220,7 +227,7 @@
 	if restarted {
 		// Its memory of this daemon is gone, and so are the old connections.
 		q.pool.Close()
-		q.pool = hop.NewPool(r.Address, hop.PoolOptions{IdleLimit: peerIdle})
+		q.pool = newPeerPool(r.Address)
 		p.owe(q)
 	}
 	if changed {
