--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -33,10 +33,10 @@
 const (
 	// DefaultCrossing is a few round trips between zones: below that a crossing
 	// gains callers nothing.
-	DefaultCrossing = 10 * time.Millisecond
+	DefaultCrossing = 40 * time.Millisecond
 	// comfort is the share of the target latency within which an upstream of the
 	// own zone is good enough.
-	comfort = 0.6
+	comfort = 0.85
 	// jitter spreads the choices of entries that know the same.
 	jitter = 0.1
 	// avoidance is how long an upstream is passed over after it could not be
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -26,6 +26,9 @@
 	Arrived  model.Instant
 	Target   model.Instant
 	Deadline model.Instant
+	// Useful is when the request should have ended to be worth a wait; past that
+	// it runs only where nothing else has to wait for it. Zero means its Deadline.
+	Useful model.Instant
 	// GiveUp is when the request is handed back if it has not started. Zero
 	// means never.
 	GiveUp model.Instant
@@ -42,6 +45,9 @@
 	Hopeless
 	// Returned means that it has waited as long as its sender allowed.
 	Returned
+	// Overdue means that it would end too late to be worth its wait: the time is
+	// better spent on others, and its sender is better off knowing.
+	Overdue
 )
 
 // Decision is one request that leaves the queue.
@@ -116,6 +122,9 @@
 		if now.Add(scaled(it.Work, slow)/2) >= it.Deadline {
 			return q.leave(i, Hopeless), true
 		}
+		if q.running >= q.limit && it.Useful != 0 && now.Add(scaled(it.Work, slow)) > it.Useful {
+			return q.leave(i, Overdue), true
+		}
 		if it.GiveUp != 0 && now >= it.GiveUp && q.running >= q.limit {
 			return q.leave(i, Returned), true
 		}
@@ -139,6 +148,9 @@
 		if it.GiveUp != 0 {
 			end = min(end, it.GiveUp)
 		}
+		if it.Useful != 0 {
+			end = min(end, it.Useful.Add(-scaled(it.Work, slow)))
+		}
 		if at == 0 || end < at {
 			at = end
 		}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -19,6 +19,8 @@
 	// maxGivenBack is how often a request may be given back before a guard must
 	// keep it: each time costs a round trip.
 	maxGivenBack = 2
+	// maxFull is how many guards without room make a request be refused.
+	maxFull = 2
 	// maxMisses is how many attempts may reach no upstream before a request is
 	// refused.
 	maxMisses = 6
@@ -87,6 +89,8 @@
 	arrived int
 	launch  int
 	misses  int
+	// full counts the guards that had no room in time.
+	full int
 	// failure is the best answer so far that is no success.
 	failure *Answer
 	late    bool
@@ -232,8 +236,12 @@
 	if !a.Arrived {
 		r.misses++
 	}
-	if a.Outcome.Reason == outcome.ReasonWithdrawn {
+	switch a.Outcome.Reason {
+	case outcome.ReasonWithdrawn:
 		r.req.givenBack++
+	case outcome.ReasonQueueFull:
+		r.req.givenBack++
+		r.full++
 	}
 	r.ran = r.ran || a.Outcome.Kind != outcome.NotRun
 }
@@ -251,7 +259,7 @@
 	if r.req.ctx.Err() != nil {
 		return r.timeout()
 	}
-	if r.arrived >= r.req.route.MaxAttempts || r.misses > maxMisses {
+	if r.arrived >= r.req.route.MaxAttempts || r.misses > maxMisses || r.full >= maxFull {
 		return r.final()
 	}
 	now := r.e.d.now()
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -32,6 +32,9 @@
 	// and the figures from elsewhere are older.
 	worseFactor = 1.25
 	worseBy     = 10 * time.Millisecond
+	// usefulShare is the share of its time that a request may take where its
+	// target is out of reach: past that its caller does better to come back.
+	usefulShare = 0.5
 	// failWeight makes the failing share cover about 8 requests.
 	failWeight = 1.0 / 8
 	// keptIdle is how long a connection may have been idle to carry a request
@@ -239,8 +242,14 @@
 		g.tellGivenBack(c, "slower-here", expected)
 		return 0, nil, notRun(outcome.ReasonWithdrawn)
 	}
+	useful := max(c.Within, time.Duration(usefulShare*float64(c.Deadline)))
+	if g.queue.Running() >= g.queue.Limit() && expected > useful {
+		g.mu.Unlock()
+		g.tellGivenBack(c, "full", expected)
+		return 0, nil, notRun(outcome.ReasonQueueFull)
+	}
 	it := slots.Item{
-		Rank: c.Rank, Work: c.Work, Arrived: now, Deadline: now.Add(c.Deadline),
+		Rank: c.Rank, Work: c.Work, Arrived: now, Deadline: now.Add(c.Deadline), Useful: now.Add(useful),
 	}
 	if c.Within != 0 {
 		it.Target = now.Add(c.Within)
@@ -311,6 +320,9 @@
 		return nil
 	case slots.Hopeless:
 		return notRun(outcome.ReasonDeadline)
+	case slots.Overdue:
+		g.tellGivenBack(c, "overdue", 0)
+		return notRun(outcome.ReasonQueueFull)
 	default:
 		g.tellGivenBack(c, "waited", 0)
 		return notRun(outcome.ReasonWithdrawn)
