Ask guards when knowledge is old, tell shed requests to return soon

An entry now refuses by itself only on knowledge younger than 30 ms; after upstream refusals the advice is 50 ms.

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -63,6 +64,8 @@
 	// ends at the best of the others. Alternative is zero when there is none.
 	Expected    time.Duration
 	Alternative time.Duration
+	// Age is how old the knowledge is that Expected rests on.
+	Age time.Duration
 }
 
 // Placer chooses among the upstreams of one service. It is not safe for
@@ -122,7 +125,11 @@
 		pick, other = near, best
 	}
 	pick.view.mine++
-	return Choice{Upstream: pick.view.up, Expected: pick.time, Alternative: other.time}, true
+	age := now.Sub(pick.view.loadAt)
+	if !pick.view.known {
+		age = math.MaxInt64
+	}
+	return Choice{Upstream: pick.view.up, Expected: pick.time, Alternative: other.time, Age: age}, true
 }
 
 // rated is a candidate with its expected time.
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -39,6 +40,15 @@
 	// twice is asked over a new connection what became of it.
 	settleFactor = 3
 	settleBy     = 250 * time.Millisecond
+	// surelyFull is how old the knowledge may be by which a request is refused
+	// without asking any guard. Older, and nobody would learn that there is room
+	// again.
+	surelyFull = 30 * time.Millisecond
+	// refusedRetry is the advice after upstreams refused a request although their
+	// guards held them below what they take: such refusals come and go.
+	refusedRetry = 50 * time.Millisecond
+	// retrySpread spreads the returns of callers that were refused together.
+	retrySpread = 0.5
 	// hopeless is the share of the time left that a request must be expected to
 	// fit in to be worth a try.
 	hopelessShare = 1.0
@@ -282,9 +292,9 @@
 		}
 		return r.final()
 	}
-	if r.launch == 0 && t.choice.Expected > time.Duration(hopelessShare*float64(r.req.deadline.Sub(now))) {
+	if r.launch == 0 && t.choice.Age < surelyFull && t.choice.Expected > time.Duration(hopelessShare*float64(r.req.deadline.Sub(now))) {
 		r.release(t)
-		return refuse(outcome.ReasonQueueFull, max(t.choice.Expected/2, busyRetry))
+		return refuse(outcome.ReasonQueueFull, spread(max(t.choice.Expected/2, busyRetry)))
 	}
 	t.charged = charged
 	if r.arrived > 0 {
@@ -316,12 +326,20 @@
 		}
 		return r.failure
 	}
+	if r.failure != nil && r.failure.Outcome.Reason == outcome.ReasonUpstreamRefused {
+		return refuse(outcome.ReasonUpstreamRefused, spread(refusedRetry))
+	}
 	if r.failure != nil {
-		return refuse(r.failure.Outcome.Reason, max(r.work, busyRetry))
+		return refuse(r.failure.Outcome.Reason, spread(max(r.work, busyRetry)))
 	}
 	return refuse(outcome.ReasonNoUpstream, noUpstreamRetry)
 }
 
+// spread returns a time drawn around d.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - retrySpread/2 + retrySpread*rand.Float64()))
+}
+
 // choose picks the upstream for the next attempt.
 func (r *race) choose(now model.Instant) (*try, bool) {
 	r.s.mu.Lock()
--- a/sidecar/resends.go
+++ b/sidecar/resends.go
@@ -11,7 +11,7 @@
 	// resendMargin is the part of the budget that is used. The rest covers what the
 	// estimate of repeats by nested calls leaves out, and daemons that died with
 	// their counts.
-	resendMargin = 0.85
+	resendMargin = 0.75
 )
 
 // resends is this daemon's part of the re-send budget of one service.
