Ask guards for their load by datagram before a request is sent

A guard that is silent is passed over for 300 ms, which also keeps requests from daemons that are cut off.

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
@@ -43,6 +45,8 @@
 	// avoidance is how long an upstream is passed over after it could not be
 	// reached. Its daemon is usually back within a second or two.
 	avoidance = 300 * time.Millisecond
+	// askJitter spreads whom entries ask that know the same.
+	askJitter = 0.5
 	// othersWeight makes the mean load by others cover about 8 answers.
 	othersWeight = 1.0 / 8
 )
@@ -110,6 +114,51 @@
 // Mean returns the mean slowness of the service.
 func (p *Placer) Mean() float64 { return p.mean }
 
+// ToAsk returns up to most upstreams, of the own zone or of the others, whose
+// load is not known from within the last maxAge. Those are first that are expected
+// to be fastest, but for one that is drawn.
+func (p *Placer) ToAsk(now model.Instant, ask Ask, near bool, maxAge time.Duration, most int) []Upstream {
+	var stale []rated
+	for _, v := range p.order {
+		if (v.up.Zone == p.opts.Zone) != near || v.avoidUntil > now {
+			continue
+		}
+		if ask.Exclude != nil && ask.Exclude(v.up) || v.known && now.Sub(v.loadAt) < maxAge {
+			continue
+		}
+		t := Expected(ask.Work, v.slow(now, p.mean), v.ahead(now), v.limit(), v.failing(now))
+		stale = append(stale, rated{view: v, time: t, score: time.Duration(float64(t) * (1 + askJitter*p.opts.Rand()))})
+	}
+	slices.SortFunc(stale, func(a, b rated) int { return cmp.Compare(a.score, b.score) })
+	if len(stale) > most {
+		drawn := most - 1 + int(p.opts.Rand()*float64(len(stale)-most+1))
+		stale[most-1] = stale[min(drawn, len(stale)-1)]
+		stale = stale[:most]
+	}
+	ups := make([]Upstream, len(stale))
+	for i := range stale {
+		ups[i] = stale[i].view.up
+	}
+	return ups
+}
+
+// Comfortable reports whether an upstream of the own zone is expected to answer
+// well inside the target.
+func (p *Placer) Comfortable(now model.Instant, ask Ask) bool {
+	_, _, near := p.rank(now, ask, false)
+	if near.view == nil {
+		return false
+	}
+	return ask.Target <= 0 || near.time < time.Duration(comfort*float64(ask.Target))
+}
+
+// Learn takes in the load of an upstream.
+func (p *Placer) Learn(now model.Instant, key string, load Load) {
+	if v := p.views[key]; v != nil {
+		p.learn(now, v, load)
+	}
+}
+
 // Choose returns the upstream for a request and counts it as sent there; Done
 // must follow. It reports false when every candidate is excluded.
 func (p *Placer) Choose(now model.Instant, ask Ask) (Choice, bool) {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -38,6 +38,7 @@
 	peers    *peers
 	guard    *guard
 	entry    *entry
+	asks     *asks
 	servers  []*server
 	callers  *server
 	fetching atomic.Bool
@@ -120,13 +121,18 @@
 		b.server.listener = ln
 		d.servers = append(d.servers, b.server)
 	}
-	return nil
+	var err error
+	d.asks, err = newAsks(d)
+	return err
 }
 
 func (d *Daemon) closeServers() {
 	for _, s := range d.servers {
 		s.close()
 	}
+	if d.asks != nil {
+		d.asks.close()
+	}
 }
 
 func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
@@ -203,6 +209,7 @@
 	for _, s := range d.servers {
 		tree.Add(s)
 	}
+	tree.Add(d.asks)
 	tree.Add(&follower{d: d, lost: make(chan bool, 1)})
 	tree.Add(&joiner{d: d})
 	d.opts.Decisions.Write(decision.Started, "", slog.String("daemon", d.opts.Addresses.Peers),
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -49,6 +49,12 @@
 	refusedRetry = 50 * time.Millisecond
 	// retrySpread spreads the returns of callers that were refused together.
 	retrySpread = 0.5
+	// askNear and askFar are how many guards of the own zone, and of others where
+	// that does not do, are asked for their loads before a request is sent.
+	askNear = 4
+	askFar  = 3
+	// askAge is how old the knowledge of a load may be to do without asking.
+	askAge = 15 * time.Millisecond
 	// hopeless is the share of the time left that a request must be expected to
 	// fit in to be worth a try.
 	hopelessShare = 1.0
@@ -342,15 +348,21 @@
 
 // choose picks the upstream for the next attempt.
 func (r *race) choose(now model.Instant) (*try, bool) {
+	ask := placement.Ask{
+		Work:    r.work,
+		Target:  r.req.target.Sub(now),
+		Exclude: func(u placement.Upstream) bool { return r.tried[u.Key] },
+	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	r.e.refresh(r.s, r.req.service)
 	r.req.candidates = r.s.placer.Len()
-	c, ok := r.s.placer.Choose(now, placement.Ask{
-		Work:    r.work,
-		Target:  r.req.target.Sub(now),
-		Exclude: func(u placement.Upstream) bool { return r.tried[u.Key] },
-	})
+	r.inquire(ask, true, askNear, nearWait)
+	if now = r.e.d.now(); !r.s.placer.Comfortable(now, ask) {
+		r.inquire(ask, false, askFar, farWait)
+		now = r.e.d.now()
+	}
+	c, ok := r.s.placer.Choose(now, ask)
 	if !ok {
 		return nil, false
 	}
@@ -358,6 +370,27 @@
 	return &try{choice: c, target: r.s.targets[c.Upstream.Key], acknowledged: make(chan struct{})}, true
 }
 
+// inquire asks guards for their loads, near or far. A guard that stays silent is
+// passed over for a while. r.s.mu is held on entry and return, not between.
+func (r *race) inquire(ask placement.Ask, near bool, most int, wait time.Duration) {
+	now := r.e.d.now()
+	ups := r.s.placer.ToAsk(now, ask, near, askAge, most)
+	if len(ups) == 0 || len(ups) == 1 && r.s.placer.Len() == 1 {
+		return
+	}
+	r.s.mu.Unlock()
+	loads := r.e.d.asks.ask(ups, r.req.route.Rank, wait)
+	r.s.mu.Lock()
+	now = r.e.d.now()
+	for _, up := range ups {
+		if l, ok := loads[up.Key]; ok {
+			r.s.placer.Learn(now, up.Key, l)
+		} else {
+			r.s.placer.Unreachable(now, up.Key)
+		}
+	}
+}
+
 // hedge sends an idempotent request to a second upstream if that is expected to
 // help.
 func (r *race) hedge() {
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -216,14 +216,21 @@
 	out.Version = g.version()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out.Load = &placement.Load{
+	l := g.load()
+	out.Load = &l
+	return &out
+}
+
+// load returns the load of the upstream. g.mu is held.
+func (g *guard) load() placement.Load {
+	l := placement.Load{
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
 		Slow: g.slow, SlowAge: g.now().Sub(g.slowAt), Failing: g.failing,
 	}
 	if !g.told {
-		out.Load.Slow = 0
+		l.Slow = 0
 	}
-	return &out
+	return l
 }
 
 // arrive lets a call wait for its start, unless it is refused at once.
