--- /dev/null
+++ b/sidecar/run.go
@@ -0,0 +1,173 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/hop"
+)
+
+const (
+	// failWeight makes the failing share cover about 8 requests.
+	failWeight = 1.0 / 8
+	// keptIdle is how long a connection may have been idle to carry a request
+	// that must not run twice: an upstream that forgets connections resets the
+	// request, and then nobody knows whether it ran.
+	keptIdle = time.Second
+	// repeatWeight makes the share of repeats cover about 32 runs.
+	repeatWeight = 1.0 / 32
+	// minDeadline is the least time that an upstream is given.
+	minDeadline = 2 * time.Millisecond
+)
+
+// run sends a started call to the upstream.
+func (g *guard) run(ctx context.Context, c *Call, at *attempt, arrived model.Instant) *Answer {
+	left := c.Deadline - g.now().Sub(arrived)
+	a := notRun(outcome.ReasonDeadline)
+	if left >= minDeadline && at.start() {
+		a = g.send(ctx, c, left, g.now().Sub(arrived))
+	} else if left >= minDeadline {
+		a = notRun(outcome.ReasonWithdrawn)
+	}
+	g.mu.Lock()
+	g.queue.Finish()
+	g.mu.Unlock()
+	at.end(a)
+	g.pump()
+	return a
+}
+
+func (g *guard) send(ctx context.Context, c *Call, left, waited time.Duration) *Answer {
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	h := endToEnd(c.Header)
+	g.opts.Edge.Dress(h, Dressing{ID: c.ID, Deadline: left, Caller: c.Caller, Upstream: c.Upstream.ID})
+	x := hop.Exchange{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body,
+		Accept: func(r *http.Response) bool { return g.mine(c, r) },
+	}
+	if !c.Idempotent {
+		x.MaxIdle = keptIdle
+	}
+	g.mu.Lock()
+	repeat := 0.0
+	if c.Repeat {
+		repeat = 1
+	}
+	g.repeats += (repeat - g.repeats) * repeatWeight
+	pool, running := g.pool, g.queue.Running()
+	g.mu.Unlock()
+	began := g.now()
+	reply, err := pool.Do(ctx, x)
+	ran := g.now().Sub(began)
+	a := g.read(ctx, c, reply, err)
+	a.Ran = ran
+	g.judge(ctx, a)
+	g.tellRun(c, a, err, waited, running)
+	return a
+}
+
+// mine reports whether a response belongs to a call.
+func (g *guard) mine(c *Call, r *http.Response) bool {
+	reading := g.opts.Edge.Read(r.StatusCode, r.Header)
+	return reading.ID == c.ID || reading.ID == "" && (reading.NotRun || reading.Mistaken)
+}
+
+// read turns what came back into an answer.
+func (g *guard) read(ctx context.Context, c *Call, reply *hop.Reply, err error) *Answer {
+	var lost *hop.LostError
+	if errors.As(err, &lost) {
+		switch {
+		case !lost.Sent:
+			return notRun(outcome.ReasonConnect)
+		case ctx.Err() != nil:
+			return unknown(outcome.ReasonDeadline)
+		default:
+			return unknown(outcome.ReasonConnectionLost)
+		}
+	}
+	r := g.opts.Edge.Read(reply.Status, reply.Header)
+	g.learn(r.Load)
+	switch {
+	case r.Mistaken:
+		g.mistaken(c, r.Instance)
+		a := notRun(outcome.ReasonNoUpstream)
+		return a
+	case r.NotRun:
+		a := notRun(outcome.ReasonUpstreamRefused)
+		a.Arrived = true
+		return a
+	case !r.Whole:
+		return unknown(outcome.ReasonTruncated)
+	}
+	return &Answer{Outcome: outcome.Done(), Status: reply.Status, Header: endToEnd(reply.Header), Body: reply.Body, Arrived: true}
+}
+
+// mistaken takes in that the upstream at the address is another than expected.
+func (g *guard) mistaken(c *Call, found model.UpstreamID) {
+	g.mu.Lock()
+	cur := g.tracker.Current()
+	if cur.ID != c.Upstream.ID || found == cur.ID {
+		g.mu.Unlock()
+		return
+	}
+	g.tracker.Leave(cur.Incarnation)
+	cur = g.tracker.Current()
+	g.mu.Unlock()
+	g.tell(cur, "address taken by "+string(found))
+}
+
+// learn takes in what the upstream says of its load.
+func (g *guard) learn(l *UpstreamLoad) {
+	if l == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.Slow > 0 {
+		g.slow, g.slowAt, g.told = l.Slow, g.now(), true
+	}
+	if l.Slots > 0 {
+		g.queue.SetLimit(placement.LimitOf(l.Slots))
+	}
+}
+
+// judge takes in whether a run failed.
+func (g *guard) judge(ctx context.Context, a *Answer) {
+	failed := 0.0
+	switch {
+	case a.Outcome.Kind == outcome.Unknown && errors.Is(ctx.Err(), context.Canceled):
+		return
+	case a.Outcome.Kind != outcome.Answered, a.Status >= http.StatusInternalServerError:
+		failed = 1
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failing += (failed - g.failing) * failWeight
+}
+
+func (g *guard) tellRun(c *Call, a *Answer, err error, waited time.Duration, running int) {
+	attrs := []slog.Attr{slog.String("upstream", string(c.Upstream.ID)), slog.Int("status", a.Status), slog.Int64("ran_ms", a.Ran.Milliseconds())}
+	if a.Outcome.Kind == outcome.Answered && a.Status < http.StatusInternalServerError {
+		if g.opts.Decisions.Keeps(c.ID) {
+			g.mu.Lock()
+			slow := g.slow
+			g.mu.Unlock()
+			g.opts.Decisions.Write(decision.Ran, c.ID, append(attrs, slog.Int64("waited_ms", waited.Milliseconds()),
+				slog.Float64("slow", slow), slog.Int("running", running))...)
+		}
+		return
+	}
+	if err != nil {
+		attrs = append(attrs, slog.String("error", err.Error()))
+	}
+	g.opts.Decisions.Write(decision.RunFailed, c.ID, append(attrs,
+		slog.String("outcome", a.Outcome.Kind.String()), slog.String("reason", string(a.Outcome.Reason)))...)
+}
