--- a/core/lifecycle/lifecycle.go
+++ b/core/lifecycle/lifecycle.go
@@ -102,6 +102,10 @@
 		t.current = r
 		return Started
 	}
+	if r.ID == t.current.ID && t.current.Born == 0 {
+		// Known so far by an answer that does not tell the start.
+		t.current.Born = r.Born
+	}
 	if r.Incarnation == t.current.Incarnation {
 		return t.update(r)
 	}
--- /dev/null
+++ b/core/lifecycle/lifecycle_test.go
@@ -0,0 +1,116 @@
+package lifecycle
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+func report(id string, born int64, seq uint64, s State) Report {
+	return Report{Incarnation: Incarnation{ID: model.UpstreamID(id), Born: born}, Sequence: seq, State: s, Slots: 1}
+}
+
+func TestObserve(t *testing.T) {
+	type step struct {
+		r    Report
+		want Verdict
+	}
+	for name, c := range map[string]struct {
+		steps []step
+		id    string
+		state State
+	}{
+		"first report": {[]step{{report("a", 1, 1, Ready), Started}}, "a", Ready},
+		"renewal": {[]step{
+			{report("a", 1, 1, Ready), Started}, {report("a", 1, 2, Ready), Same},
+		}, "a", Ready},
+		"late report of the same life": {[]step{
+			{report("a", 1, 5, Ready), Started}, {report("a", 1, 4, Draining), Stale},
+		}, "a", Ready},
+		"draining never becomes ready": {[]step{
+			{report("a", 1, 1, Ready), Started}, {report("a", 1, 2, Draining), Changed}, {report("a", 1, 3, Ready), Stale},
+		}, "a", Draining},
+		"a new life under the same id counts anew": {[]step{
+			{report("a", 1, 9, Draining), Started}, {report("a", 2, 1, Ready), Started},
+		}, "a", Ready},
+		"a late report of an earlier life": {[]step{
+			{report("a", 1, 9, Ready), Started}, {report("b", 2, 1, Ready), Started}, {report("a", 1, 10, Ready), Stale},
+		}, "b", Ready},
+		"a late report of an earlier life under the same id": {[]step{
+			{report("a", 2, 1, Ready), Started}, {report("a", 1, 50, Draining), Stale},
+		}, "a", Ready},
+		"without starts a new id is later": {[]step{
+			{report("a", 0, 9, Ready), Started}, {report("b", 0, 1, Ready), Started}, {report("a", 0, 10, Ready), Stale},
+		}, "b", Ready},
+		"known by its health answer, then by a report": {[]step{
+			{report("a", 0, 0, Ready), Started}, {report("a", 7, 3, Ready), Same},
+		}, "a", Ready},
+		"known by its health answer, then draining": {[]step{
+			{report("a", 0, 0, Ready), Started}, {report("a", 7, 3, Draining), Changed},
+		}, "a", Draining},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tr Tracker
+			for i, s := range c.steps {
+				require.Equal(t, s.want, tr.Observe(s.r), "step %d", i)
+			}
+			require.Equal(t, model.UpstreamID(c.id), tr.Current().ID)
+			require.Equal(t, c.state, tr.Current().State)
+		})
+	}
+}
+
+func TestLeave(t *testing.T) {
+	var tr Tracker
+	tr.Observe(report("a", 1, 1, Ready))
+	require.Equal(t, Stale, tr.Leave(Incarnation{ID: "z", Born: 1}), "another upstream")
+	require.Equal(t, Ready, tr.Current().State)
+	require.Equal(t, Changed, tr.Leave(Incarnation{ID: "a"}), "the start may be left out")
+	require.Equal(t, Gone, tr.Current().State)
+	require.Equal(t, Stale, tr.Observe(report("a", 1, 2, Ready)))
+	require.Equal(t, Started, tr.Observe(report("a", 2, 1, Ready)))
+	require.Equal(t, Stale, tr.Leave(Incarnation{ID: "a", Born: 1}), "the life before")
+	require.Equal(t, Ready, tr.Current().State)
+}
+
+// TestRestore answers a daemon that is killed right after it has acknowledged
+// that its upstream leaves: the others remember it.
+func TestRestore(t *testing.T) {
+	var tr Tracker
+	tr.Restore([]Incarnation{{ID: "a", Born: 1}})
+	require.Equal(t, Stale, tr.Observe(report("a", 1, 5, Ready)))
+	require.Equal(t, Unknown, tr.Current().State)
+	tr.Observe(report("b", 2, 1, Ready))
+	tr.Restore([]Incarnation{{ID: "b", Born: 2}})
+	require.Equal(t, Draining, tr.Current().State)
+}
+
+// TestOrderDoesNotMatter plays the reports of two lives in any order, some of
+// them twice, and expects the state of the newest.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Report
+		for born := int64(1); born <= 2; born++ {
+			last := rapid.Uint64Range(1, 5).Draw(t, "last")
+			drainFrom := rapid.Uint64Range(1, 7).Draw(t, "drain from")
+			for seq := uint64(1); seq <= last; seq++ {
+				state := Ready
+				if seq >= drainFrom {
+					state = Draining
+				}
+				all = append(all, report("a", born, seq, state))
+			}
+		}
+		want := all[len(all)-1]
+		order := rapid.Permutation(append(all, rapid.SliceOf(rapid.SampledFrom(all)).Draw(t, "again")...)).Draw(t, "order")
+		var tr Tracker
+		for _, r := range order {
+			tr.Observe(r)
+		}
+		require.Equal(t, want.Born, tr.Current().Born)
+		require.Equal(t, want.State, tr.Current().State)
+	})
+}
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,180 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+const (
+	work   = 100 * time.Millisecond
+	target = 400 * time.Millisecond
+)
+
+func at(ms int) model.Instant { return model.Instant(0).Add(time.Duration(ms) * time.Millisecond) }
+
+// fixed draws the middle, so that choices are the same every time.
+func fixed() float64 { return 0.5 }
+
+func newPlacer(zones ...model.AvailabilityZone) *Placer {
+	p := New(Options{Zone: "own", Rand: fixed})
+	var ups []Upstream
+	for i, z := range zones {
+		ups = append(ups, Upstream{Key: string(rune('a' + i)), Zone: z, Slots: 6})
+	}
+	p.Set(ups)
+	return p
+}
+
+func idle(slow float64) Load { return Load{Limit: 4, Slow: slow} }
+
+func choose(t *testing.T, p *Placer, now model.Instant) Choice {
+	t.Helper()
+	c, ok := p.Choose(now, Ask{Work: work, Target: target})
+	require.True(t, ok)
+	return c
+}
+
+func TestLimitStaysBelowSaturation(t *testing.T) {
+	for slots, want := range map[int]int{0: 1, 1: 1, 2: 1, 5: 3, 6: 4, 10: 7, 100: 79} {
+		require.Equal(t, want, LimitOf(slots), "%d slots", slots)
+	}
+}
+
+// TestSlowNowIsLeft answers upstreams that share their VM: four times slower for
+// some hundred milliseconds, a quarter of them at any moment.
+func TestSlowNowIsLeft(t *testing.T) {
+	p := newPlacer("own", "own")
+	p.Learn(at(0), "a", idle(4))
+	p.Learn(at(0), "b", idle(1))
+	require.Equal(t, "b", choose(t, p, at(1)).Upstream.Key)
+}
+
+// TestSlownessFades answers the same load a second later: what was known then is
+// worth nothing, so the one with fewer requests wins.
+func TestSlownessFades(t *testing.T) {
+	p := newPlacer("own", "own")
+	p.Learn(at(0), "a", idle(4))
+	p.Learn(at(0), "b", idle(1))
+	for range 4 {
+		p.Done(at(0), "none", nil)
+	}
+	first := choose(t, p, at(3000))
+	second := choose(t, p, at(3000))
+	require.Less(t, max(first.Expected, second.Expected), 2*min(first.Expected, second.Expected))
+}
+
+// TestFullIsLeft counts what this entry has sent since it last heard.
+func TestFullIsLeft(t *testing.T) {
+	p := newPlacer("own", "own")
+	p.Learn(at(0), "a", idle(1))
+	p.Learn(at(0), "b", idle(1.2))
+	got := map[string]int{}
+	for range 8 {
+		got[choose(t, p, at(1)).Upstream.Key]++
+	}
+	require.Equal(t, map[string]int{"a": 4, "b": 4}, got)
+}
+
+func TestZones(t *testing.T) {
+	for name, c := range map[string]struct {
+		own, other Load
+		want       string
+	}{
+		"own is good enough":           {idle(2), idle(1), "a"},
+		"own would miss the target":    {idle(4), idle(1), "b"},
+		"both would miss, other worse": {idle(4), idle(5), "a"},
+		"own is full":                  {Load{Running: 4, Waiting: 12, Limit: 4, Slow: 1}, idle(1), "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer("own", "other")
+			p.Learn(at(0), "a", c.own)
+			p.Learn(at(0), "b", c.other)
+			require.Equal(t, c.want, choose(t, p, at(1)).Upstream.Key)
+		})
+	}
+}
+
+func TestCrossingMustGain(t *testing.T) {
+	p := newPlacer("own", "other")
+	p.Learn(at(0), "a", idle(1.2))
+	p.Learn(at(0), "b", idle(1))
+	c, ok := p.Choose(at(1), Ask{Work: work})
+	require.True(t, ok)
+	require.Equal(t, "a", c.Upstream.Key, "20 ms do not pay for a crossing")
+}
+
+// TestFailingFastDoesNotLookIdle answers an upstream that fails every request at
+// once and so never has any.
+func TestFailingFastDoesNotLookIdle(t *testing.T) {
+	p := newPlacer("own", "own")
+	p.Learn(at(0), "a", Load{Limit: 4, Slow: 1, Failing: 0.9})
+	p.Learn(at(0), "b", Load{Running: 4, Waiting: 2, Limit: 4, Slow: 1})
+	require.Equal(t, "b", choose(t, p, at(1)).Upstream.Key)
+}
+
+func TestFailingIsTriedAgain(t *testing.T) {
+	p := newPlacer("own", "own")
+	p.Learn(at(0), "a", Load{Limit: 4, Slow: 1, Failing: 1})
+	p.Learn(at(0), "b", Load{Running: 4, Waiting: 4, Limit: 4, Slow: 1})
+	p.Learn(at(20_000), "b", Load{Running: 4, Waiting: 4, Limit: 4, Slow: 1})
+	require.Equal(t, "a", choose(t, p, at(20_001)).Upstream.Key)
+}
+
+func TestColdIsLeft(t *testing.T) {
+	p := newPlacer("own", "own")
+	p.Set([]Upstream{{Key: "a", Zone: "own", Slots: 6, ColdUntil: at(3000)}, {Key: "b", Zone: "own", Slots: 6}})
+	require.Equal(t, "b", choose(t, p, at(1)).Upstream.Key)
+}
+
+func TestUnreachableUnlessLast(t *testing.T) {
+	p := newPlacer("own", "own")
+	p.Unreachable(at(0), "a")
+	for range 5 {
+		require.Equal(t, "b", choose(t, p, at(1)).Upstream.Key)
+	}
+	p.Unreachable(at(2), "b")
+	_, ok := p.Choose(at(3), Ask{Work: work})
+	require.True(t, ok, "all are out of reach, one is tried")
+	p.Learn(at(4), "a", idle(1))
+	require.Equal(t, "a", choose(t, p, at(5)).Upstream.Key)
+}
+
+func TestExcludeAll(t *testing.T) {
+	p := newPlacer("own")
+	_, ok := p.Choose(at(0), Ask{Work: work, Exclude: func(Upstream) bool { return true }})
+	require.False(t, ok)
+}
+
+func TestToAsk(t *testing.T) {
+	p := newPlacer("own", "own", "own", "other", "other")
+	p.Learn(at(0), "a", idle(1))
+	near := p.ToAsk(at(1), Ask{Work: work}, true, 15*time.Millisecond, 4)
+	require.Len(t, near, 2, "a is known")
+	far := p.ToAsk(at(1), Ask{Work: work}, false, 15*time.Millisecond, 1)
+	require.Len(t, far, 1)
+	require.Equal(t, model.AvailabilityZone("other"), far[0].Zone)
+	require.Len(t, p.ToAsk(at(100), Ask{Work: work}, true, 15*time.Millisecond, 4), 3, "what was known is old")
+	p.Unreachable(at(100), "b")
+	require.Len(t, p.ToAsk(at(101), Ask{Work: work}, true, 15*time.Millisecond, 4), 2)
+}
+
+func TestKnowledgeOutlivesMembership(t *testing.T) {
+	p := newPlacer("own", "own")
+	p.Learn(at(0), "a", idle(4))
+	p.Set([]Upstream{{Key: "a", Zone: "own", Slots: 6}, {Key: "c", Zone: "own", Slots: 6}})
+	p.Learn(at(0), "c", idle(1))
+	require.Equal(t, "c", choose(t, p, at(1)).Upstream.Key)
+	require.Equal(t, 2, p.Len())
+}
+
+func TestComfortable(t *testing.T) {
+	p := newPlacer("own", "other")
+	p.Learn(at(0), "a", idle(1))
+	require.True(t, p.Comfortable(at(1), Ask{Work: work, Target: target}))
+	p.Learn(at(1), "a", idle(4))
+	require.False(t, p.Comfortable(at(2), Ask{Work: work, Target: target}))
+}
--- /dev/null
+++ b/core/retry/window_test.go
@@ -0,0 +1,70 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+func TestWindowLeft(t *testing.T) {
+	w := NewWindow(10*time.Second, 0.2, 5)
+	now := model.Instant(0).Add(time.Minute)
+	require.InDelta(t, 5, w.Left(now), 1e-9)
+	for range 10 {
+		w.Request(now)
+	}
+	require.InDelta(t, 7, w.Left(now), 1e-9)
+	require.True(t, w.Take(now, 7))
+	require.False(t, w.Take(now, 1))
+	w.Charge(now, -1)
+	require.True(t, w.Take(now, 1), "a send that reached nobody is given back")
+	require.False(t, w.Take(now.Add(9*time.Second), 1))
+	require.True(t, w.Take(now.Add(12*time.Second), 5), "the span has passed")
+}
+
+// TestWindowKeepsTheSharedBudget has some daemons take re-sends as they can, at
+// any times, and holds every span of all of them together to the whole budget.
+func TestWindowKeepsTheSharedBudget(t *testing.T) {
+	const (
+		span  = 10 * time.Second
+		ratio = 0.2
+		slack = 60.0
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(1, 6).Draw(t, "daemons")
+		windows := make([]*Window, daemons)
+		for i := range windows {
+			windows[i] = NewWindow(span, ratio, slack/float64(daemons))
+		}
+		var requests, resends []model.Instant
+		now := model.Instant(0)
+		for range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			w := windows[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				requests = append(requests, now)
+			} else if w.Take(now, 1) {
+				resends = append(resends, now)
+			}
+		}
+		within := func(at []model.Instant, from, to model.Instant) (n float64) {
+			for _, i := range at {
+				if i >= from && i <= to {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range resends {
+			from := end.Add(-span)
+			// Requests may count from up to one part of the span earlier.
+			allowed := ratio*within(requests, from.Add(-span/windowParts), end) + slack
+			require.LessOrEqual(t, within(resends, from, end), allowed+1e-6)
+		}
+	})
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,106 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+func to(service model.ServiceName) []Part { return []Part{{Service: service, Weight: 1}} }
+
+func simple(name, host, prefix string) Route {
+	return Route{Name: name, Host: host, Prefix: prefix, MaxAttempts: 2, Parts: to("s")}
+}
+
+func TestLookup(t *testing.T) {
+	table, err := New(Document{Version: 3, Routes: []Route{
+		simple("short", "a.example", "/x/"),
+		simple("long", "a.example", "/x/y/"),
+		simple("other", "B.example", "/x/"),
+	}})
+	require.NoError(t, err)
+	for name, c := range map[string]struct{ host, path, want string }{
+		"longest prefix wins":             {"a.example", "/x/y/z", "long"},
+		"prefix itself":                   {"a.example", "/x/", "short"},
+		"a segment is not cut":            {"a.example", "/x/yz", "short"},
+		"without the ending slash":        {"a.example", "/x", ""},
+		"host decides first":              {"b.example", "/x/y/z", "other"},
+		"port and case do not count":      {"A.Example:8080", "/x/q", "short"},
+		"unknown host":                    {"c.example", "/x/", ""},
+		"paths are compared byte by byte": {"a.example", "/X/", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, ok := table.Lookup(c.host, c.path)
+			require.Equal(t, c.want != "", ok)
+			if ok {
+				require.Equal(t, c.want, r.Name)
+			}
+		})
+	}
+}
+
+func TestNewNamesWhatIsWrong(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Route)
+		field  string
+	}{
+		"no host":            {func(r *Route) { r.Host = "" }, "host"},
+		"bare prefix":        {func(r *Route) { r.Prefix = "/x" }, "prefix"},
+		"empty prefix":       {func(r *Route) { r.Prefix = "" }, "prefix"},
+		"no attempts":        {func(r *Route) { r.MaxAttempts = 0 }, "attempts"},
+		"negative timeout":   {func(r *Route) { r.Timeout = -1 }, "timeout"},
+		"no parts":           {func(r *Route) { r.Parts = nil }, "split"},
+		"negative weight":    {func(r *Route) { r.Parts = []Part{{"s", 2}, {"t", -1}} }, "split"},
+		"nothing has weight": {func(r *Route) { r.Parts = []Part{{"s", 0}} }, "split"},
+		"empty service":      {func(r *Route) { r.Parts = to("") }, "split"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := simple("r", "h", "/x/")
+			c.change(&r)
+			_, err := New(Document{Version: 7, Routes: []Route{r}})
+			var e *Error
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, c.field, e.Field)
+			require.Equal(t, model.Version(7), e.Version)
+		})
+	}
+}
+
+// TestSplitIsExact answers traffic splits that are judged over short windows:
+// after any number of requests each part is within one request of its share.
+func TestSplitIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 2, 5).Draw(t, "weights")
+		r := Route{Name: "r"}
+		total := 0.0
+		for i, w := range weights {
+			r.Parts = append(r.Parts, Part{Service: model.ServiceName(rune('a' + i)), Weight: float64(w)})
+			total += float64(w)
+		}
+		if total == 0 {
+			t.Skip("no weight")
+		}
+		var s Splitter
+		got := map[model.ServiceName]float64{}
+		for n := 1; n <= 200; n++ {
+			got[s.Pick(&r)]++
+			for _, p := range r.Parts {
+				require.InDelta(t, float64(n)*p.Weight/total, got[p.Service], float64(len(weights))-1+1e-6)
+				if p.Weight == 0 {
+					require.Zero(t, got[p.Service])
+				}
+			}
+		}
+	})
+}
+
+func TestSplitKeepsItsPlaceOverVersions(t *testing.T) {
+	var s Splitter
+	parts := []Part{{"a", 50}, {"b", 50}}
+	first := s.Pick(&Route{Name: "r", Parts: parts})
+	second := s.Pick(&Route{Name: "r", Parts: []Part{{"a", 50}, {"b", 50}}})
+	require.NotEqual(t, first, second)
+}
--- /dev/null
+++ b/core/slots/slots_test.go
@@ -0,0 +1,192 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+func at(ms int) model.Instant { return model.Instant(0).Add(time.Duration(ms) * time.Millisecond) }
+
+const ms = time.Millisecond
+
+// item returns a request that arrived at 0 and has a second.
+func item(id uint64, rank int, work, target int) Item {
+	return Item{ID: id, Rank: rank, Work: time.Duration(work) * ms, Target: at(target), Deadline: at(1000), Useful: at(1000)}
+}
+
+// starts drains the queue one at a time and returns the order of the starts.
+func starts(t *testing.T, q *Queue, now model.Instant) []uint64 {
+	t.Helper()
+	var out []uint64
+	for q.Waiting() > 0 {
+		d, ok := q.Next(now, 1)
+		require.True(t, ok)
+		require.Equal(t, Start, d.Exit)
+		out = append(out, d.ID)
+		q.Finish()
+	}
+	return out
+}
+
+func TestOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		items []Item
+		want  []uint64
+	}{
+		"rank first":                            {[]Item{item(1, 2, 10, 50), item(2, 1, 10, 500)}, []uint64{2, 1}},
+		"short nested call before long ones":    {[]Item{item(1, 1, 150, 400), item(2, 1, 15, 80)}, []uint64{2, 1}},
+		"who can still make it before the late": {[]Item{item(1, 1, 100, 50), item(2, 1, 100, 400)}, []uint64{2, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := New(1)
+			for _, i := range c.items {
+				q.Add(i)
+			}
+			require.Equal(t, c.want, starts(t, q, at(0)))
+		})
+	}
+}
+
+// TestNobodyStarves answers a flood of urgent requests: every eighth start is of
+// the one that has waited longest.
+func TestNobodyStarves(t *testing.T) {
+	q := New(1)
+	old := item(1, 9, 10, 500)
+	q.Add(old)
+	for i := uint64(2); i < 20; i++ {
+		next := item(i, 0, 10, 500)
+		next.Arrived = at(1)
+		q.Add(next)
+	}
+	order := starts(t, q, at(2))
+	require.Equal(t, uint64(1), order[oldestEvery-1])
+}
+
+func TestLimit(t *testing.T) {
+	q := New(2)
+	for i := range uint64(3) {
+		q.Add(item(i, 0, 10, 500))
+	}
+	for range 2 {
+		d, ok := q.Next(at(0), 1)
+		require.True(t, ok)
+		require.Equal(t, Start, d.Exit)
+	}
+	_, ok := q.Next(at(0), 1)
+	require.False(t, ok)
+	require.Equal(t, 2, q.Running())
+	require.Equal(t, 3, q.Ahead(0))
+	require.Equal(t, 2, q.Ahead(-1))
+	q.Finish()
+	_, ok = q.Next(at(0), 1)
+	require.True(t, ok)
+}
+
+func TestExits(t *testing.T) {
+	busy := func(i Item) *Queue {
+		q := New(1)
+		q.Add(item(99, 0, 10, 500))
+		_, _ = q.Next(at(0), 1)
+		q.Add(i)
+		return q
+	}
+	for name, c := range map[string]struct {
+		change func(*Item)
+		slow   float64
+		now    int
+		want   Exit
+	}{
+		"cannot end before its deadline": {func(*Item) {}, 1, 960, Hopeless},
+		"nor where work takes longer":    {func(*Item) {}, 4, 850, Hopeless},
+		"has waited as long as allowed":  {func(i *Item) { i.GiveUp = at(30) }, 1, 30, Returned},
+		"would end too late":             {func(i *Item) { i.Useful = at(500) }, 1, 401, Overdue},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := item(1, 0, 100, 500)
+			c.change(&i)
+			q := busy(i)
+			wake := q.Wake(c.slow)
+			require.LessOrEqual(t, wake, at(c.now), "it is looked at in time")
+			_, early := q.Next(wake.Add(-2*ms), c.slow)
+			require.False(t, early)
+			d, ok := q.Next(at(c.now), c.slow)
+			require.True(t, ok)
+			require.Equal(t, Decision{ID: 1, Exit: c.want}, d)
+		})
+	}
+}
+
+// TestIdleSlotsServeTheLate answers requests whose target is lost while there is
+// room: they run, as nobody has to wait for them.
+func TestIdleSlotsServeTheLate(t *testing.T) {
+	q := New(1)
+	late := item(1, 0, 100, 50)
+	late.Useful = at(50)
+	q.Add(late)
+	d, ok := q.Next(at(200), 1)
+	require.True(t, ok)
+	require.Equal(t, Start, d.Exit)
+}
+
+func TestRemove(t *testing.T) {
+	q := New(1)
+	q.Add(item(1, 0, 10, 100))
+	require.True(t, q.Remove(1))
+	require.False(t, q.Remove(1))
+	_, ok := q.Next(at(0), 1)
+	require.False(t, ok)
+	require.Zero(t, q.Wake(1))
+}
+
+// TestEveryRequestLeavesOnce plays random arrivals, ends and removals: nobody
+// leaves twice, never more run than the limit, and nobody is left at the end.
+func TestEveryRequestLeavesOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(rapid.IntRange(1, 5).Draw(t, "limit"))
+		left := map[uint64]bool{}
+		waiting := map[uint64]bool{}
+		now, id := at(0), uint64(0)
+		pump := func() {
+			for {
+				d, ok := q.Next(now, 2)
+				if !ok {
+					return
+				}
+				require.False(t, left[d.ID])
+				require.True(t, waiting[d.ID])
+				left[d.ID] = true
+				delete(waiting, d.ID)
+				require.LessOrEqual(t, q.Running(), q.Limit())
+			}
+		}
+		for range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * ms)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				id++
+				work := rapid.IntRange(1, 200).Draw(t, "work")
+				q.Add(Item{ID: id, Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Work: time.Duration(work) * ms,
+					Arrived: now, Target: now.Add(100 * ms), Useful: now.Add(200 * ms), Deadline: now.Add(500 * ms)})
+				waiting[id] = true
+			case 1:
+				q.Finish()
+			case 2:
+				for w := range waiting {
+					require.True(t, q.Remove(w))
+					delete(waiting, w)
+					break
+				}
+			}
+			pump()
+			require.Equal(t, len(waiting), q.Waiting())
+		}
+		now = now.Add(time.Second)
+		pump()
+		require.Zero(t, q.Waiting())
+	})
+}
--- /dev/null
+++ b/sidecar/candidates.go
@@ -0,0 +1,51 @@
+package sidecar
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/placement"
+)
+
+// candidates returns the upstreams of a service, the own among them, and the
+// generation of what is known.
+func (p *peers) candidates(s model.ServiceName) ([]placement.Upstream, map[string]target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ups []placement.Upstream
+	targets := make(map[string]target)
+	add := func(r *Record, cold model.Instant) {
+		if r.Service != s || r.State != lifecycle.Ready || r.Stopping {
+			return
+		}
+		up := placement.Upstream{
+			Key: r.Address + " " + string(r.Upstream.ID), Daemon: model.DaemonID(r.Address),
+			Zone: r.Zone, Slots: r.Slots, ColdUntil: cold,
+		}
+		ups = append(ups, up)
+		targets[up.Key] = target{address: r.Address, upstream: r.Upstream}
+	}
+	add(&p.own, 0)
+	for _, q := range p.all {
+		if !q.lost {
+			add(&q.record, q.coldUntil)
+		}
+	}
+	slices.SortFunc(ups, func(a, b placement.Upstream) int { return strings.Compare(a.Key, b.Key) })
+	return ups, targets
+}
+
+// current returns the generation of what is known.
+func (p *peers) current() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.generation
+}
+
+// target is where the calls to a candidate go.
+type target struct {
+	address  string
+	upstream lifecycle.Incarnation
+}
--- /dev/null
+++ b/sidecar/choose.go
@@ -0,0 +1,99 @@
+package sidecar
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/decision"
+)
+
+const (
+	// hedgeFactor and hedgeBy tell when an idempotent request that has no answer
+	// is sent to a second upstream: so much later than expected.
+	hedgeFactor = 1.4
+	hedgeBy     = 15 * time.Millisecond
+	// lateFactor is the same for a request that can no longer make its target: its
+	// upstream may have stopped answering.
+	lateFactor = 4
+	// askNear and askFar are how many guards of the own zone, and of others where
+	// that does not do, are asked for their loads before a request is sent.
+	askNear = 4
+	askFar  = 3
+	// askAge is how old the knowledge of a load may be to do without asking.
+	askAge = 15 * time.Millisecond
+)
+
+// choose picks the upstream for the next attempt.
+func (r *race) choose(now model.Instant) (*try, bool) {
+	ask := placement.Ask{
+		Work:    r.work,
+		Target:  r.req.target.Sub(now),
+		Exclude: func(u placement.Upstream) bool { return r.tried[u.Key] },
+	}
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	r.e.refresh(r.s, r.req.service)
+	r.req.candidates = r.s.placer.Len()
+	r.inquire(ask, true, askNear, nearWait)
+	if now = r.e.d.now(); !r.s.placer.Comfortable(now, ask) {
+		r.inquire(ask, false, askFar, farWait)
+		now = r.e.d.now()
+	}
+	c, ok := r.s.placer.Choose(now, ask)
+	if !ok {
+		return nil, false
+	}
+	r.req.expected, r.req.upstream = c.Expected, c.Upstream.Key
+	return &try{choice: c, target: r.s.targets[c.Upstream.Key], acknowledged: make(chan struct{})}, true
+}
+
+// inquire asks guards for their loads, near or far. A guard that stays silent is
+// passed over for a while. r.s.mu is held on entry and return, not between.
+func (r *race) inquire(ask placement.Ask, near bool, most int, wait time.Duration) {
+	now := r.e.d.now()
+	ups := r.s.placer.ToAsk(now, ask, near, askAge, most)
+	if len(ups) == 0 || len(ups) == 1 && r.s.placer.Len() == 1 {
+		return
+	}
+	r.s.mu.Unlock()
+	loads := r.e.d.asks.ask(ups, r.req.route.Rank, wait)
+	r.s.mu.Lock()
+	now = r.e.d.now()
+	for _, up := range ups {
+		if l, ok := loads[up.Key]; ok {
+			r.s.placer.Learn(now, up.Key, l)
+		} else {
+			r.s.placer.Unreachable(now, up.Key)
+		}
+	}
+}
+
+// hedge sends an idempotent request to a second upstream if that is expected to
+// help.
+func (r *race) hedge() {
+	if !r.req.route.Idempotent || len(r.live) != 1 || r.arrived+1 >= r.req.route.MaxAttempts {
+		return
+	}
+	now := r.e.d.now()
+	first := r.live[0]
+	r.tried[first.choice.Upstream.Key] = true
+	t, ok := r.choose(now)
+	if !ok {
+		return
+	}
+	end := r.req.target
+	if end == 0 || r.late {
+		end = r.req.deadline
+	}
+	if now.Add(t.choice.Expected) > end || !r.s.resends.take(now, r.e.d.peers.size()) {
+		r.release(t)
+		return
+	}
+	t.charged = true
+	r.e.d.metrics.hedged.Inc(1)
+	r.tell(decision.Hedged, t, slog.String("instead_of", first.choice.Upstream.Key),
+		slog.Int64("waited_ms", now.Sub(first.sent).Milliseconds()), slog.Int64("expected_ms", t.choice.Expected.Milliseconds()))
+	r.start(t)
+}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -329,6 +329,7 @@
 // becomeReady waits until requests can be served.
 func (j *joiner) becomeReady(ctx context.Context) {
 	j.await(ctx, readyWait)
+	time.AfterFunc(readyWait, j.d.peers.introduce)
 	for ctx.Err() == nil && j.d.config.version() == 0 {
 		time.Sleep(readyPoll)
 	}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -13,7 +13,6 @@
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/decision"
-	"github.com/dottereltiller/dottereltiller/hop"
 )
 
 const (
@@ -25,21 +24,6 @@
 	// maxMisses is how many attempts may reach no upstream before a request is
 	// refused.
 	maxMisses = 6
-	// hedgeFactor and hedgeBy tell when an idempotent request that has no answer
-	// is sent to a second upstream: so much later than expected.
-	hedgeFactor = 1.4
-	hedgeBy     = 15 * time.Millisecond
-	// lateFactor is the same for a request that can no longer make its target: its
-	// upstream may have stopped answering.
-	lateFactor = 4
-	// ackWait is how long another daemon may take to show that it has got a call:
-	// a round trip between regions, acknowledgeAfter, and a pause of its
-	// processor.
-	ackWait = 120 * time.Millisecond
-	// settleFactor and settleBy tell when the guard of a request that must not run
-	// twice is asked over a new connection what became of it.
-	settleFactor = 3
-	settleBy     = 250 * time.Millisecond
 	// surelyFull is how old the knowledge may be by which a request is refused
 	// without asking any guard. Older, and nobody would learn that there is room
 	// again.
@@ -49,15 +33,6 @@
 	refusedRetry = 50 * time.Millisecond
 	// retrySpread spreads the returns of callers that were refused together.
 	retrySpread = 0.5
-	// askNear and askFar are how many guards of the own zone, and of others where
-	// that does not do, are asked for their loads before a request is sent.
-	askNear = 4
-	askFar  = 3
-	// askAge is how old the knowledge of a load may be to do without asking.
-	askAge = 15 * time.Millisecond
-	// hopeless is the share of the time left that a request must be expected to
-	// fit in to be worth a try.
-	hopelessShare = 1.0
 )
 
 // errMute is why a daemon that does not show that it gets calls is looked for.
@@ -298,7 +273,7 @@
 		}
 		return r.final()
 	}
-	if r.launch == 0 && t.choice.Age < surelyFull && t.choice.Expected > time.Duration(hopelessShare*float64(r.req.deadline.Sub(now))) {
+	if r.launch == 0 && t.choice.Age < surelyFull && t.choice.Expected > r.req.deadline.Sub(now) {
 		r.release(t)
 		return refuse(outcome.ReasonQueueFull, spread(max(t.choice.Expected/2, busyRetry)))
 	}
@@ -345,217 +320,3 @@
 func spread(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - retrySpread/2 + retrySpread*rand.Float64()))
 }
-
-// choose picks the upstream for the next attempt.
-func (r *race) choose(now model.Instant) (*try, bool) {
-	ask := placement.Ask{
-		Work:    r.work,
-		Target:  r.req.target.Sub(now),
-		Exclude: func(u placement.Upstream) bool { return r.tried[u.Key] },
-	}
-	r.s.mu.Lock()
-	defer r.s.mu.Unlock()
-	r.e.refresh(r.s, r.req.service)
-	r.req.candidates = r.s.placer.Len()
-	r.inquire(ask, true, askNear, nearWait)
-	if now = r.e.d.now(); !r.s.placer.Comfortable(now, ask) {
-		r.inquire(ask, false, askFar, farWait)
-		now = r.e.d.now()
-	}
-	c, ok := r.s.placer.Choose(now, ask)
-	if !ok {
-		return nil, false
-	}
-	r.req.expected, r.req.upstream = c.Expected, c.Upstream.Key
-	return &try{choice: c, target: r.s.targets[c.Upstream.Key], acknowledged: make(chan struct{})}, true
-}
-
-// inquire asks guards for their loads, near or far. A guard that stays silent is
-// passed over for a while. r.s.mu is held on entry and return, not between.
-func (r *race) inquire(ask placement.Ask, near bool, most int, wait time.Duration) {
-	now := r.e.d.now()
-	ups := r.s.placer.ToAsk(now, ask, near, askAge, most)
-	if len(ups) == 0 || len(ups) == 1 && r.s.placer.Len() == 1 {
-		return
-	}
-	r.s.mu.Unlock()
-	loads := r.e.d.asks.ask(ups, r.req.route.Rank, wait)
-	r.s.mu.Lock()
-	now = r.e.d.now()
-	for _, up := range ups {
-		if l, ok := loads[up.Key]; ok {
-			r.s.placer.Learn(now, up.Key, l)
-		} else {
-			r.s.placer.Unreachable(now, up.Key)
-		}
-	}
-}
-
-// hedge sends an idempotent request to a second upstream if that is expected to
-// help.
-func (r *race) hedge() {
-	if !r.req.route.Idempotent || len(r.live) != 1 || r.arrived+1 >= r.req.route.MaxAttempts {
-		return
-	}
-	now := r.e.d.now()
-	first := r.live[0]
-	r.tried[first.choice.Upstream.Key] = true
-	t, ok := r.choose(now)
-	if !ok {
-		return
-	}
-	end := r.req.target
-	if end == 0 || r.late {
-		end = r.req.deadline
-	}
-	if now.Add(t.choice.Expected) > end || !r.s.resends.take(now, r.e.d.peers.size()) {
-		r.release(t)
-		return
-	}
-	t.charged = true
-	r.e.d.metrics.hedged.Inc(1)
-	r.tell(decision.Hedged, t, slog.String("instead_of", first.choice.Upstream.Key),
-		slog.Int64("waited_ms", now.Sub(first.sent).Milliseconds()), slog.Int64("expected_ms", t.choice.Expected.Milliseconds()))
-	r.start(t)
-}
-
-// start sends an attempt.
-func (r *race) start(t *try) {
-	ctx, cancel := context.WithCancel(r.req.ctx)
-	now := r.e.d.now()
-	t.cancel, t.sent, t.send = cancel, now, r.launch
-	r.launch++
-	r.live = append(r.live, t)
-	c := &Call{
-		ID: r.req.id, Send: t.send,
-		Method: r.req.http.Method, Target: r.req.http.RequestURI, Host: r.req.http.Host,
-		Header: r.req.http.Header, Body: r.req.body,
-		Service: r.req.service, Caller: r.e.d.service(), Upstream: t.target.upstream,
-		Idempotent: r.req.route.Idempotent, Repeat: r.arrived > 0 || len(r.live) > 1, Rank: r.req.route.Rank, Work: r.work,
-		Deadline: r.req.deadline.Sub(now),
-	}
-	if r.req.target != 0 {
-		c.Within = r.req.target.Sub(now)
-	}
-	if r.req.givenBack < maxGivenBack && t.choice.Alternative > 0 {
-		c.Alternative = t.choice.Alternative
-	}
-	go func() {
-		a := r.e.send(ctx, t, c)
-		t.acknowledge()
-		r.done <- ended{try: t, answer: a}
-	}()
-	if t.target.address != r.e.d.opts.Addresses.Peers {
-		go r.watch(t)
-	}
-}
-
-// watch waits for a sign that an attempt has arrived.
-func (r *race) watch(t *try) {
-	timer := time.NewTimer(ackWait)
-	defer timer.Stop()
-	select {
-	case <-t.acknowledged:
-	case <-timer.C:
-		r.mute <- t
-	}
-}
-
-// send has a call run by the guard of its upstream.
-func (e *entry) send(ctx context.Context, t *try, c *Call) *Answer {
-	if t.target.address == e.d.opts.Addresses.Peers {
-		return e.d.guard.Do(ctx, c)
-	}
-	pool := e.d.peers.pool(t.target.address)
-	if pool == nil {
-		return notRun(outcome.ReasonNoUpstream)
-	}
-	if c.Idempotent {
-		a, _ := e.sendOnce(ctx, pool, t, c)
-		return a
-	}
-	return e.sendSettled(ctx, pool, t, c)
-}
-
-// sendOnce sends a call over one connection. It reports false when the hop broke.
-func (e *entry) sendOnce(ctx context.Context, pool *hop.Pool, t *try, c *Call) (*Answer, bool) {
-	h := endToEnd(c.Header)
-	h.Set(callHeader, c.encode())
-	reply, err := pool.Do(ctx, hop.Exchange{
-		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body, Informed: t.acknowledge,
-	})
-	var lost *hop.LostError
-	if errors.As(err, &lost) {
-		if ctx.Err() == nil && !lost.Reused {
-			e.d.peers.missed(t.target.address, err)
-		}
-		if !lost.Sent {
-			return notRun(outcome.ReasonConnect), true
-		}
-		return unknown(outcome.ReasonConnectionLost), false
-	}
-	a := answerOf(reply)
-	if a.Version > e.d.config.version() {
-		e.d.behind(t.target.address, a.Version)
-	}
-	return a, true
-}
-
-// sendSettled sends a call that must not run twice. When its connection breaks or
-// stays silent for long, the guard is asked over a new one what became of it.
-func (e *entry) sendSettled(ctx context.Context, pool *hop.Pool, t *try, c *Call) *Answer {
-	type result struct {
-		answer *Answer
-		whole  bool
-	}
-	first := make(chan result, 1)
-	go func() {
-		a, whole := e.sendOnce(ctx, pool, t, c)
-		first <- result{a, whole}
-	}()
-	timer := time.NewTimer(time.Duration(settleFactor*float64(t.choice.Expected)) + settleBy)
-	defer timer.Stop()
-	silent := time.NewTimer(ackWait)
-	defer silent.Stop()
-	settled := make(chan *Answer, 1)
-	asked, answered := false, false
-	ask := func() {
-		if !asked && ctx.Err() == nil {
-			asked = true
-			go func() { settled <- e.settle(ctx, pool, t, c) }()
-		}
-	}
-	for broken := false; ; {
-		select {
-		case got := <-first:
-			if got.whole || answered || ctx.Err() != nil {
-				return got.answer
-			}
-			broken = true
-			ask()
-		case a := <-settled:
-			if a.Outcome.Kind != outcome.Unknown || broken {
-				return a
-			}
-			// The guard may be out of reach for a moment; the first connection
-			// may still bring the answer.
-			answered = true
-		case <-timer.C:
-			ask()
-		case <-silent.C:
-			select {
-			case <-t.acknowledged:
-			default:
-				ask()
-			}
-		}
-	}
-}
-
-func (e *entry) settle(ctx context.Context, pool *hop.Pool, t *try, c *Call) *Answer {
-	e.d.metrics.settled.Inc(1)
-	a := askSettle(ctx, pool, c.Key())
-	e.d.opts.Decisions.Write(decision.Withdrawn, c.ID, slog.String("upstream", t.choice.Upstream.Key),
-		slog.String("result", a.Outcome.Kind.String()))
-	return a
-}
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -206,6 +206,7 @@
 	}
 	held, _ := p.d.peers.of(m.From.Address)
 	p.d.peers.merge(append([]Record{m.From}, m.Known...))
+	p.d.peers.heardFrom(m.From.Address)
 	if m.Version > p.d.config.version() {
 		p.d.behind(m.From.Address, m.Version)
 	}
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -9,7 +9,6 @@
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
-	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/hop"
 )
@@ -97,8 +96,10 @@
 	all        map[string]*peer
 	generation uint64
 	asked      int
-	ctx        context.Context
-	wg         sync.WaitGroup
+	// told is set once the own record has been sent to everybody.
+	told bool
+	ctx  context.Context
+	wg   sync.WaitGroup
 	// greeted is closed once another daemon has answered, or there is none.
 	greeted     chan struct{}
 	greetedOnce sync.Once
@@ -127,11 +128,56 @@
 	change(&p.own)
 	p.own.Sequence++
 	p.generation++
+	p.tellAll()
+}
+
+// tellAll sends the own record to everybody. p.mu is held.
+func (p *peers) tellAll() {
+	p.told = true
 	for _, q := range p.all {
 		p.owe(q)
 	}
 }
 
+// introduce sends the own record to everybody unless that has been done.
+func (p *peers) introduce() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.told {
+		p.tellAll()
+	}
+}
+
+// greet has a new peer asked for what it knows, or told of this daemon. While
+// nothing is known of the own upstream the latter waits, so that a start takes one
+// message a peer and not two. p.mu is held.
+func (p *peers) greet(q *peer) {
+	if q.full || p.told {
+		p.owe(q)
+	}
+}
+
+// heardFrom takes in that a daemon has asked for the own record, and so gets it.
+func (p *peers) heardFrom(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.all[address]
+	if q == nil {
+		return
+	}
+	q.due = q.full
+	if q.lost {
+		p.regain(q)
+	}
+}
+
+// regain notes that a peer can be reached again. p.mu is held.
+func (p *peers) regain(q *peer) {
+	q.lost = false
+	p.generation++
+	p.decisions.Write(decision.PeerRegained, "", slog.String("peer", q.record.Address))
+}
+
 // owe has the own record sent to a peer. p.mu is held.
 func (p *peers) owe(q *peer) {
 	q.due = true
@@ -151,7 +197,7 @@
 		if l.Address == p.own.Address || p.all[l.Address] != nil {
 			continue
 		}
-		p.owe(p.add(Record{Address: l.Address, Incarnation: l.Incarnation, Zone: l.Zone}))
+		p.greet(p.add(Record{Address: l.Address, Incarnation: l.Incarnation, Zone: l.Zone}))
 	}
 	if len(p.all) == 0 {
 		p.greetedOnce.Do(func() { close(p.greeted) })
@@ -197,9 +243,7 @@
 func (p *peers) meetSelf(r *Record) {
 	if r.Incarnation > p.own.Incarnation {
 		p.own.Incarnation = r.Incarnation + 1
-		for _, q := range p.all {
-			p.owe(q)
-		}
+		p.tellAll()
 	}
 	departed := r.Departed
 	if len(departed) > 0 && p.restore != nil {
@@ -211,7 +255,7 @@
 	q := p.all[r.Address]
 	if q == nil {
 		q = p.add(Record{Address: r.Address})
-		p.owe(q)
+		p.greet(q)
 	} else if !r.newer(&q.record) {
 		return
 	}
@@ -310,115 +354,3 @@
 	p.generation++
 	p.decisions.Write(decision.PeerLost, "", slog.String("peer", q.record.Address), slog.String("error", err.Error()))
 }
-
-// sync sends the own record to a peer until the peer has it.
-func (p *peers) sync(q *peer) {
-	defer p.wg.Done()
-	backoff := firstBackoff
-	for {
-		p.mu.Lock()
-		if !q.due || p.ctx.Err() != nil || p.all[q.record.Address] != q {
-			q.syncing = false
-			p.mu.Unlock()
-			return
-		}
-		q.due = false
-		message := syncMessage{From: p.own, Full: q.full}
-		pool, address := q.pool, q.record.Address
-		p.mu.Unlock()
-		message.Version = p.version()
-		reply, err := sendSync(p.ctx, pool, message)
-		if err == nil {
-			p.synced(q, address, reply)
-			backoff = firstBackoff
-			continue
-		}
-		if !p.unsynced(q, err) {
-			return
-		}
-		select {
-		case <-time.After(backoff):
-		case <-p.ctx.Done():
-		}
-		backoff = min(2*backoff, lastBackoff)
-	}
-}
-
-func (p *peers) synced(q *peer, address string, reply syncMessage) {
-	p.mu.Lock()
-	if q.lost {
-		p.decisions.Write(decision.PeerRegained, "", slog.String("peer", address))
-		p.generation++
-	}
-	q.lost, q.full = false, false
-	p.mu.Unlock()
-	p.merge(append([]Record{reply.From}, reply.Known...))
-	if reply.Version > p.version() {
-		p.behind(address, reply.Version)
-	}
-	p.greetedOnce.Do(func() { close(p.greeted) })
-}
-
-// unsynced notes a failed exchange and reports whether to try again.
-func (p *peers) unsynced(q *peer, err error) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	q.due = true
-	if !q.lost {
-		p.lose(q, err)
-	}
-	gone := q.record.Stopping && q.record.State == lifecycle.Gone
-	if p.now().Sub(q.lostAt) < forgetAfter && !gone {
-		return true
-	}
-	delete(p.all, q.record.Address)
-	q.pool.Close()
-	q.syncing = false
-	return false
-}
-
-// candidates returns the upstreams of a service, the own among them, and the
-// generation of what is known.
-func (p *peers) candidates(s model.ServiceName) ([]placement.Upstream, map[string]target) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var ups []placement.Upstream
-	targets := make(map[string]target)
-	add := func(r *Record, cold model.Instant) {
-		if r.Service != s || r.State != lifecycle.Ready || r.Stopping {
-			return
-		}
-		up := placement.Upstream{
-			Key: r.Address + " " + string(r.Upstream.ID), Daemon: model.DaemonID(r.Address),
-			Zone: r.Zone, Slots: r.Slots, ColdUntil: cold,
-		}
-		ups = append(ups, up)
-		targets[up.Key] = target{address: r.Address, upstream: r.Upstream}
-	}
-	add(&p.own, 0)
-	for _, q := range p.all {
-		if !q.lost {
-			add(&q.record, q.coldUntil)
-		}
-	}
-	slices.SortFunc(ups, func(a, b placement.Upstream) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
-	})
-	return ups, targets
-}
-
-// current returns the generation of what is known.
-func (p *peers) current() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.generation
-}
-
-// target is where the calls to a candidate go.
-type target struct {
-	address  string
-	upstream lifecycle.Incarnation
-}
--- /dev/null
+++ b/sidecar/send.go
@@ -0,0 +1,164 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/hop"
+)
+
+const (
+	// ackWait is how long another daemon may take to show that it has got a call:
+	// a round trip between regions, acknowledgeAfter, and a pause of its
+	// processor.
+	ackWait = 120 * time.Millisecond
+	// settleFactor and settleBy tell when the guard of a request that must not run
+	// twice is asked over a new connection what became of it.
+	settleFactor = 3
+	settleBy     = 250 * time.Millisecond
+)
+
+// start sends an attempt.
+func (r *race) start(t *try) {
+	ctx, cancel := context.WithCancel(r.req.ctx)
+	now := r.e.d.now()
+	t.cancel, t.sent, t.send = cancel, now, r.launch
+	r.launch++
+	r.live = append(r.live, t)
+	c := &Call{
+		ID: r.req.id, Send: t.send,
+		Method: r.req.http.Method, Target: r.req.http.RequestURI, Host: r.req.http.Host,
+		Header: r.req.http.Header, Body: r.req.body,
+		Service: r.req.service, Caller: r.e.d.service(), Upstream: t.target.upstream,
+		Idempotent: r.req.route.Idempotent, Repeat: r.arrived > 0 || len(r.live) > 1, Rank: r.req.route.Rank, Work: r.work,
+		Deadline: r.req.deadline.Sub(now),
+	}
+	if r.req.target != 0 {
+		c.Within = r.req.target.Sub(now)
+	}
+	if r.req.givenBack < maxGivenBack && t.choice.Alternative > 0 {
+		c.Alternative = t.choice.Alternative
+	}
+	go func() {
+		a := r.e.send(ctx, t, c)
+		t.acknowledge()
+		r.done <- ended{try: t, answer: a}
+	}()
+	if t.target.address != r.e.d.opts.Addresses.Peers {
+		go r.watch(t)
+	}
+}
+
+// watch waits for a sign that an attempt has arrived.
+func (r *race) watch(t *try) {
+	timer := time.NewTimer(ackWait)
+	defer timer.Stop()
+	select {
+	case <-t.acknowledged:
+	case <-timer.C:
+		r.mute <- t
+	}
+}
+
+// send has a call run by the guard of its upstream.
+func (e *entry) send(ctx context.Context, t *try, c *Call) *Answer {
+	if t.target.address == e.d.opts.Addresses.Peers {
+		return e.d.guard.Do(ctx, c)
+	}
+	pool := e.d.peers.pool(t.target.address)
+	if pool == nil {
+		return notRun(outcome.ReasonNoUpstream)
+	}
+	if c.Idempotent {
+		a, _ := e.sendOnce(ctx, pool, t, c)
+		return a
+	}
+	return e.sendSettled(ctx, pool, t, c)
+}
+
+// sendOnce sends a call over one connection. It reports false when the hop broke.
+func (e *entry) sendOnce(ctx context.Context, pool *hop.Pool, t *try, c *Call) (*Answer, bool) {
+	h := endToEnd(c.Header)
+	h.Set(callHeader, c.encode())
+	reply, err := pool.Do(ctx, hop.Exchange{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body, Informed: t.acknowledge,
+	})
+	var lost *hop.LostError
+	if errors.As(err, &lost) {
+		if ctx.Err() == nil && !lost.Reused {
+			e.d.peers.missed(t.target.address, err)
+		}
+		if !lost.Sent {
+			return notRun(outcome.ReasonConnect), true
+		}
+		return unknown(outcome.ReasonConnectionLost), false
+	}
+	a := answerOf(reply)
+	if a.Version > e.d.config.version() {
+		e.d.behind(t.target.address, a.Version)
+	}
+	return a, true
+}
+
+// sendSettled sends a call that must not run twice. When its connection breaks or
+// stays silent for long, the guard is asked over a new one what became of it.
+func (e *entry) sendSettled(ctx context.Context, pool *hop.Pool, t *try, c *Call) *Answer {
+	type result struct {
+		answer *Answer
+		whole  bool
+	}
+	first := make(chan result, 1)
+	go func() {
+		a, whole := e.sendOnce(ctx, pool, t, c)
+		first <- result{a, whole}
+	}()
+	timer := time.NewTimer(time.Duration(settleFactor*float64(t.choice.Expected)) + settleBy)
+	defer timer.Stop()
+	silent := time.NewTimer(ackWait)
+	defer silent.Stop()
+	settled := make(chan *Answer, 1)
+	asked, answered := false, false
+	ask := func() {
+		if !asked && ctx.Err() == nil {
+			asked = true
+			go func() { settled <- e.settle(ctx, pool, t, c) }()
+		}
+	}
+	for broken := false; ; {
+		select {
+		case got := <-first:
+			if got.whole || answered || ctx.Err() != nil {
+				return got.answer
+			}
+			broken = true
+			ask()
+		case a := <-settled:
+			if a.Outcome.Kind != outcome.Unknown || broken {
+				return a
+			}
+			// The guard may be out of reach for a moment; the first connection
+			// may still bring the answer.
+			answered = true
+		case <-timer.C:
+			ask()
+		case <-silent.C:
+			select {
+			case <-t.acknowledged:
+			default:
+				ask()
+			}
+		}
+	}
+}
+
+func (e *entry) settle(ctx context.Context, pool *hop.Pool, t *try, c *Call) *Answer {
+	e.d.metrics.settled.Inc(1)
+	a := askSettle(ctx, pool, c.Key())
+	e.d.opts.Decisions.Write(decision.Withdrawn, c.ID, slog.String("upstream", t.choice.Upstream.Key),
+		slog.String("result", a.Outcome.Kind.String()))
+	return a
+}
--- /dev/null
+++ b/sidecar/sync.go
@@ -0,0 +1,72 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+)
+
+// sync sends the own record to a peer until the peer has it.
+func (p *peers) sync(q *peer) {
+	defer p.wg.Done()
+	backoff := firstBackoff
+	for {
+		p.mu.Lock()
+		if !q.due || p.ctx.Err() != nil || p.all[q.record.Address] != q {
+			q.syncing = false
+			p.mu.Unlock()
+			return
+		}
+		q.due = false
+		message := syncMessage{From: p.own, Full: q.full}
+		pool, address := q.pool, q.record.Address
+		p.mu.Unlock()
+		message.Version = p.version()
+		reply, err := sendSync(p.ctx, pool, message)
+		if err == nil {
+			p.synced(q, address, reply)
+			backoff = firstBackoff
+			continue
+		}
+		if !p.unsynced(q, err) {
+			return
+		}
+		select {
+		case <-time.After(backoff):
+		case <-p.ctx.Done():
+		}
+		backoff = min(2*backoff, lastBackoff)
+	}
+}
+
+func (p *peers) synced(q *peer, address string, reply syncMessage) {
+	p.mu.Lock()
+	if q.lost {
+		p.regain(q)
+	}
+	q.full = false
+	p.mu.Unlock()
+	p.merge(append([]Record{reply.From}, reply.Known...))
+	if reply.Version > p.version() {
+		p.behind(address, reply.Version)
+	}
+	p.greetedOnce.Do(func() { close(p.greeted) })
+}
+
+// unsynced notes a failed exchange and reports whether to try again.
+func (p *peers) unsynced(q *peer, err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q.due = true
+	if !q.lost {
+		p.lose(q, err)
+	}
+	gone := q.record.Stopping && q.record.State == lifecycle.Gone
+	if p.now().Sub(q.lostAt) < forgetAfter && !gone {
+		return true
+	}
+	delete(p.all, q.record.Address)
+	q.pool.Close()
+	q.syncing = false
+	return false
+}
