--- a/architecture/architecture_test.go
+++ b/architecture/architecture_test.go
@@ -87,6 +87,9 @@
 var forbidden = map[string][]string{
 	"wire":          {"entry", "guard", "owner", "daemon", "membership", "configuration", "peer"},
 	"hop":           {"entry", "guard", "owner", "daemon", "membership", "configuration", "peer", "wire"},
+	"sidecar":       {"platform", "daemon", "entry", "guard", "owner", "membership", "configuration", "peer", "recordlog"},
+	"decision":      {"sidecar", "platform"},
+	"platform":      {"daemon", "entry", "guard", "owner", "membership", "configuration", "peer", "recordlog"},
 	"recordlog":     {"entry", "guard", "owner", "daemon", "membership", "configuration", "peer"},
 	"guard":         {"entry", "owner", "daemon", "configuration", "peer"},
 	"entry":         {"guard", "daemon", "membership", "peer"},
@@ -127,3 +130,29 @@
 	first, _, _ := strings.Cut(path, "/")
 	return !strings.Contains(first, ".")
 }
+
+// platformNames are spellings of the users' platform: headers, fields and paths.
+var platformNames = []string{
+	"X-Attempt-Id", "X-Deadline-Ms", "X-Caller-Service", "X-Expect-Instance", "X-Not-Executed", "X-Instance-Id",
+	"X-Server-Load", "X-Response-Seal", "/-/", "log-append", "log-newest", "log-read", "heartbeat-addr",
+	"cold-remaining-ms", "path-prefix", "traffic-split", "target-latency-ms", "max-attempts", "internal-ports",
+	"app-addr", "retry-budget-ratio", "keyed.", "DOTTERELTILLER_NODE_FILE",
+}
+
+// TestOnlyThePlatformKnowsItsNames holds every spelling of the users' platform to
+// the package that translates, and that package to the daemon's command.
+func TestOnlyThePlatformKnowsItsNames(t *testing.T) {
+	for _, s := range sources(t) {
+		if s.pkg == "platform" || s.pkg == "architecture" {
+			continue
+		}
+		if s.pkg != "cmd/dottereltillerd" {
+			require.NotContains(t, s.imports, modulePath+"platform", s.path)
+		}
+		data, err := os.ReadFile(s.path)
+		require.NoError(t, err)
+		for _, name := range platformNames {
+			require.NotContains(t, string(data), name, s.path)
+		}
+	}
+}
--- a/core/lifecycle/lifecycle.go
+++ b/core/lifecycle/lifecycle.go
@@ -170,9 +170,11 @@
 	return r.ID != t.current.ID
 }
 
+// hasDeparted reports whether an incarnation has departed. One whose start is not
+// told may be any of its id.
 func (t *Tracker) hasDeparted(i Incarnation) bool {
 	for _, d := range t.departed {
-		if d == i {
+		if d.ID == i.ID && (d.Born == i.Born || d.Born == 0 || i.Born == 0) {
 			return true
 		}
 	}
--- a/sidecar/attempts.go
+++ b/sidecar/attempts.go
@@ -123,6 +123,11 @@
 	if a.bar() {
 		return notRun(outcome.ReasonWithdrawn)
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.answer != nil && a.answer.Outcome.Kind == outcome.NotRun {
+		return a.answer
+	}
 	return unknown(outcome.ReasonConnectionLost)
 }
 
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -92,8 +92,9 @@
 // daemons while the store is away. It is a part of the daemon.
 type follower struct {
 	d *Daemon
-	// lost carries whether the store is away.
+	// lost carries whether the store is away, away is what it carried last.
 	lost chan bool
+	away bool
 }
 
 // String names the part.
@@ -109,6 +110,10 @@
 
 // reachable takes in whether the store is.
 func (f *follower) reachable(ok bool) {
+	if f.away == !ok {
+		return
+	}
+	f.away = !ok
 	select {
 	case <-f.lost:
 	default:
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -270,21 +271,29 @@
 // String names the part.
 func (j *joiner) String() string { return "joiner" }
 
-// Serve joins once.
+// Serve joins once, and returns when the daemon is ready.
 func (j *joiner) Serve(ctx context.Context) error {
-	go j.discover(ctx)
-	go j.becomeReady(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { j.discover(ctx) })
+	wg.Go(func() { j.becomeReady(ctx) })
+	wg.Go(func() { j.announce(ctx) })
+	wg.Wait()
+	return suture.ErrDoNotRestart
+}
+
+// announce joins, again and again until the store has taken it.
+func (j *joiner) announce(ctx context.Context) {
 	backoff := firstBackoff
 	for {
 		err := j.join(ctx)
 		if err == nil || ctx.Err() != nil {
-			return suture.ErrDoNotRestart
+			return
 		}
 		j.d.opts.Decisions.Write(decision.AnnounceFailed, "", slog.String("error", err.Error()))
 		select {
 		case <-time.After(backoff):
 		case <-ctx.Done():
-			return suture.ErrDoNotRestart
+			return
 		}
 		backoff = min(2*backoff, lastBackoff)
 	}
@@ -333,5 +342,7 @@
 	for ctx.Err() == nil && j.d.config.version() == 0 {
 		time.Sleep(readyPoll)
 	}
-	j.d.ready.Store(true)
+	if ctx.Err() == nil {
+		j.d.ready.Store(true)
+	}
 }
--- /dev/null
+++ b/sidecar/daemon_test.go
@@ -0,0 +1,383 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/route"
+)
+
+func newReader(s string) io.Reader { return strings.NewReader(s) }
+
+// TestServesAcrossDaemons takes a request at a daemon beside another service.
+func TestServesAcrossDaemons(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b := join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	resp, text := a.ask(t, http.MethodPost, "/unsafe/x%2Fy?q=%20", "body")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "answer of b1", text)
+	require.Equal(t, "seal of b1", resp.Header.Get("T-Seal"))
+	require.Empty(t, resp.Header.Get(callHeader))
+	seen := b.up.requests()
+	require.Len(t, seen, 1)
+	require.Equal(t, "/unsafe/x%2Fy?q=%20", seen[0].RequestURI)
+	require.Equal(t, "a", seen[0].Header.Get("T-Caller"))
+	require.Equal(t, "b1", seen[0].Header.Get("T-Expect"))
+	require.Equal(t, []string{"body"}, b.up.bodies)
+	require.Empty(t, seen[0].Header.Get(callHeader))
+}
+
+func TestCallerCannotNameAnotherService(t *testing.T) {
+	s := newStore(documentOf(1, "a"))
+	a := join(t, s, "a", "a1")
+	req, _ := http.NewRequest(http.MethodGet, "http://"+a.opts.Addresses.Callers+"/safe/", nil)
+	req.Host = "h"
+	req.Header.Set("T-Id", "forged")
+	req.Header.Set("T-Caller", "other")
+	req.Header.Set(callHeader, "x 0 a other a1 1 true false 0 0 0 0 0")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "a", a.up.requests()[0].Header.Get("T-Caller"))
+}
+
+// TestRefusals tells what each refusal promises.
+func TestRefusals(t *testing.T) {
+	s := newStore(route.Document{})
+	up := newUpstream(t, "a1")
+	o := optionsFor(t, s, up, "a")
+	o.Source = &source{s: s}
+	d, err := New(o)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = d.Serve(ctx) }()
+	m := &member{Daemon: d}
+	t.Cleanup(func() { d.tunables.Store(&Tunables{}); cancel(); <-done })
+
+	resp, _ := m.ask(t, http.MethodGet, "/safe/", "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "without a configuration nothing is known to be missing")
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.False(t, d.ready.Load())
+
+	s.publish(documentOf(1, "a"))
+	eventually(t, "ready", d.ready.Load)
+	status, _ := m.get(t, "/safe/")
+	require.Equal(t, http.StatusServiceUnavailable, status, "no upstream yet")
+	status, _ = m.get(t, "/nothing/")
+	require.Equal(t, http.StatusNotFound, status)
+}
+
+// TestDrainedUpstreamGetsNothing sends to a guard that has acknowledged that its
+// upstream leaves, as an entry does that has not heard of it.
+func TestDrainedUpstreamGetsNothing(t *testing.T) {
+	for name, leave := range map[string]func(m *member){
+		"draining": func(m *member) {
+			r := ready("b1", 1, 2, "b")
+			r.State = lifecycle.Draining
+			m.Report(r)
+		},
+		"deregistered": func(m *member) { m.Leave(lifecycle.Incarnation{ID: "b1", Born: 1}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStore(documentOf(1, "b"))
+			b := join(t, s, "b", "b1")
+			leave(b)
+			b.Report(ready("b1", 1, 1, "b")) // a late report changes nothing
+			c := &Call{ID: "x", Method: http.MethodGet, Target: "/safe/", Host: "h", Header: http.Header{},
+				Service: "b", Upstream: lifecycle.Incarnation{ID: "b1", Born: 1}, Idempotent: true, Deadline: time.Second}
+			a := b.guard.Do(t.Context(), c)
+			require.Equal(t, "not-run", a.Outcome.Kind.String())
+			require.Empty(t, b.up.requests())
+		})
+	}
+}
+
+// TestLeavingReachesTheOthers has the other daemons choose elsewhere.
+func TestLeavingReachesTheOthers(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b1 := join(t, s, "b", "b1")
+	join(t, s, "b", "b2")
+	a.knows(t, "b", 2)
+	s.setDown(true)
+	b1.Leave(lifecycle.Incarnation{ID: "b1"})
+	a.knows(t, "b", 1)
+}
+
+// TestNonIdempotentRunsOnce has an upstream run a request and lose the answer.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b1, b2 := join(t, s, "b", "b1"), join(t, s, "b", "b2")
+	a.knows(t, "b", 2)
+	b1.up.set(hangUp)
+	b2.up.set(hangUp)
+	for range 5 {
+		status, _ := a.post(t, "/unsafe/")
+		require.Equal(t, http.StatusBadGateway, status, "nothing is promised")
+	}
+	require.Len(t, append(b1.up.requests(), b2.up.requests()...), 5)
+}
+
+// TestIdempotentIsSentAgain has one of two upstreams lose every answer.
+func TestIdempotentIsSentAgain(t *testing.T) {
+	for name, broken := range map[string]func(http.ResponseWriter, *http.Request){
+		"hangs up": hangUp,
+		"fails":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"spoils":   func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "without a seal") },
+		"sheds":    shed,
+		"cuts short": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("T-Seal", "x")
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+			panic(http.ErrAbortHandler)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStore(documentOf(1, "b"))
+			a := join(t, s, "a", "a1")
+			b1 := join(t, s, "b", "b1")
+			join(t, s, "b", "b2")
+			a.knows(t, "b", 2)
+			b1.up.set(broken)
+			for range 6 {
+				status, text := a.get(t, "/safe/")
+				require.Equal(t, http.StatusOK, status)
+				require.Equal(t, "answer of b2", text)
+			}
+		})
+	}
+}
+
+// TestNotRunIsSentElsewhere does so also where nothing may run twice.
+func TestNotRunIsSentElsewhere(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b1 := join(t, s, "b", "b1")
+	join(t, s, "b", "b2")
+	a.knows(t, "b", 2)
+	b1.up.set(shed)
+	for range 6 {
+		status, text := a.post(t, "/unsafe/")
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, "answer of b2", text)
+	}
+}
+
+// TestResendsStayWithinTheBudget answers a service whose upstreams all fail.
+func TestResendsStayWithinTheBudget(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b1, b2 := join(t, s, "b", "b1"), join(t, s, "b", "b2")
+	a.knows(t, "b", 2)
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	b1.up.set(fail)
+	b2.up.set(fail)
+	const requests = 60
+	for range requests {
+		status, _ := a.get(t, "/safe/")
+		require.Equal(t, http.StatusInternalServerError, status, "the upstream's own answer is delivered")
+	}
+	sent := len(b1.up.requests()) + len(b2.up.requests())
+	require.Greater(t, sent, requests)
+	require.LessOrEqual(t, float64(sent-requests), 0.2*requests+50/3.0, "three daemons share the slack")
+}
+
+// TestTimeout ends a request at its route's timeout, and its run with it.
+func TestTimeout(t *testing.T) {
+	doc := documentOf(1, "b")
+	for i := range doc.Routes {
+		doc.Routes[i].Timeout = 100 * time.Millisecond
+	}
+	s := newStore(doc)
+	b := join(t, s, "b", "b1")
+	gone := make(chan struct{}, 4)
+	b.up.set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); gone <- struct{}{} })
+	status, _ := b.get(t, "/safe/")
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	<-gone
+	require.Contains(t, []string{"98", "99", "100", "97", "96", "95"}, b.up.requests()[0].Header.Get("T-Deadline"))
+}
+
+// TestCallerLeaves ends an idempotent run at another daemon's upstream.
+func TestCallerLeaves(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b := join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	gone := make(chan struct{})
+	b.up.set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(gone) })
+	conn, err := net.Dial("tcp", a.opts.Addresses.Callers)
+	require.NoError(t, err)
+	_, _ = fmt.Fprintf(conn, "GET /safe/ HTTP/1.1\r\nHost: h\r\nT-Id: leaver\r\n\r\n")
+	eventually(t, "it runs", func() bool { return len(b.up.requests()) == 1 })
+	require.NoError(t, conn.Close())
+	<-gone
+}
+
+// TestConfiguration holds versions to rise, whatever the store shows.
+func TestConfiguration(t *testing.T) {
+	s := newStore(documentOf(5, "a"))
+	a := join(t, s, "a", "a1")
+	for name, doc := range map[string]route.Document{
+		"an older one":    documentOf(4, "x"),
+		"the same":        documentOf(5, "x"),
+		"none":            {},
+		"one that cannot": {Version: 9, Routes: []route.Route{{Name: "r", Host: "h", Prefix: "no-slash", MaxAttempts: 1}}},
+	} {
+		s.publish(doc)
+		status, _ := a.get(t, "/safe/")
+		require.Equal(t, http.StatusOK, status, name)
+	}
+	a.config.take([]byte("unreadable"), "test")
+	require.EqualValues(t, 5, a.config.version())
+	s.publish(documentOf(6, "x"))
+	eventually(t, "the newer one", func() bool { return a.config.version() == 6 })
+}
+
+// TestConfigurationComesFromPeers cuts one daemon from the store.
+func TestConfigurationComesFromPeers(t *testing.T) {
+	s := newStore(documentOf(1, "a"))
+	a, b := join(t, s, "a", "a1"), join(t, s, "a", "a2")
+	a.knows(t, "a", 2)
+	b.knows(t, "a", 2)
+	b.source.cut.Store(true)
+	s.publish(documentOf(1, "a")) // wakes its source, which finds itself cut
+	time.Sleep(20 * time.Millisecond)
+	s.publish(documentOf(2, "a"))
+	eventually(t, "the new version", func() bool { return b.config.version() == 2 })
+}
+
+// TestRestartWhileTheStoreIsAway has the others tell a daemon that starts anew
+// what it needs: the configuration, who is there, and that its upstream is
+// leaving.
+func TestRestartWhileTheStoreIsAway(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b := join(t, s, "b", "b1")
+	c := join(t, s, "b", "b2")
+	for _, m := range []*member{a, b, c} {
+		m.knows(t, "b", 2)
+	}
+	b.Leave(lifecycle.Incarnation{ID: "b1", Born: 1})
+	a.knows(t, "b", 1)
+	s.setDown(true)
+	b.kill()
+	a.peers.missed(b.opts.Addresses.Peers, errDown) // as a call would notice
+	o := b.opts
+	o.First = false
+	again := start(t, o, s)
+	require.EqualValues(t, 1, again.config.version())
+	again.knows(t, "b", 1)
+	require.Equal(t, lifecycle.Stale, again.Report(ready("b1", 1, 9, "b")))
+}
+
+// TestStopCutsNothing stops a daemon with a request in hand.
+func TestStopCutsNothing(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b := join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	release := make(chan struct{})
+	b.up.set(func(w http.ResponseWriter, _ *http.Request) { <-release; answerWell(w, "b1") })
+	var status atomic.Int64
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		got, _ := a.get(t, "/safe/")
+		status.Store(int64(got))
+	}()
+	eventually(t, "it runs", func() bool { return len(b.up.requests()) == 1 })
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); b.stop() }()
+	eventually(t, "not ready", func() bool {
+		resp, err := http.Get("http://" + b.opts.Addresses.Ready + "/ready")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	a.knows(t, "b", 0)
+	close(release)
+	<-done
+	require.EqualValues(t, http.StatusOK, status.Load())
+	<-stopped
+}
+
+// silent accepts connections and says nothing, like a daemon behind a link that
+// has gone silent.
+func silent(t *testing.T, address string) *atomic.Int64 {
+	ln, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	var got atomic.Int64
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					got.Add(1)
+				}
+			}()
+		}
+	}()
+	return &got
+}
+
+// TestSilentDaemonIsLeft answers a link that lost everything without a reset.
+func TestSilentDaemonIsLeft(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b1, b2 := join(t, s, "b", "b1"), join(t, s, "b", "b2")
+	a.knows(t, "b", 2)
+	b2.kill()
+	silent(t, b2.opts.Addresses.Peers)
+	for range 10 {
+		status, text := a.get(t, "/safe/")
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, "answer of b1", text)
+	}
+	require.NotEmpty(t, b1.up.requests())
+}
+
+// TestOwnRecordOutlivesAClockThatWasAhead has a daemon restart with a clock behind
+// that of its former life.
+func TestOwnRecordOutlivesAClockThatWasAhead(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b := join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	old := b.peers.self()
+	old.Incarnation += int64(time.Hour / time.Millisecond)
+	old.State = lifecycle.Draining
+	a.peers.merge([]Record{old})
+	a.knows(t, "b", 0)
+	b.Report(ready("b1", 1, 2, "b"))
+	b.peers.update(func(*Record) {})
+	a.knows(t, "b", 1)
+}
--- /dev/null
+++ b/sidecar/fleet_test.go
@@ -0,0 +1,375 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/route"
+)
+
+// waitLimit bounds the wait for a condition.
+const waitLimit = 20 * time.Second
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, waitLimit, 2*time.Millisecond, what)
+}
+
+// testEdge spells things with headers of its own.
+type testEdge struct{}
+
+var errNoID = errors.New("no id")
+
+func (testEdge) Attempt(h http.Header) (Attempt, error) {
+	if h.Get("T-Id") == "" {
+		return Attempt{}, errNoID
+	}
+	ms, _ := strconv.Atoi(h.Get("T-Deadline"))
+	return Attempt{ID: h.Get("T-Id"), Deadline: time.Duration(ms) * time.Millisecond}, nil
+}
+
+func (testEdge) Dress(h http.Header, d Dressing) {
+	h.Set("T-Id", d.ID)
+	h.Set("T-Deadline", strconv.FormatInt(d.Deadline.Milliseconds(), 10))
+	h.Set("T-Caller", string(d.Caller))
+	h.Set("T-Expect", string(d.Upstream))
+}
+
+func (testEdge) Read(status int, h http.Header) Reading {
+	r := Reading{
+		ID: h.Get("T-Id"), NotRun: h.Get("T-Not-Run") != "", Mistaken: status == http.StatusMisdirectedRequest,
+		Whole: status >= 300 || h.Get("T-Seal") != "", Instance: model.UpstreamID(h.Get("T-Instance")),
+	}
+	if slow, err := strconv.ParseFloat(h.Get("T-Slow"), 64); err == nil {
+		r.Load = &UpstreamLoad{Slots: 6, Slow: slow}
+	}
+	return r
+}
+
+func (testEdge) Sign(h http.Header, id string) { h.Set("T-Id", id) }
+
+// store stands in for what outlives daemons: configuration and directory.
+type store struct {
+	mu       sync.Mutex
+	doc      route.Document
+	listings map[string]Listing
+	changed  chan struct{}
+	down     bool
+}
+
+func newStore(doc route.Document) *store {
+	return &store{doc: doc, listings: make(map[string]Listing), changed: make(chan struct{})}
+}
+
+func (s *store) publish(doc route.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doc = doc
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+var errDown = errors.New("the store is down")
+
+func (s *store) check() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return errDown
+	}
+	return nil
+}
+
+// documents keeps the documents that raw stands for: raw is their version.
+var documents sync.Map
+
+func rawOf(doc route.Document) []byte {
+	raw := fmt.Sprintf("%d/%p", doc.Version, &doc.Routes)
+	documents.Store(raw, doc)
+	return []byte(raw)
+}
+
+var errUnreadable = errors.New("cannot be read")
+
+// source is a daemon's view of the store.
+type source struct {
+	s *store
+	// cut keeps this daemon from the store.
+	cut atomic.Bool
+}
+
+func (s *source) Decode(raw []byte) (route.Document, error) {
+	doc, ok := documents.Load(string(raw))
+	if !ok {
+		return route.Document{}, errUnreadable
+	}
+	return doc.(route.Document), nil
+}
+
+func (s *source) Follow(ctx context.Context, take func([]byte, string), reachable func(bool)) error {
+	for {
+		s.s.mu.Lock()
+		doc, changed, down := s.s.doc, s.s.changed, s.s.down || s.cut.Load()
+		s.s.mu.Unlock()
+		if down {
+			reachable(false)
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(10 * time.Millisecond):
+			}
+			continue
+		}
+		reachable(true)
+		if doc.Version > 0 {
+			take(rawOf(doc), "store")
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (s *store) Announce(_ context.Context, l Listing) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listings[l.Address] = l
+	return nil
+}
+
+func (s *store) List(context.Context) ([]Listing, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Listing
+	for _, l := range s.listings {
+		out = append(out, l)
+	}
+	return out, nil
+}
+
+func (s *store) Remove(_ context.Context, address string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listings, address)
+	return nil
+}
+
+// upstream stands in for a server.
+type upstream struct {
+	id     string
+	server *httptest.Server
+	// handle answers requests; nil answers well.
+	mu     sync.Mutex
+	handle func(w http.ResponseWriter, r *http.Request)
+	seen   []*http.Request
+	bodies []string
+}
+
+func newUpstream(t *testing.T, id string) *upstream {
+	u := &upstream{id: id}
+	u.server = httptest.NewServer(u)
+	t.Cleanup(u.server.Close)
+	return u
+}
+
+func (u *upstream) address() string { return u.server.Listener.Addr().String() }
+
+func (u *upstream) set(h func(w http.ResponseWriter, r *http.Request)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.handle = h
+}
+
+func (u *upstream) requests() []*http.Request {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]*http.Request(nil), u.seen...)
+}
+
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("T-Instance", u.id)
+	w.Header().Set("T-Slow", "1")
+	if r.URL.Path == "/health" {
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	u.mu.Lock()
+	u.seen = append(u.seen, r)
+	u.bodies = append(u.bodies, string(body))
+	handle := u.handle
+	u.mu.Unlock()
+	w.Header().Set("T-Id", r.Header.Get("T-Id"))
+	if handle != nil {
+		handle(w, r)
+		return
+	}
+	answerWell(w, u.id)
+}
+
+func answerWell(w http.ResponseWriter, id string) {
+	w.Header().Set("T-Seal", "seal of "+id)
+	_, _ = io.WriteString(w, "answer of "+id)
+}
+
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("T-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// member is a daemon with its upstream.
+type member struct {
+	*Daemon
+	up     *upstream
+	source *source
+	stop   func()
+}
+
+// freePort returns an address that nobody listens on.
+func freePort(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func optionsFor(t *testing.T, s *store, up *upstream, service model.ServiceName) Options {
+	return Options{
+		Addresses: Addresses{
+			Callers: freePort(t), Peers: freePort(t), Control: freePort(t), Ready: freePort(t), Upstream: up.address(),
+		},
+		Zone: "z", First: true, ReadyPath: "/ready",
+		Tunables:  Tunables{Service: service, Resends: ResendBudget{Ratio: 0.2, Slack: 50, Span: 10 * time.Second}, Grace: 5 * time.Second},
+		Control:   func(Registry) http.Handler { return http.NotFoundHandler() },
+		Edge:      testEdge{},
+		Directory: s,
+	}
+}
+
+// join starts a daemon and reports its upstream as ready.
+func join(t *testing.T, s *store, service model.ServiceName, id string) *member {
+	t.Helper()
+	up := newUpstream(t, id)
+	m := start(t, optionsFor(t, s, up, service), s)
+	m.up = up
+	m.Report(ready(id, 1, 1, service))
+	return m
+}
+
+func ready(id string, born int64, seq uint64, service model.ServiceName) lifecycle.Report {
+	return lifecycle.Report{
+		Incarnation: lifecycle.Incarnation{ID: model.UpstreamID(id), Born: born}, Sequence: seq,
+		State: lifecycle.Ready, Service: service, Slots: 6,
+	}
+}
+
+func start(t *testing.T, o Options, s *store) *member {
+	t.Helper()
+	m := &member{source: &source{s: s}}
+	o.Source = m.source
+	d, err := New(o)
+	require.NoError(t, err)
+	m.Daemon = d
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Serve(ctx)
+	}()
+	var once sync.Once
+	m.stop = func() { once.Do(func() { cancel(); <-done }) }
+	t.Cleanup(m.kill)
+	eventually(t, "ready", d.ready.Load)
+	return m
+}
+
+// kill ends the daemon without a word.
+func (m *member) kill() {
+	m.tunables.Store(&Tunables{})
+	m.stop()
+}
+
+// knows waits until a daemon has so many candidates of a service.
+func (m *member) knows(t *testing.T, service model.ServiceName, n int) {
+	t.Helper()
+	eventually(t, "candidates", func() bool {
+		ups, _ := m.peers.candidates(service)
+		return len(ups) == n
+	})
+}
+
+// documentOf routes /safe/ and /unsafe/ to a service.
+func documentOf(version model.Version, service model.ServiceName) route.Document {
+	r := func(name string, idempotent bool) route.Route {
+		return route.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, MaxAttempts: 2,
+			Timeout: 5 * time.Second, Target: time.Second, Parts: []route.Part{{Service: service, Weight: 1}},
+		}
+	}
+	return route.Document{
+		Version: version, Routes: []route.Route{r("safe", true), r("unsafe", false)},
+		Services: []route.Service{{Name: service, HealthPath: "/health"}},
+	}
+}
+
+var lastID atomic.Int64
+
+// ask sends a request to a daemon's callers' address.
+func (m *member) ask(t *testing.T, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+m.opts.Addresses.Callers+path, nil)
+	require.NoError(t, err)
+	if body != "" {
+		req.Body = io.NopCloser(newReader(body))
+		req.ContentLength = int64(len(body))
+	}
+	req.Host = "h"
+	req.Header.Set("T-Id", fmt.Sprintf("r%d", lastID.Add(1)))
+	req.Header.Set("T-Deadline", "5000")
+	req.Close = true
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(text)
+}
+
+func (m *member) get(t *testing.T, path string) (int, string) {
+	resp, text := m.ask(t, http.MethodGet, path, "")
+	return resp.StatusCode, text
+}
+
+func (m *member) post(t *testing.T, path string) (int, string) {
+	resp, text := m.ask(t, http.MethodPost, path, "pay")
+	return resp.StatusCode, text
+}
