Fault soak: real daemons on loopback under faults drawn from a seed

dottereltiller soak plays a plan of faults against daemons as separate processes: signals, proxies that delay, reset, silence and trickle, stand-ins of store and upstream that fail in the ways the platform names. It holds what callers and upstreams see to the promises, prints plans and shrinks them.

--- a/cmd/dottereltiller/main.go
+++ b/cmd/dottereltiller/main.go
@@ -49,7 +49,8 @@
 
 	Quarantine *quarantineCmd `arg:"subcommand:quarantine" help:"show or free requests that kill upstreams"`
 
-	Why *whyCmd `arg:"subcommand:why" help:"join the logs of daemons into the story of a request, an upstream or a configuration"`
+	Soak *soakCmd `arg:"subcommand:soak" help:"run real daemons on loopback addresses under random faults and check the promises"`
+	Why  *whyCmd  `arg:"subcommand:why" help:"join the logs of daemons into the story of a request, an upstream or a configuration"`
 
 	Replay *replayCmd `arg:"subcommand:replay" help:"replay a trace through the decision code in virtual time"`
 }
--- a/sidecar/asks.go
+++ b/sidecar/asks.go
@@ -58,7 +58,7 @@
 )
 
 func newAsks(d *Daemon) (*asks, error) {
-	address, err := net.ResolveUDPAddr("udp4", d.opts.Addresses.Peers)
+	address, err := net.ResolveUDPAddr("udp4", d.opts.Addresses.PeerBind)
 	if err != nil {
 		return nil, err
 	}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -53,6 +53,9 @@
 
 // New binds the addresses and returns a Daemon. Serve runs it.
 func New(o Options) (*Daemon, error) {
+	if o.Addresses.PeerBind == "" {
+		o.Addresses.PeerBind = o.Addresses.Peers
+	}
 	d := &Daemon{opts: o, origin: time.Now(), metrics: newMetrics(o.Scope)}
 	d.tunables.Store(&o.Tunables)
 	d.config = &configuration{source: o.Source, decisions: o.Decisions}
@@ -108,7 +111,7 @@
 		server  *server
 	}{
 		{a.Callers, d.callers},
-		{a.Peers, newServer("peers", peerHandler{d})},
+		{a.PeerBind, newServer("peers", peerHandler{d})},
 		{a.Control, newServer("control", d.opts.Control(d))},
 		{a.Ready, newServer("ready", http.HandlerFunc(d.serveReady))},
 		{a.Metrics, newServer("metrics", d.opts.Metrics)},
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -50,8 +50,10 @@
 type Addresses struct {
 	// Callers takes the requests of local callers and of the upstream.
 	Callers string
-	// Peers takes what other daemons send.
+	// Peers is where other daemons send, and the name of this one among them.
 	Peers string
+	// PeerBind is where that is taken. Empty means Peers.
+	PeerBind string
 	// Control takes the reports of the upstream.
 	Control string
 	// Ready answers whether the daemon is ready.
--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/platform/platformtest"
+)
+
+const (
+	// drainBound is how long after an acknowledged drain a request may still come.
+	drainBound = 2 * time.Second
+	// configBound is how long after it was published a configuration may take.
+	configBound = 2 * time.Second
+	// calmFor is how long nothing must have disturbed a VM for bounds to hold.
+	calmFor = 3 * time.Second
+	// budgetSpan, budgetRatio and budgetSlack bound re-sends.
+	budgetSpan  = 10 * time.Second
+	budgetRatio = 0.2
+	budgetSlack = 40.0
+	// maxViolations bounds those that are kept.
+	maxViolations = 20
+)
+
+// sent is what is known of one request of a caller.
+type sent struct {
+	at       time.Time
+	unsafe   bool
+	service  string
+	runs     int
+	promised bool
+}
+
+// checker holds what callers and upstreams see to the promises.
+type checker struct {
+	mu         sync.Mutex
+	requests   map[string]*sent
+	repeats    []time.Time
+	firsts     []time.Time
+	drained    map[string]time.Time
+	violations []string
+}
+
+func newChecker() *checker {
+	return &checker{requests: make(map[string]*sent), drained: make(map[string]time.Time)}
+}
+
+func (c *checker) violate(format string, args ...any) {
+	if len(c.violations) < maxViolations {
+		c.violations = append(c.violations, fmt.Sprintf(format, args...))
+	}
+}
+
+// report notes a violation found elsewhere.
+func (c *checker) report(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violate(format, args...)
+}
+
+// found returns the violations.
+func (c *checker) found() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.violations...)
+}
+
+// send notes a request that is about to be sent.
+func (c *checker) send(attempt, service string, unsafe bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.requests[attempt] = &sent{at: now, unsafe: unsafe, service: service}
+	c.firsts = append(c.firsts, now)
+}
+
+// Run implements platformtest.Observer.
+func (c *checker) Run(u *platformtest.Upstream, attempt, caller string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.requests[attempt]
+	if s == nil {
+		c.violate("unasked: %s ran at %s, which nobody sent", attempt, u.ID())
+		return
+	}
+	s.runs++
+	switch {
+	case s.runs > 1 && s.unsafe:
+		c.violate("twice: %s ran %d times, the last at %s", attempt, s.runs, u.ID())
+	case s.runs > 1:
+		c.repeats = append(c.repeats, time.Now())
+	}
+	if s.promised && s.unsafe {
+		c.violate("promise: %s ran at %s after its caller was told that it never would", attempt, u.ID())
+	}
+	if caller != s.service {
+		c.violate("caller: %s came from %s and ran as of %s", attempt, s.service, caller)
+	}
+	if at, ok := c.drained[u.ID()]; ok && time.Since(at) > drainBound {
+		c.violate("drain: %s ran at %s %s after its leaving was acknowledged", attempt, u.ID(), time.Since(at).Round(time.Millisecond))
+	}
+}
+
+// drain notes that the leaving of an upstream was acknowledged.
+func (c *checker) drain(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drained[id] = time.Now()
+}
+
+// ranOnce reports whether a request has run.
+func (c *checker) ranOnce(attempt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.requests[attempt]
+	return s != nil && s.runs > 0
+}
+
+// answer holds an answer to the request that it was given to.
+func (c *checker) answer(attempt string, r platformtest.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.requests[attempt]
+	body, seal := platformtest.Answer(attempt)
+	switch {
+	case r.Status >= 200 && r.Status < 300:
+		if r.Body != body || r.Seal != seal || r.Attempt != attempt {
+			c.violate("mixed: %s got %q with seal %q of %q", attempt, r.Body, r.Seal, r.Attempt)
+		}
+		if s.runs == 0 {
+			c.violate("mixed: %s was answered and never ran", attempt)
+		}
+	case r.Promises():
+		s.promised = true
+		if s.unsafe && s.runs > 0 {
+			c.violate("promise: %s was told %d though it ran", attempt, r.Status)
+		}
+		if r.Status == 503 && r.RetryAfter <= 0 {
+			c.violate("advice: %s was told 503 without a time to come back", attempt)
+		}
+	case r.Status == 404 && !strings.Contains(attempt, "probe"):
+		c.violate("denied: %s got 404 for a route that was always there", attempt)
+	}
+}
+
+// budget holds the repeats of every span to the budget.
+func (c *checker) budget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, from := range c.repeats {
+		repeats, requests := 0.0, 0.0
+		for _, t := range c.repeats {
+			if !t.Before(from) && t.Sub(from) < budgetSpan {
+				repeats++
+			}
+		}
+		for _, t := range c.firsts {
+			if d := t.Sub(from); d > -budgetSpan/2 && d < budgetSpan {
+				requests++
+			}
+		}
+		if repeats > budgetRatio*requests+budgetSlack {
+			c.violate("budget: %.0f repeats for %.0f requests in a span", repeats, requests)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/soak/inflict.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"context"
+	"os/exec"
+	"syscall"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/platform/platformtest"
+)
+
+func commandContext(ctx context.Context, name string, args ...string) *exec.Cmd {
+	return exec.CommandContext(ctx, name, args...)
+}
+
+var storeFaults = map[string]platformtest.StoreFault{
+	"busy": platformtest.StoreBusy, "many": platformtest.StoreMany, "silent": platformtest.StoreSilent,
+	"slow": platformtest.StoreSlow, "lost": platformtest.StoreLost, "late": platformtest.StoreLate,
+}
+
+// failShare is the share of requests that a failing upstream fails.
+const failShare = 0.4
+
+// planned kinds are no excuse for a lost request.
+var planned = map[string]bool{kindTerm: true, kindReload: true, kindConfig: true, kindDrain: true, kindForeign: true}
+
+// inflict plays one fault and undoes it when its time is over.
+func (w *world) inflict(f Fault) {
+	var m *machine
+	if f.VM > 0 {
+		m = w.machines[f.VM-1]
+	}
+	if !planned[f.Kind] {
+		// A kill is over once the process is back, links and upstreams once the
+		// fault is undone; whoever deals with this VM is disturbed as well.
+		for _, x := range w.machines {
+			x.disturb(f.For + startMargin)
+		}
+	}
+	switch f.Kind {
+	case kindKill:
+		m.signal(syscall.SIGKILL)
+	case kindTerm:
+		m.signal(syscall.SIGTERM)
+	case kindReload:
+		m.signal(syscall.SIGHUP)
+	case kindPause:
+		m.signal(syscall.SIGSTOP)
+		time.Sleep(f.For)
+		m.signal(syscall.SIGCONT)
+	case kindPeers:
+		w.during(m.peers, f)
+	case kindApp:
+		w.during(m.app, f)
+	case kindStoreVia:
+		w.during(m.store, f)
+	case kindStore:
+		w.failStore(f)
+	case kindUpstream:
+		m.upstream.Fail(platformtest.UpstreamFault(f.Mode), failShare)
+		time.Sleep(f.For)
+		m.upstream.Fail(platformtest.UpstreamWell, 0)
+	case kindCrash:
+		w.restart(m, f)
+	case kindDrain:
+		w.replace(m, f)
+	case kindConfig:
+		w.publish()
+	case kindForeign:
+		w.store.Put("keyed.op", platformtest.Record{Key: "config", Value: []byte("\xff{")})
+		w.store.Put("keyed.op", platformtest.Record{Key: "config", Value: []byte(`{"version":"r1","routes":7}`)})
+		w.store.Put("keyed.dottereltiller", platformtest.Record{Key: "127.0.0.1:1", Value: []byte(`{"address":3}`)})
+	}
+}
+
+// startMargin covers the start of a process after a fault.
+const startMargin = 2 * time.Second
+
+func (w *world) during(l *link, f Fault) {
+	l.set(f.Mode)
+	time.Sleep(f.For)
+	l.set("")
+}
+
+func (w *world) failStore(f Fault) {
+	if f.Mode == "forget" {
+		w.store.Forget("keyed.op")
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.store.PutConfig(platformtest.Document(w.version, serviceOf(0)))
+		return
+	}
+	w.store.Fail(storeFaults[f.Mode])
+	time.Sleep(f.For)
+	w.store.Fail(platformtest.StoreWell)
+}
+
+// restart crashes an upstream and starts it again.
+func (w *world) restart(m *machine, f Fault) {
+	id := m.upstream.ID()
+	m.upstream.Crash()
+	time.Sleep(f.For)
+	if f.Mode == "new-id" {
+		id = w.id(f.VM)
+	}
+	_ = m.upstream.Start(id)
+}
+
+// replace has an upstream leave as planned, and another take its place.
+func (w *world) replace(m *machine, f Fault) {
+	id := m.upstream.ID()
+	if m.upstream.Drain() {
+		w.check.drain(id)
+	}
+	time.Sleep(drainBound + f.For)
+	if m.upstream.ID() != id {
+		return
+	}
+	m.upstream.Crash()
+	_ = m.upstream.Start(w.id(f.VM))
+}
--- /dev/null
+++ b/soak/plan.go
@@ -0,0 +1,190 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Fault is one fault of a plan.
+type Fault struct {
+	// At is the time from the start of traffic.
+	At time.Duration
+	// Kind is what happens, VM the machine that it happens to (0 for the store and
+	// the configuration), Mode the variant, For how long.
+	Kind string
+	VM   int
+	Mode string
+	For  time.Duration
+}
+
+// String returns the line of a fault in a plan.
+func (f Fault) String() string {
+	return fmt.Sprintf("%d %s %d %s %d", f.At.Milliseconds(), f.Kind, f.VM, f.Mode, f.For.Milliseconds())
+}
+
+// Plan is a soak that can be played again.
+type Plan struct {
+	Seed   uint64
+	VMs    int
+	Length time.Duration
+	Faults []Fault
+}
+
+// The kinds of faults.
+const (
+	kindKill     = "kill"
+	kindTerm     = "term"
+	kindPause    = "pause"
+	kindReload   = "reload"
+	kindPeers    = "peers"     // the proxy before a daemon's address for others
+	kindApp      = "app"       // the proxy between a daemon and its upstream
+	kindStoreVia = "store-via" // the proxy between a daemon and the store
+	kindStore    = "store"
+	kindUpstream = "upstream"
+	kindCrash    = "crash"
+	kindDrain    = "drain"
+	kindConfig   = "config"
+	kindForeign  = "foreign" // records of another writer in the store
+)
+
+// modes lists the variants of each kind. A dash means that there are none.
+var modes = map[string][]string{
+	kindKill: {"-"}, kindTerm: {"-"}, kindPause: {"-"}, kindReload: {"-"},
+	kindPeers:    {"delay", "reset", "silent", "half", "trickle"},
+	kindApp:      {"delay", "reset", "silent"},
+	kindStoreVia: {"reset", "silent", "half"},
+	kindStore:    {"busy", "many", "silent", "slow", "lost", "late", "forget"},
+	kindUpstream: {"lose", "shed", "err", "hang", "cut", "double", "slow"},
+	kindCrash:    {"same-id", "new-id"}, kindDrain: {"-"}, kindConfig: {"-"}, kindForeign: {"-"},
+}
+
+// weights tells how often each kind is drawn.
+var weights = []struct {
+	kind string
+	n    int
+}{
+	{kindKill, 4}, {kindTerm, 4}, {kindPause, 2}, {kindReload, 2}, {kindPeers, 5}, {kindApp, 2}, {kindStoreVia, 3},
+	{kindStore, 4}, {kindUpstream, 5}, {kindCrash, 3}, {kindDrain, 3}, {kindConfig, 5}, {kindForeign, 1},
+}
+
+const (
+	// calmStart and calmEnd are free of faults; recovery is judged in the latter.
+	calmStart = 2 * time.Second
+	calmEnd   = 12 * time.Second
+	// faultEvery is the mean time between two faults, each of which lasts between
+	// minFault and maxFault.
+	faultEvery = 500 * time.Millisecond
+	minFault   = 300 * time.Millisecond
+	maxFault   = 4 * time.Second
+)
+
+// Draw returns the plan of a seed.
+func Draw(seed uint64, vms int, length time.Duration) Plan {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	p := Plan{Seed: seed, VMs: vms, Length: length}
+	total := 0
+	for _, w := range weights {
+		total += w.n
+	}
+	at := calmStart
+	for {
+		at += time.Duration(rng.ExpFloat64() * float64(faultEvery)).Round(time.Millisecond)
+		if at >= length-calmEnd {
+			return p
+		}
+		kind, n := "", rng.IntN(total)
+		for _, w := range weights {
+			if n -= w.n; n < 0 {
+				kind = w.kind
+				break
+			}
+		}
+		f := Fault{At: at, Kind: kind, Mode: modes[kind][rng.IntN(len(modes[kind]))]}
+		f.For = (minFault + time.Duration(rng.Float64()*float64(maxFault-minFault))).Round(time.Millisecond)
+		f.For = min(f.For, length-calmEnd-at)
+		if kind != kindStore && kind != kindConfig && kind != kindForeign {
+			f.VM = 1 + rng.IntN(vms)
+		}
+		p.Faults = append(p.Faults, f)
+	}
+}
+
+// WriteTo writes a plan as text that Read reads.
+func (p *Plan) WriteTo(w io.Writer) (int64, error) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "soak %d %d %d\n", p.Seed, p.VMs, p.Length.Milliseconds())
+	for _, f := range p.Faults {
+		fmt.Fprintln(&b, f)
+	}
+	n, err := io.WriteString(w, b.String())
+	return int64(n), err
+}
+
+// PlanError is a line of a plan that cannot be read.
+type PlanError struct {
+	Line int
+	Text string
+}
+
+// Error names the line.
+func (e *PlanError) Error() string {
+	return fmt.Sprintf("plan: line %d: cannot use %q", e.Line, e.Text)
+}
+
+// Read reads a plan. Lines that begin with # are comments. The error is a
+// *PlanError where a line cannot be used.
+func Read(r io.Reader) (Plan, error) {
+	var p Plan
+	s := bufio.NewScanner(r)
+	for line := 1; s.Scan(); line++ {
+		text := s.Text()
+		if text == "" || text[0] == '#' {
+			continue
+		}
+		bad := &PlanError{Line: line, Text: text}
+		if p.VMs == 0 {
+			var ms int64
+			if _, err := fmt.Sscanf(text, "soak %d %d %d", &p.Seed, &p.VMs, &ms); err != nil || p.VMs < 1 || ms < 1 {
+				return p, bad
+			}
+			p.Length = time.Duration(ms) * time.Millisecond
+			continue
+		}
+		var f Fault
+		var at, length int64
+		if _, err := fmt.Sscanf(text, "%d %s %d %s %d", &at, &f.Kind, &f.VM, &f.Mode, &length); err != nil {
+			return p, bad
+		}
+		if !slices.Contains(modes[f.Kind], f.Mode) || f.VM < 0 || f.VM > p.VMs {
+			return p, bad
+		}
+		f.At, f.For = time.Duration(at)*time.Millisecond, time.Duration(length)*time.Millisecond
+		p.Faults = append(p.Faults, f)
+	}
+	if p.VMs == 0 {
+		return p, &PlanError{Text: "no plan"}
+	}
+	return p, s.Err()
+}
+
+// Shrink drops faults, halves first and then one by one, for as long as fails
+// reports that the plan still fails.
+func Shrink(p Plan, fails func(Plan) bool) Plan {
+	for size := (len(p.Faults) + 1) / 2; size >= 1; size /= 2 {
+		for from := 0; from < len(p.Faults); {
+			less := p
+			less.Faults = slices.Concat(p.Faults[:from], p.Faults[min(from+size, len(p.Faults)):])
+			if fails(less) {
+				p = less
+			} else {
+				from += size
+			}
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,315 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/platform/platformtest"
+)
+
+// Options configure a run.
+type Options struct {
+	// Binary is the daemon's program.
+	Binary string
+	// Dir takes settings and logs.
+	Dir string
+	// Out is told how it goes. Nil tells nobody.
+	Out io.Writer
+	// Rate is the requests a second of each VM's callers. Default: 10.
+	Rate int
+}
+
+// Result is how a soak ended.
+type Result struct {
+	Violations []string
+	Requests   int
+	Served     int
+}
+
+const (
+	grace       = 5 * time.Second
+	startWait   = 20 * time.Second
+	deadline    = 2500 * time.Millisecond
+	defaultRate = 10
+	// recoveredShare of the requests must be served at the end, from judgeLast
+	// before it on.
+	recoveredShare = 0.95
+	judgeLast      = 5 * time.Second
+	// oneInUnsafe requests is not idempotent.
+	oneInUnsafe = 3
+	// probeEvery is the time between two looks at which configuration is in force.
+	probeEvery = 250 * time.Millisecond
+)
+
+// world is a running soak.
+type world struct {
+	plan     Plan
+	opts     Options
+	check    *checker
+	store    *platformtest.Store
+	server   *http.Server
+	machines []*machine
+	began    time.Time
+	ids      atomic.Int64
+	// version is the newest configuration, published when.
+	mu        sync.Mutex
+	version   int
+	published time.Time
+	requests  atomic.Int64
+	served    atomic.Int64
+	lateAll   atomic.Int64
+	lateWell  atomic.Int64
+}
+
+var errNotReady = errors.New("a daemon did not become ready")
+
+// Run plays a plan. The error tells that it could not be played.
+func Run(ctx context.Context, p Plan, o Options) (Result, error) {
+	if o.Rate <= 0 {
+		o.Rate = defaultRate
+	}
+	if o.Out == nil {
+		o.Out = io.Discard
+	}
+	w := &world{plan: p, opts: o, check: newChecker(), store: platformtest.NewStore()}
+	defer w.close()
+	if err := w.build(ctx); err != nil {
+		return Result{}, err
+	}
+	w.play(ctx)
+	w.stop()
+	w.check.budget()
+	return Result{Violations: w.check.found(), Requests: int(w.requests.Load()), Served: int(w.served.Load())}, ctx.Err()
+}
+
+// ip returns the address of a VM. Soaks of different seeds do not share any.
+func (w *world) ip(number int) string {
+	const nets, hosts = 100, 250
+	return fmt.Sprintf("127.%d.%d.%d", 100+w.plan.Seed%nets, number/hosts, 1+number%hosts)
+}
+
+func (w *world) build(ctx context.Context) error {
+	storeAddress := w.ip(0) + ":8142"
+	ln, err := net.Listen("tcp", storeAddress)
+	if err != nil {
+		return err
+	}
+	w.server = &http.Server{Handler: w.store}
+	go func() { _ = w.server.Serve(ln) }()
+	w.publish()
+	for i := 1; i <= w.plan.VMs; i++ {
+		m, err := newMachine(i, w.ip(i), w.opts.Dir, w.opts.Binary, storeAddress, w.check)
+		if err != nil {
+			return err
+		}
+		w.machines = append(w.machines, m)
+		if err := m.start(); err != nil {
+			return err
+		}
+		if err := m.upstream.Start(w.id(i)); err != nil {
+			return err
+		}
+	}
+	return w.awaitReady(ctx)
+}
+
+// id returns a new id for an upstream of a VM.
+func (w *world) id(number int) string { return fmt.Sprintf("i-%d-%d", number, w.ids.Add(1)) }
+
+func (w *world) awaitReady(ctx context.Context) error {
+	end := time.Now().Add(startWait)
+	for _, m := range w.machines {
+		for !isReady(ctx, m) {
+			if time.Now().After(end) || ctx.Err() != nil {
+				return errNotReady
+			}
+			time.Sleep(restartAfter / 10)
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, m *machine) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.vm.Ready+"/-/ready", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (w *world) publish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.published = time.Now()
+	w.store.PutConfig(platformtest.Document(w.version, serviceOf(0)))
+}
+
+func (w *world) newest() (int, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version, w.published
+}
+
+// play runs callers and faults for the length of the plan.
+func (w *world) play(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, w.plan.Length)
+	defer cancel()
+	w.began = time.Now()
+	var wg sync.WaitGroup
+	for _, m := range w.machines {
+		wg.Go(func() { w.call(ctx, m) })
+		wg.Go(func() { w.probe(ctx, m) })
+	}
+	for _, f := range w.plan.Faults {
+		select {
+		case <-time.After(time.Until(w.began.Add(f.At))):
+			_, _ = fmt.Fprintln(w.opts.Out, f)
+			wg.Go(func() { w.inflict(f) })
+		case <-ctx.Done():
+		}
+	}
+	wg.Wait()
+	if all, well := w.lateAll.Load(), w.lateWell.Load(); all > 0 && float64(well) < recoveredShare*float64(all) {
+		w.check.report("recovery: %d of %d requests were served at the end", well, all)
+	}
+}
+
+// call sends requests at the rate until the context ends, and waits for the last.
+func (w *world) call(ctx context.Context, m *machine) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticker := time.NewTicker(time.Second / time.Duration(w.opts.Rate))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			wg.Go(func() { w.request(m) })
+		}
+	}
+}
+
+func (w *world) request(m *machine) {
+	n := w.requests.Add(1)
+	unsafe := n%oneInUnsafe == 0
+	path := "/safe/x"
+	if unsafe {
+		path = "/unsafe/x"
+	}
+	attempt := fmt.Sprintf("r%d", n)
+	w.check.send(attempt, m.vm.Service, unsafe)
+	calmBefore := w.calm()
+	last := time.Since(w.began) > w.plan.Length-judgeLast
+	r, err := m.caller.Send(context.Background(), path, attempt, unsafe, deadline)
+	_, stopping := m.state()
+	if err != nil {
+		if stopping && calmBefore && w.calm() && w.check.ranOnce(attempt) && !errors.Is(err, context.DeadlineExceeded) {
+			w.check.report("lost: %s ran and was cut by a planned stop: %v", attempt, err)
+		}
+	} else {
+		w.check.answer(attempt, r)
+	}
+	well := err == nil && r.Status == http.StatusOK
+	if well {
+		w.served.Add(1)
+	}
+	if last {
+		w.lateAll.Add(1)
+		if well {
+			w.lateWell.Add(1)
+		}
+	}
+}
+
+// calm reports whether nothing unplanned has disturbed any VM of late.
+func (w *world) calm() bool {
+	for _, m := range w.machines {
+		if !m.calm() {
+			return false
+		}
+	}
+	return true
+}
+
+// probe looks which configuration is in force at a daemon: it must be there in
+// time, and never go back within one life of the process.
+func (w *world) probe(ctx context.Context, m *machine) {
+	seen, seenLife := 0, 0
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(probeEvery)
+		version, published := w.newest()
+		due := time.Since(published) > configBound && m.calm()
+		life, stopping := m.state()
+		attempt := fmt.Sprintf("probe-%s-%d", m.vm.Name, i)
+		w.check.send(attempt, m.vm.Service, false)
+		r, err := m.caller.Send(ctx, fmt.Sprintf("/v%d/x", version), attempt, false, deadline)
+		if after, _ := m.state(); err != nil || stopping || life != after {
+			continue
+		}
+		w.check.answer(attempt, r)
+		switch {
+		case r.Status == http.StatusNotFound && life == seenLife && seen >= version:
+			w.check.report("back: %s no longer knew version %d", m.vm.Name, version)
+		case r.Status == http.StatusNotFound && due && m.calm():
+			w.check.report("late: %s did not know version %d %s after it was published", m.vm.Name, version, time.Since(published).Round(time.Millisecond))
+		case r.Status != http.StatusNotFound && r.Status != http.StatusServiceUnavailable:
+			seen, seenLife = version, life
+		}
+	}
+}
+
+// stop stops all daemons at once and expects them to end well in time.
+func (w *world) stop() {
+	for _, m := range w.machines {
+		m.end(syscall.SIGTERM)
+	}
+	end := time.After(grace + time.Second)
+	for _, m := range w.machines {
+		if life, stopped := m.state(); stopped && life == 0 {
+			continue
+		}
+		select {
+		case err := <-m.exits:
+			if err != nil && w.calm() {
+				w.check.report("stop: %s ended with %v", m.vm.Name, err)
+			}
+		case <-end:
+			w.check.report("stop: %s was still there after its grace time", m.vm.Name)
+			return
+		}
+	}
+}
+
+func (w *world) close() {
+	for _, m := range w.machines {
+		m.end(syscall.SIGKILL)
+		m.close()
+	}
+	if w.server != nil {
+		_ = w.server.Close()
+	}
+}
+
+// Build builds the daemon's program into a directory.
+func Build(ctx context.Context, dir string) (string, error) {
+	path := dir + "/dottereltillerd"
+	cmd := commandContext(ctx, "go", "build", "-o", path, "github.com/dottereltiller/dottereltiller/cmd/dottereltillerd")
+	cmd.Stderr = os.Stderr
+	return path, cmd.Run()
+}
--- /dev/null
+++ b/soak/vm.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/platform/platformtest"
+)
+
+// machine is one VM: the daemon's process, its upstream and the proxies around it.
+type machine struct {
+	vm       platformtest.VM
+	binary   string
+	settings string
+	log      *os.File
+	upstream *platformtest.Upstream
+	peers    *link
+	app      *link
+	store    *link
+	caller   platformtest.Caller
+
+	mu sync.Mutex
+	// process is nil between an end and the next start.
+	process *exec.Cmd
+	life    int
+	// stopping is set from a signal to stop until the process has ended.
+	stopping bool
+	// ended is set once no further process is to be started.
+	ended bool
+	exits chan error
+	// disturbed is until when something unplanned disturbed the VM.
+	disturbed time.Time
+}
+
+// restartAfter is the pause between the end of a process and the next start.
+const restartAfter = 300 * time.Millisecond
+
+// The ports of a VM, and those of the proxies before them.
+const (
+	portOutbound, portReady, portControl, portInternal, portUpstream = 8141, 8140, 8146, 7660, 8147
+	proxyPeers, proxyUpstream, proxyStore                            = 7760, 8247, 8342
+)
+
+func newMachine(number int, ip, dir, binary, store string, o platformtest.Observer) (*machine, error) {
+	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	const zones, services = 3, 2
+	m := &machine{binary: binary, exits: make(chan error, 1), vm: platformtest.VM{
+		Name: fmt.Sprintf("vm-%d", number), IP: ip, Zone: fmt.Sprintf("z%d", number%zones), Service: serviceOf(number % services),
+		Outbound: at(portOutbound), Ready: at(portReady), Control: at(portControl), Upstream: at(proxyUpstream), Store: at(proxyStore),
+		InternalPort: portInternal, Advertised: at(proxyPeers), First: true,
+		GraceS: grace.Seconds(), Ratio: budgetRatio, Slack: budgetSlack, Window: budgetSpan.Seconds(),
+	}}
+	m.settings = filepath.Join(dir, m.vm.Name+".yaml")
+	var err error
+	if m.log, err = os.Create(filepath.Join(dir, m.vm.Name+".log")); err != nil {
+		return nil, err
+	}
+	for _, l := range []struct {
+		to            **link
+		address, real string
+	}{
+		{&m.peers, at(proxyPeers), at(portInternal)},
+		{&m.app, at(proxyUpstream), at(portUpstream)},
+		{&m.store, at(proxyStore), store},
+	} {
+		if *l.to, err = newLink(l.address, l.real); err != nil {
+			return nil, err
+		}
+	}
+	m.upstream = &platformtest.Upstream{
+		Service: m.vm.Service, Zone: m.vm.Zone, Address: at(portUpstream), Reported: at(proxyUpstream), Control: m.vm.Control,
+		Slots: 6, Work: 20 * time.Millisecond, Observer: o,
+	}
+	m.caller = platformtest.Caller{Address: m.vm.Outbound, Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	return m, nil
+}
+
+// serviceOf names the services; callers call the first.
+func serviceOf(n int) string { return string(rune('a' + n)) }
+
+// start starts the daemon, and again whenever it ends.
+func (m *machine) start() error {
+	if err := os.WriteFile(m.settings, []byte(m.vm.Settings()), 0o600); err != nil {
+		return err
+	}
+	m.vm.First = false
+	cmd := exec.Command(m.binary)
+	cmd.Env = []string{platformtest.Env(m.settings)}
+	cmd.Stdout, cmd.Stderr = m.log, m.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.process, m.stopping = cmd, false
+	m.life++
+	m.mu.Unlock()
+	go m.await(cmd)
+	return nil
+}
+
+func (m *machine) await(cmd *exec.Cmd) {
+	err := cmd.Wait()
+	m.mu.Lock()
+	m.process = nil
+	ended := m.ended
+	m.mu.Unlock()
+	if ended {
+		m.exits <- err
+		return
+	}
+	time.Sleep(restartAfter)
+	m.mu.Lock()
+	ended = m.ended
+	m.mu.Unlock()
+	if ended || m.start() != nil {
+		m.exits <- err
+	}
+}
+
+// signal sends a signal to the process, if there is one.
+func (m *machine) signal(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.process == nil {
+		return
+	}
+	m.stopping = m.stopping || s == syscall.SIGTERM
+	_ = m.process.Process.Signal(s)
+}
+
+// state returns which life the process is in and whether it is stopping.
+func (m *machine) state() (life int, stopping bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.life, m.stopping || m.process == nil
+}
+
+// disturb notes that something unplanned goes on for a time.
+func (m *machine) disturb(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if until := time.Now().Add(d); until.After(m.disturbed) {
+		m.disturbed = until
+	}
+}
+
+// calm reports whether nothing unplanned has disturbed the VM of late.
+func (m *machine) calm() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.disturbed) > calmFor
+}
+
+// end has no further process started, and stops the one there is.
+func (m *machine) end(s syscall.Signal) {
+	m.mu.Lock()
+	m.ended = true
+	none := m.process == nil
+	m.mu.Unlock()
+	if none {
+		return
+	}
+	m.signal(syscall.SIGCONT)
+	m.signal(s)
+}
+
+func (m *machine) close() {
+	m.upstream.Crash()
+	for _, l := range []*link{m.peers, m.app, m.store} {
+		if l != nil {
+			l.close()
+		}
+	}
+	_ = m.log.Close()
+}
