Tell records by datagram, and the version with every one

Questions about load and their answers now carry the version. A record now goes in one datagram and is noted by one; connections remain for what gets no answer. Kept connections between daemons end after 20 s, not 90.

--- a/sidecar/asks.go
+++ b/sidecar/asks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/netip"
@@ -12,14 +13,19 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
 )
 
-// asks puts the question how loaded an upstream is to its guard, by datagram: one
-// each way, some twenty bytes. A lost one costs only the wait for it.
+// asks exchanges datagrams with other daemons. One asks a guard how loaded its
+// upstream is, another tells a daemon a record; each is answered by one. A lost
+// datagram costs only the wait for its answer.
 //
-// A question is kindAsk, an id and a rank; an answer is kindLoad, the id and the
-// load as a request of that rank would find it.
+// All begin with their kind, an id that the answer repeats, and the version of the
+// configuration in force, so that a daemon that cannot hear of a newer one from the
+// store learns of it. kindAsk is followed by the rank of the request, kindLoad by
+// the load as a request of that rank would find it, kindRecord by the record in
+// JSON, kindNoted by nothing.
 type asks struct {
 	d    *Daemon
 	conn *net.UDPConn
@@ -31,8 +37,9 @@
 
 // question is one that waits for its answer.
 type question struct {
-	key string
-	to  chan<- heard
+	key     string
+	address string
+	to      chan<- heard
 }
 
 // heard is an answer.
@@ -42,13 +49,18 @@
 }
 
 const (
-	kindAsk  = 1
-	kindLoad = 2
-	// askBytes and loadBytes are the lengths of the datagrams.
-	askBytes  = 6
-	loadBytes = 18
-	// maxDatagram is more than any of them.
-	maxDatagram = 64
+	kindAsk    = 1
+	kindLoad   = 2
+	kindRecord = 3
+	kindNoted  = 4
+	// headBytes is the length of what all begin with; askBytes and loadBytes are
+	// the lengths of whole datagrams.
+	headBytes = 13
+	askBytes  = headBytes + 1
+	loadBytes = headBytes + 13
+	// maxDatagram bounds a datagram, so that it fits an Ethernet frame. A longer
+	// record is sent by connection.
+	maxDatagram = 1400
 	// nearWait and farWait bound the wait for answers from the own zone and from
 	// others: a few round trips, and a pause of a busy processor.
 	nearWait = 5 * time.Millisecond
@@ -92,13 +104,41 @@
 func (a *asks) close() { _ = a.conn.Close() }
 
 func (a *asks) receive(b []byte, from netip.AddrPort) {
+	if len(b) < headBytes {
+		return
+	}
+	kind, id, version := b[0], binary.BigEndian.Uint32(b[1:]), model.Version(binary.BigEndian.Uint64(b[5:]))
 	switch {
-	case len(b) == askBytes && b[0] == kindAsk:
-		id, rank := binary.BigEndian.Uint32(b[1:]), int(b[5])
-		go a.answer(id, rank, from)
-	case len(b) == loadBytes && b[0] == kindLoad:
-		a.hear(binary.BigEndian.Uint32(b[1:]), b)
+	case kind == kindAsk && len(b) == askBytes:
+		go a.answer(id, int(b[headBytes]), from)
+	case kind == kindLoad && len(b) == loadBytes:
+		a.hear(id, decodeLoad(b), version)
+	case kind == kindRecord:
+		a.note(id, b[headBytes:], from)
+	case kind == kindNoted:
+		a.hear(id, placement.Load{}, version)
+	}
+}
+
+// head returns the beginning of a datagram.
+func (a *asks) head(kind byte, id uint32) []byte {
+	b := binary.BigEndian.AppendUint32(append(make([]byte, 0, loadBytes), kind), id)
+	return binary.BigEndian.AppendUint64(b, uint64(a.d.config.version()))
+}
+
+// note takes in the record of another daemon. One that is older than what is
+// known gets no answer, so that its daemon, whose clock was set back, finds out
+// over a connection.
+func (a *asks) note(id uint32, b []byte, from netip.AddrPort) {
+	var r Record
+	if json.Unmarshal(b, &r) != nil || r.Address == "" {
+		return
 	}
+	if held, ok := a.d.peers.of(r.Address); ok && held.newer(&r) {
+		return
+	}
+	a.d.peers.merge([]Record{r})
+	_, _ = a.conn.WriteToUDPAddrPort(a.head(kindNoted, id), from)
 }
 
 // answer tells the load of the own upstream. One that takes no requests says
@@ -108,7 +148,7 @@
 	if !ok {
 		return
 	}
-	_, _ = a.conn.WriteToUDPAddrPort(encodeLoad(id, load), to)
+	_, _ = a.conn.WriteToUDPAddrPort(appendLoad(a.head(kindLoad, id), load), to)
 }
 
 // loadFor returns the load as a request of a rank would find it, and whether
@@ -132,9 +172,7 @@
 	maxUint8  = 1<<8 - 1
 )
 
-func encodeLoad(id uint32, l placement.Load) []byte {
-	b := append(make([]byte, 0, loadBytes), kindLoad)
-	b = binary.BigEndian.AppendUint32(b, id)
+func appendLoad(b []byte, l placement.Load) []byte {
 	for _, n := range []int{l.Running, l.Waiting, l.Limit, int(l.Slow * hundred), int(l.SlowAge.Milliseconds())} {
 		b = binary.BigEndian.AppendUint16(b, uint16(min(max(n, 0), maxUint16)))
 	}
@@ -142,7 +180,7 @@
 }
 
 func decodeLoad(b []byte) placement.Load {
-	const first = 5
+	const first = headBytes
 	field := func(i int) int { return int(binary.BigEndian.Uint16(b[first+2*i:])) }
 	return placement.Load{
 		Running: field(0), Waiting: field(1), Limit: field(2),
@@ -152,14 +190,18 @@
 }
 
 // hear hands an answer to who waits for it.
-func (a *asks) hear(id uint32, b []byte) {
+func (a *asks) hear(id uint32, l placement.Load, v model.Version) {
 	a.mu.Lock()
 	q, ok := a.waiting[id]
 	delete(a.waiting, id)
 	a.mu.Unlock()
-	if ok {
-		// The channel has room for every answer.
-		q.to <- heard{key: q.key, load: decodeLoad(b)}
+	if !ok {
+		return
+	}
+	// The channel has room for every answer.
+	q.to <- heard{key: q.key, load: l}
+	if v > a.d.config.version() {
+		a.d.behind(q.address, v)
 	}
 }
 
@@ -187,14 +229,53 @@
 	if err != nil {
 		return
 	}
+	id := a.expect(question{key: up.Key, address: string(up.Daemon), to: answers})
+	*ids = append(*ids, id)
+	b := append(a.head(kindAsk, id), uint8(min(max(rank, 0), maxUint8)))
+	_, _ = a.conn.WriteToUDPAddrPort(b, to)
+}
+
+// expect notes a question and returns its id.
+func (a *asks) expect(q question) uint32 {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.nextID++
-	id := a.nextID
-	a.waiting[id] = question{key: up.Key, to: answers}
-	a.mu.Unlock()
-	*ids = append(*ids, id)
-	b := binary.BigEndian.AppendUint32([]byte{kindAsk}, id)
-	_, _ = a.conn.WriteToUDPAddrPort(append(b, uint8(min(max(rank, 0), maxUint8))), to)
+	a.waiting[a.nextID] = q
+	return a.nextID
+}
+
+const (
+	// tellTries is how often a record is sent by datagram before a connection is
+	// tried, and tellWait the wait for each answer: a round trip between regions
+	// and a pause of a busy processor.
+	tellTries = 2
+	tellWait  = 100 * time.Millisecond
+)
+
+// tell sends a record to a daemon and reports whether that has noted it.
+func (a *asks) tell(address string, r Record) bool {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return false
+	}
+	body, err := json.Marshal(r)
+	if err != nil || len(body) > maxDatagram-headBytes {
+		return false
+	}
+	answers := make(chan heard, tellTries)
+	var ids []uint32
+	defer func() { a.forget(ids) }()
+	for range tellTries {
+		id := a.expect(question{key: address, address: address, to: answers})
+		ids = append(ids, id)
+		_, _ = a.conn.WriteToUDPAddrPort(append(a.head(kindRecord, id), body...), to)
+		select {
+		case <-answers:
+			return true
+		case <-time.After(tellWait):
+		}
+	}
+	return false
 }
 
 func (a *asks) collect(answers <-chan heard, ids []uint32, loads map[string]placement.Load, wait time.Duration) {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -128,8 +128,11 @@
 		d.servers = append(d.servers, b.server)
 	}
 	var err error
-	d.asks, err = newAsks(d)
-	return err
+	if d.asks, err = newAsks(d); err != nil {
+		return err
+	}
+	d.peers.tellByDatagram = d.asks.tell
+	return nil
 }
 
 func (d *Daemon) closeServers() {
--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -381,3 +381,31 @@
 	b.peers.update(func(*Record) {})
 	a.knows(t, "b", 1)
 }
+
+// TestVersionsRideOnAsks cuts a daemon from the store in silence: its long read
+// hangs, and nothing tells it that the store is away.
+func TestVersionsRideOnAsks(t *testing.T) {
+	s := newStore(documentOf(1, "a"))
+	a, b := join(t, s, "a", "a1"), join(t, s, "a", "a2")
+	a.knows(t, "a", 2)
+	b.knows(t, "a", 2)
+	a.config.take(rawOf(documentOf(2, "a")), "test") // only a hears of it
+	eventually(t, "the new version", func() bool {
+		status, _ := b.get(t, "/safe/")
+		require.Equal(t, http.StatusOK, status)
+		return b.config.version() == 2
+	})
+}
+
+// TestRecordsTravelByDatagram needs no connection to tell of a change.
+func TestRecordsTravelByDatagram(t *testing.T) {
+	s := newStore(documentOf(1, "a"))
+	a, b := join(t, s, "a", "a1"), join(t, s, "a", "a2")
+	a.knows(t, "a", 2)
+	b.knows(t, "a", 2)
+	require.True(t, a.asks.tell(b.opts.Addresses.Peers, a.peers.self()))
+	old := a.peers.self()
+	old.Incarnation--
+	require.False(t, a.asks.tell(b.opts.Addresses.Peers, old), "an older record gets no answer")
+	require.False(t, a.asks.tell(freePort(t), a.peers.self()), "nobody is there")
+}
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -75,7 +75,7 @@
 	// fullAsks is how many daemons a starting one asks for all that they know.
 	fullAsks = 2
 	// peerIdle is how long connections between daemons are kept.
-	peerIdle = 90 * time.Second
+	peerIdle = 20 * time.Second
 	// peerDial bounds connecting to a daemon: a few round trips between regions.
 	// One that is cut off does not answer at all.
 	peerDial = 150 * time.Millisecond
@@ -88,6 +88,9 @@
 	version   func() model.Version
 	// behind is told of a daemon with a newer configuration.
 	behind func(address string, v model.Version)
+	// tellByDatagram sends a record to a daemon without a connection, and reports
+	// whether it was noted.
+	tellByDatagram func(address string, r Record) bool
 	// restore is told what others remember of the upstreams of this VM.
 	restore func([]lifecycle.Incarnation)
 
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -21,6 +21,11 @@
 		message := syncMessage{From: p.own, Full: q.full}
 		pool, address := q.pool, q.record.Address
 		p.mu.Unlock()
+		if !message.Full && p.tellByDatagram(address, message.From) {
+			p.noted(q)
+			backoff = firstBackoff
+			continue
+		}
 		message.Version = p.version()
 		reply, err := sendSync(p.ctx, pool, message)
 		if err == nil {
@@ -39,6 +44,15 @@
 	}
 }
 
+// noted takes in that a peer has got the own record.
+func (p *peers) noted(q *peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if q.lost {
+		p.regain(q)
+	}
+}
+
 func (p *peers) synced(q *peer, address string, reply syncMessage) {
 	p.mu.Lock()
 	if q.lost {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -148,6 +148,7 @@
 	require.NoError(t, err)
 	for name, p := range plans {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			dir := t.TempDir()
 			r, err := Run(t.Context(), p, Options{Binary: binary, Dir: dir, SafetyOnly: true})
 			require.NoError(t, err)
