Keep large answers out of memory; histograms of a guard's hops

A guard remembered every answer with its body for 10 s, so that answers of a megabyte at a hundred a second would have taken a gigabyte. Only answers to requests that must not run twice are kept, up to 64 KiB each.

--- a/sidecar/attempts.go
+++ b/sidecar/attempts.go
@@ -16,6 +16,10 @@
 	// maxRemembered bounds the attempts known. Beyond it the oldest is forgotten,
 	// and whoever asks for it is told that it is not known whether it ran.
 	maxRemembered = 1 << 14
+	// maxKeptBody bounds the bodies of remembered answers, in bytes: with
+	// maxRemembered it would be too much, but few answers are remembered whole, as
+	// only those to requests that must not run twice are asked for.
+	maxKeptBody = 64 << 10
 )
 
 // attempts remembers what became of each attempt at a guard, so that a sender
@@ -149,6 +153,17 @@
 	}
 }
 
+// trim forgets the body of an answer that has been handed over, unless it is small
+// and may be asked for again.
+func (a *attempt) trim(keep bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.answer == nil || a.answer.Outcome.Kind != outcome.Answered || keep && len(a.answer.Body) <= maxKeptBody {
+		return
+	}
+	a.answer = unknown(outcome.ReasonConnectionLost)
+}
+
 // wait returns what came of the attempt, or unknown when the context ends first.
 func (a *attempt) wait(ctx context.Context) *Answer {
 	select {
--- a/sidecar/attempts_test.go
+++ b/sidecar/attempts_test.go
@@ -97,3 +97,25 @@
 		}
 	})
 }
+
+// TestLargeAnswersAreNotKept bounds the memory that remembered answers take.
+func TestLargeAnswersAreNotKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		size int
+		keep bool
+		want outcome.Kind
+	}{
+		"small, may be asked for": {10, true, outcome.Answered},
+		"small, nobody will ask":  {10, false, outcome.Unknown},
+		"large":                   {maxKeptBody + 1, true, outcome.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, _ := newTestAttempts()
+			at, _ := a.begin("k")
+			at.start()
+			at.end(&Answer{Outcome: outcome.Done(), Body: make([]byte, c.size)})
+			at.trim(c.keep)
+			require.Equal(t, c.want, a.settle(t.Context(), "k").Outcome.Kind)
+		})
+	}
+}
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -190,12 +190,16 @@
 		return g.finish(a)
 	}
 	if c.Idempotent {
-		return g.finish(g.run(ctx, c, at, arrived))
+		a := g.run(ctx, c, at, arrived)
+		at.trim(false)
+		return g.finish(a)
 	}
 	// A run that must not be repeated goes on when its sender is cut off, who
 	// asks for the answer on another connection.
 	go g.run(context.WithoutCancel(ctx), c, at, arrived)
-	return g.finish(at.wait(ctx))
+	a := at.wait(ctx)
+	at.trim(a.Outcome.Kind != outcome.Answered || len(a.Body) <= maxKeptBody)
+	return g.finish(a)
 }
 
 // finish puts the load and the version on an answer.
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -21,6 +21,9 @@
 	denied    tally.Counter
 	settled   tally.Counter
 	outcomes  *telemetry.OutcomeCounter
+	// waited and ran are the hops of a request at its guard.
+	waited tally.Timer
+	ran    tally.Timer
 
 	mu sync.Mutex
 	// latencies holds a histogram for each route.
@@ -42,6 +45,8 @@
 		denied:    scope.Counter("resend_budget_empty"),
 		settled:   scope.Counter("settled"),
 		outcomes:  telemetry.NewOutcomeCounter(scope, "requests"),
+		waited:    scope.Timer("guard_wait"),
+		ran:       scope.Timer("upstream_run"),
 		latencies: make(map[string]tally.Timer),
 	}
 }
