--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -254,12 +254,15 @@
 	stop   func()
 }
 
-// freePort returns an address that nobody listens on.
+var lastHost atomic.Int64
+
+// freePort returns an address that nobody listens on: a loopback address of this
+// process's own, so that no ephemeral port is in the way.
 func freePort(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Helper()
+	const firstNet, nets, hosts, port = 70, 50, 250, 7000
+	n := lastHost.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", firstNet+os.Getpid()%nets, n/hosts, 1+n%hosts, port)
 }
 
 func optionsFor(t *testing.T, s *store, up *upstream, service model.ServiceName) Options {
