--- a/sidecar/asks.go
+++ b/sidecar/asks.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -25,7 +26,8 @@
 // configuration in force, so that a daemon that cannot hear of a newer one from the
 // store learns of it. kindAsk is followed by the rank of the request, kindLoad by
 // the load as a request of that rank would find it, kindRecord by the record in
-// JSON, kindNoted by nothing.
+// JSON, kindNoted by nothing, kindNews by the address where a new version can be
+// had.
 type asks struct {
 	d    *Daemon
 	conn *net.UDPConn
@@ -53,6 +55,7 @@
 	kindLoad   = 2
 	kindRecord = 3
 	kindNoted  = 4
+	kindNews   = 5
 	// headBytes is the length of what all begin with; askBytes and loadBytes are
 	// the lengths of whole datagrams.
 	headBytes = 13
@@ -115,11 +118,28 @@
 		a.hear(id, decodeLoad(b), version)
 	case kind == kindRecord:
 		a.note(id, b[headBytes:], from)
+	case kind == kindNews:
+		a.d.behind(string(b[headBytes:]), version)
 	case kind == kindNoted:
 		a.hear(id, placement.Load{}, version)
 	}
 }
 
+// newsTo is how many daemons are told of a new version by each that learns of it.
+// All but two in a hundred hear of it so even where nobody hears from the store.
+const newsTo = 4
+
+// spread tells some daemons of the configuration in force.
+func (a *asks) spread() {
+	peers := a.d.peers.reachable()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, address := range peers[:min(newsTo, len(peers))] {
+		if to, err := netip.ParseAddrPort(address); err == nil {
+			_, _ = a.conn.WriteToUDPAddrPort(append(a.head(kindNews, 0), a.d.opts.Addresses.Peers...), to)
+		}
+	}
+}
+
 // head returns the beginning of a datagram.
 func (a *asks) head(kind byte, id uint32) []byte {
 	b := binary.BigEndian.AppendUint32(append(make([]byte, 0, loadBytes), kind), id)
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -49,8 +49,9 @@
 	return &try{choice: c, target: r.s.targets[c.Upstream.Key], acknowledged: make(chan struct{})}, true
 }
 
-// inquire asks guards for their loads, near or far. A guard that stays silent is
-// passed over for a while. r.s.mu is held on entry and return, not between.
+// inquire asks guards for their loads, near or far. A guard that answered before
+// and now stays silent is passed over for a while; one that never did may be too
+// far away to answer in time. r.s.mu is held on entry and return, not between.
 func (r *race) inquire(ask placement.Ask, near bool, most int, wait time.Duration) {
 	now := r.e.d.now()
 	ups := r.s.placer.ToAsk(now, ask, near, askAge, most)
@@ -64,7 +65,8 @@
 	for _, up := range ups {
 		if l, ok := loads[up.Key]; ok {
 			r.s.placer.Learn(now, up.Key, l)
-		} else {
+			r.s.answered[up.Key] = true
+		} else if near || r.s.answered[up.Key] {
 			r.s.placer.Unreachable(now, up.Key)
 		}
 	}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -132,6 +132,7 @@
 		return err
 	}
 	d.peers.tellByDatagram = d.asks.tell
+	d.config.onChange = append(d.config.onChange, func(*route.Table) { d.asks.spread() })
 	return nil
 }
 
--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -409,3 +409,21 @@
 	require.False(t, a.asks.tell(b.opts.Addresses.Peers, old), "an older record gets no answer")
 	require.False(t, a.asks.tell(freePort(t), a.peers.self()), "nobody is there")
 }
+
+// TestNewVersionsSpread has one of several daemons hear of a version, and nobody
+// send a request.
+func TestNewVersionsSpread(t *testing.T) {
+	const daemons = 4
+	s := newStore(documentOf(1, "a"))
+	var all []*member
+	for i := range daemons {
+		all = append(all, join(t, s, "a", fmt.Sprint("a", i)))
+	}
+	for _, m := range all {
+		m.knows(t, "a", daemons)
+	}
+	all[0].config.take(rawOf(documentOf(2, "a")), "test")
+	for _, m := range all {
+		eventually(t, "the new version", func() bool { return m.config.version() == 2 })
+	}
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -216,9 +216,11 @@
 
 // service is what the entry holds of one service. Its mutex guards all of it.
 type service struct {
-	mu         sync.Mutex
-	placer     *placement.Placer
-	targets    map[string]target
+	mu      sync.Mutex
+	placer  *placement.Placer
+	targets map[string]target
+	// answered holds the candidates whose guards have answered a question.
+	answered   map[string]bool
 	generation uint64
 	filled     bool
 	resends    *resends
@@ -231,8 +233,9 @@
 	s := e.services[name]
 	if s == nil {
 		s = &service{
-			placer:  placement.New(placement.Options{Zone: e.d.opts.Zone}),
-			resends: newResends(e.d.tunables.Load().Resends),
+			placer:   placement.New(placement.Options{Zone: e.d.opts.Zone}),
+			answered: make(map[string]bool),
+			resends:  newResends(e.d.tunables.Load().Resends),
 		}
 		e.services[name] = s
 	}
@@ -270,6 +273,11 @@
 	ups, targets := e.d.peers.candidates(name)
 	s.placer.Set(ups)
 	s.targets, s.generation, s.filled = targets, generation, true
+	for key := range s.answered {
+		if _, ok := targets[key]; !ok {
+			delete(s.answered, key)
+		}
+	}
 }
 
 // work is the usual time of a route's requests where nothing slows them.
--- a/soak/check.go
+++ b/soak/check.go
@@ -98,12 +98,13 @@
 	if caller != s.service {
 		c.violate("caller: %s came from %s and ran as of %s", attempt, s.service, caller)
 	}
-	if at, ok := c.drained[u.ID()]; ok && time.Since(at) > drainBound {
+	if at, ok := c.drained[u.Incarnation()]; ok && time.Since(at) > drainBound {
 		c.violate("drain: %s ran at %s %s after its leaving was acknowledged", attempt, u.ID(), time.Since(at).Round(time.Millisecond))
 	}
 }
 
-// drain notes that the leaving of an upstream was acknowledged.
+// drain notes that the leaving of an incarnation was acknowledged. Another one may
+// have its id.
 func (c *checker) drain(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/inflict.go
+++ b/soak/inflict.go
@@ -108,12 +108,12 @@
 
 // replace has an upstream leave as planned, and another take its place.
 func (w *world) replace(m *machine, f Fault) {
-	id := m.upstream.ID()
+	life := m.upstream.Incarnation()
 	if m.upstream.Drain() {
-		w.check.drain(id)
+		w.check.drain(life)
 	}
 	time.Sleep(drainBound + f.For)
-	if m.upstream.ID() != id {
+	if m.upstream.Incarnation() != life {
 		return
 	}
 	m.upstream.Crash()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -103,7 +103,7 @@
 		"no advice":           {func(c *checker) { c.send("x", "a", false); c.answer("x", platformtest.Result{Status: 503}) }, "advice"},
 		"after its drain": {func(c *checker) {
 			c.send("x", "a", false)
-			c.drained[up.ID()] = time.Now().Add(-2 * drainBound)
+			c.drained[up.Incarnation()] = time.Now().Add(-2 * drainBound)
 			c.Run(up, "x", "a")
 		}, "drain"},
 		"repeats beyond the budget": {func(c *checker) {
