--- a/why/story.go
+++ b/why/story.go
@@ -55,7 +55,9 @@
 		own = append(own, *line)
 		daemons[line.Daemon] = true
 		for _, name := range []string{"upstream", "instead_of"} {
-			upstreams[upstreamOf(line.Get(name))] = true
+			if up := upstreamOf(line.Get(name)); up != "" {
+				upstreams[up] = true
+			}
 		}
 		if isEnd(line.Kind) {
 			s.Outcome = outcomeOf(line)
--- a/why/why_test.go
+++ b/why/why_test.go
@@ -15,6 +15,7 @@
 	entryLog = `{"time":"2026-01-01T00:00:01.300Z","level":"WARN","msg":"request failed","daemon":"a","request":"r1","route":"x","service":"s","upstream":"10.0.0.2:7 u2","reason":"deadline","status":504,"took_ms":300,"sends":1,"given_back":1,"config":4}
 {"time":"2026-01-01T00:00:00.500Z","level":"INFO","msg":"configuration in force","daemon":"a","version":4,"previous":2,"routes":3,"from":"store"}
   12.5 a {"time":"2026-01-01T00:00:00.900Z","level":"INFO","msg":"peer state","daemon":"a","peer":"10.0.0.2:7","upstream":"u2","born":0,"state":"ready","stopping":false}
+{"time":"2026-01-01T00:00:00.940Z","level":"INFO","msg":"peer state","daemon":"a","peer":"10.0.0.8:7","state":"unknown","stopping":false}
 {"time":"2026-01-01T00:00:00.950Z","level":"INFO","msg":"peer state","daemon":"a","peer":"10.0.0.9:7","upstream":"u9","born":0,"state":"gone","stopping":false}
 {"time":"2026-01-01T00:00:02`
 	guardLog = `{"time":"2026-01-01T00:00:01.299Z","level":"WARN","msg":"run failed","request":"r1","upstream":"u2","status":0,"ran_ms":290,"outcome":"unknown","reason":"deadline"}
