Look for daemons that stopped as planned or stay silent

Three others now look for it from 2.5 s on; one that is silent to a question is looked at once. The test failed without the change.

--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -68,6 +68,7 @@
 			r.s.answered[up.Key] = true
 		} else if near || r.s.answered[up.Key] {
 			r.s.placer.Unreachable(now, up.Key)
+			r.e.d.peers.verify(string(up.Daemon))
 		}
 	}
 }
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -57,6 +59,8 @@
 	syncing bool
 	// full asks for everything that the peer knows.
 	full bool
+	// verified is when the peer was last looked at for its silence.
+	verified model.Instant
 	// lost is set while the peer cannot be reached, since when in lostAt.
 	lost   bool
 	lostAt model.Instant
@@ -72,6 +76,14 @@
 	// forgetAfter is how long a daemon is looked for. One that comes back later
 	// announces itself.
 	forgetAfter = time.Minute
+	// lookers is how many daemons look for one that has stopped as planned, and
+	// lookAfter when they begin: it may be back while the store is away, and then
+	// it knows nobody.
+	lookers   = 3
+	lookAfter = 2500 * time.Millisecond
+	// verifyEvery is the least time between two looks at a daemon that was silent
+	// to a question.
+	verifyEvery = time.Second
 	// fullAsks is how many daemons a starting one asks for all that they know.
 	fullAsks = 2
 	// peerIdle is how long connections between daemons are kept.
@@ -94,6 +106,9 @@
 	// restore is told what others remember of the upstreams of this VM.
 	restore func([]lifecycle.Incarnation)
 
+	// draw draws from 0 to 1.
+	draw func() float64
+
 	mu         sync.Mutex
 	own        Record
 	all        map[string]*peer
@@ -108,10 +123,14 @@
 	greetedOnce sync.Once
 }
 
+// errStopped is why a daemon that has stopped as planned is looked for.
+var errStopped = errors.New("stopped as planned")
+
 func newPeers(own Record, now func() model.Instant, d *decision.Log) *peers {
 	return &peers{
 		now: now, decisions: d, own: own,
 		all:     make(map[string]*peer),
+		draw:    rand.Float64,
 		ctx:     context.Background(),
 		greeted: make(chan struct{}),
 	}
@@ -264,6 +283,7 @@
 	}
 	restarted := r.Incarnation != q.record.Incarnation && q.record.Incarnation != 0 && q.record.Sequence != 0
 	changed := r.State != q.record.State || r.Upstream != q.record.Upstream || r.Stopping != q.record.Stopping
+	stopped := q.record.Stopping && q.record.Incarnation == r.Incarnation
 	departed := q.record.Departed
 	q.record = *r
 	if len(r.Departed) == 0 {
@@ -277,6 +297,9 @@
 		q.pool = newPeerPool(r.Address)
 		p.owe(q)
 	}
+	if r.Stopping && !stopped && r.State != lifecycle.Gone && p.draw()*float64(len(p.all)) < lookers {
+		time.AfterFunc(lookAfter, func() { p.missed(r.Address, errStopped) })
+	}
 	if changed {
 		p.decisions.Write(decision.PeerState, "", slog.String("peer", r.Address),
 			slog.String("upstream", string(r.Upstream.ID)), slog.Int64("born", r.Upstream.Born),
@@ -351,6 +374,19 @@
 	p.owe(q)
 }
 
+// verify looks at a daemon that was silent to a question: one datagram may have
+// been lost, or the daemon.
+func (p *peers) verify(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.all[address]
+	if q == nil || q.lost || q.verified != 0 && p.now().Sub(q.verified) < verifyEvery {
+		return
+	}
+	q.verified = p.now()
+	p.owe(q)
+}
+
 // lose notes that a peer cannot be reached. p.mu is held.
 func (p *peers) lose(q *peer, err error) {
 	q.lost, q.lostAt = true, p.now()
--- a/sidecar/peers_test.go
+++ b/sidecar/peers_test.go
@@ -143,3 +143,19 @@
 		eventually(t, "the new version", func() bool { return m.config.version() == 2 })
 	}
 }
+
+// TestPlannedRestartWhileTheStoreIsAway has nobody call the daemon that starts
+// again, as its record says that it has stopped: the others look for it.
+func TestPlannedRestartWhileTheStoreIsAway(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	b := join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	s.setDown(true)
+	b.stop()
+	o := b.opts
+	o.First = false
+	again := start(t, o, s)
+	require.EqualValues(t, 1, again.config.version())
+	a.knows(t, "b", 1)
+}
