--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -105,11 +105,29 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go f.askPeers(ctx)
-	return f.d.opts.Source.Follow(ctx, f.d.config.take, f.reachable)
+	return f.d.opts.Source.Follow(ctx, f)
 }
 
-// reachable takes in whether the store is.
-func (f *follower) reachable(ok bool) {
+// Take implements Follower.
+func (f *follower) Take(raw []byte, from string) { f.d.config.take(raw, from) }
+
+// lookouts is how many daemons read from the store at short intervals. The others
+// hear of a new version from them even where all of their own reads hang.
+const lookouts = 3
+
+// Lookout implements Follower: the daemons with the lowest addresses are.
+func (f *follower) Lookout() bool {
+	before := 0
+	for _, address := range f.d.peers.reachable() {
+		if address < f.d.opts.Addresses.Peers {
+			before++
+		}
+	}
+	return before < lookouts
+}
+
+// Reachable implements Follower.
+func (f *follower) Reachable(ok bool) {
 	if f.away == !ok {
 		return
 	}
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -126,13 +126,13 @@
 	return doc.(route.Document), nil
 }
 
-func (s *source) Follow(ctx context.Context, take func([]byte, string), reachable func(bool)) error {
+func (s *source) Follow(ctx context.Context, f Follower) error {
 	for {
 		s.s.mu.Lock()
 		doc, changed, down := s.s.doc, s.s.changed, s.s.down || s.cut.Load()
 		s.s.mu.Unlock()
 		if down {
-			reachable(false)
+			f.Reachable(false)
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
@@ -140,9 +140,9 @@
 			}
 			continue
 		}
-		reachable(true)
+		f.Reachable(true)
 		if doc.Version > 0 {
-			take(rawOf(doc), "store")
+			f.Take(rawOf(doc), "store")
 		}
 		select {
 		case <-ctx.Done():
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -132,11 +132,22 @@
 	Slow float64
 }
 
+// Follower follows the configuration.
+type Follower interface {
+	// Take takes in a document.
+	Take(raw []byte, from string)
+	// Reachable takes in whether the store can be reached.
+	Reachable(ok bool)
+	// Lookout reports whether this daemon looks after the store for others too. A
+	// read that hangs because its answer was lost must then end soon.
+	Lookout() bool
+}
+
 // Source brings the configuration.
 type Source interface {
-	// Follow hands every document that it sees to take until the context ends,
-	// and tells through reachable whenever the store is lost or regained.
-	Follow(ctx context.Context, take func(raw []byte, from string), reachable func(bool)) error
+	// Follow hands every document that it sees to the follower until the context
+	// ends, and tells it whenever the store is lost or regained.
+	Follow(ctx context.Context, f Follower) error
 	// Decode reads a document.
 	Decode(raw []byte) (route.Document, error)
 }
