--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -31,18 +31,18 @@
 
 // Daemon is a running daemon.
 type Daemon struct {
-	opts     Options
-	tunables atomic.Pointer[Tunables]
-	origin   time.Time
-	metrics  *metrics
-	config   *configuration
-	peers    *peers
-	guard    *guard
-	entry    *entry
-	asks     *asks
-	servers  []*server
-	callers  *server
-	fetching atomic.Bool
+	opts      Options
+	tunables  atomic.Pointer[Tunables]
+	origin    time.Time
+	metrics   *metrics
+	config    *configuration
+	peers     *peers
+	guard     *guard
+	entry     *entry
+	datagrams *datagrams
+	servers   []*server
+	callers   *server
+	fetching  atomic.Bool
 	// ready is set once the daemon has a configuration and knows the others.
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -132,11 +132,11 @@
 		d.servers = append(d.servers, b.server)
 	}
 	var err error
-	if d.asks, err = newAsks(d); err != nil {
+	if d.datagrams, err = newDatagrams(d); err != nil {
 		return err
 	}
-	d.peers.tellByDatagram = d.asks.tell
-	d.config.onChange = append(d.config.onChange, func(*route.Table) { d.asks.spread() })
+	d.peers.tellByDatagram = d.datagrams.tell
+	d.config.onChange = append(d.config.onChange, func(*route.Table) { d.datagrams.spread() })
 	return nil
 }
 
@@ -144,8 +144,8 @@
 	for _, s := range d.servers {
 		s.close()
 	}
-	if d.asks != nil {
-		d.asks.close()
+	if d.datagrams != nil {
+		d.datagrams.close()
 	}
 }
 
@@ -223,7 +223,7 @@
 	for _, s := range d.servers {
 		tree.Add(s)
 	}
-	tree.Add(d.asks)
+	tree.Add(d.datagrams)
 	tree.Add(&follower{d: d, lost: make(chan bool, 1)})
 	tree.Add(&joiner{d: d})
 	d.opts.Decisions.Write(decision.Started, "", slog.String("address", d.opts.Addresses.Peers),
--- a/sidecar/asks.go
+++ b/sidecar/datagrams.go
@@ -18,7 +18,7 @@
 	"github.com/dottereltiller/dottereltiller/core/placement"
 )
 
-// asks exchanges datagrams with other daemons. One asks a guard how loaded its
+// datagrams speaks to other daemons by datagram. One asks a guard how loaded its
 // upstream is, another tells a daemon a record; each is answered by one. A lost
 // datagram costs only the wait for its answer.
 //
@@ -28,7 +28,7 @@
 // the load as a request of that rank would find it, kindRecord by the record in
 // JSON, kindNoted by nothing, kindNews by the address where a new version can be
 // had.
-type asks struct {
+type datagrams struct {
 	d    *Daemon
 	conn *net.UDPConn
 
@@ -72,7 +72,7 @@
 	askRefresh = 3 * time.Millisecond
 )
 
-func newAsks(d *Daemon) (*asks, error) {
+func newDatagrams(d *Daemon) (*datagrams, error) {
 	address, err := net.ResolveUDPAddr("udp4", d.opts.Addresses.PeerBind)
 	if err != nil {
 		return nil, err
@@ -81,14 +81,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &asks{d: d, conn: conn, waiting: make(map[uint32]question)}, nil
+	return &datagrams{d: d, conn: conn, waiting: make(map[uint32]question)}, nil
 }
 
 // String names the part.
-func (a *asks) String() string { return "asks" }
+func (a *datagrams) String() string { return "datagrams" }
 
 // Serve reads datagrams until the context ends.
-func (a *asks) Serve(ctx context.Context) error {
+func (a *datagrams) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, a.close)
 	defer stop()
 	buf := make([]byte, maxDatagram)
@@ -104,9 +104,9 @@
 	}
 }
 
-func (a *asks) close() { _ = a.conn.Close() }
+func (a *datagrams) close() { _ = a.conn.Close() }
 
-func (a *asks) receive(b []byte, from netip.AddrPort) {
+func (a *datagrams) receive(b []byte, from netip.AddrPort) {
 	if len(b) < headBytes {
 		return
 	}
@@ -130,7 +130,7 @@
 const newsTo = 4
 
 // spread tells some daemons of the configuration in force.
-func (a *asks) spread() {
+func (a *datagrams) spread() {
 	peers := a.d.peers.reachable()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, address := range peers[:min(newsTo, len(peers))] {
@@ -141,7 +141,7 @@
 }
 
 // head returns the beginning of a datagram.
-func (a *asks) head(kind byte, id uint32) []byte {
+func (a *datagrams) head(kind byte, id uint32) []byte {
 	b := binary.BigEndian.AppendUint32(append(make([]byte, 0, loadBytes), kind), id)
 	return binary.BigEndian.AppendUint64(b, uint64(a.d.config.version()))
 }
@@ -149,7 +149,7 @@
 // note takes in the record of another daemon. One that is older than what is
 // known gets no answer, so that its daemon, whose clock was set back, finds out
 // over a connection.
-func (a *asks) note(id uint32, b []byte, from netip.AddrPort) {
+func (a *datagrams) note(id uint32, b []byte, from netip.AddrPort) {
 	var r Record
 	if json.Unmarshal(b, &r) != nil || r.Address == "" {
 		return
@@ -163,7 +163,7 @@
 
 // answer tells the load of the own upstream. One that takes no requests says
 // nothing, as if it were not there.
-func (a *asks) answer(id uint32, rank int, to netip.AddrPort) {
+func (a *datagrams) answer(id uint32, rank int, to netip.AddrPort) {
 	load, ok := a.d.guard.loadFor(rank)
 	if !ok {
 		return
@@ -210,7 +210,7 @@
 }
 
 // hear hands an answer to who waits for it.
-func (a *asks) hear(id uint32, l placement.Load, v model.Version) {
+func (a *datagrams) hear(id uint32, l placement.Load, v model.Version) {
 	a.mu.Lock()
 	q, ok := a.waiting[id]
 	delete(a.waiting, id)
@@ -227,7 +227,7 @@
 
 // ask asks the guards of the upstreams, and returns the loads by key once all
 // have answered or the wait is over.
-func (a *asks) ask(ups []placement.Upstream, rank int, wait time.Duration) map[string]placement.Load {
+func (a *datagrams) ask(ups []placement.Upstream, rank int, wait time.Duration) map[string]placement.Load {
 	loads := make(map[string]placement.Load, len(ups))
 	answers := make(chan heard, len(ups))
 	var ids []uint32
@@ -244,7 +244,7 @@
 	return loads
 }
 
-func (a *asks) send(up placement.Upstream, rank int, answers chan<- heard, ids *[]uint32) {
+func (a *datagrams) send(up placement.Upstream, rank int, answers chan<- heard, ids *[]uint32) {
 	to, err := netip.ParseAddrPort(string(up.Daemon))
 	if err != nil {
 		return
@@ -256,7 +256,7 @@
 }
 
 // expect notes a question and returns its id.
-func (a *asks) expect(q question) uint32 {
+func (a *datagrams) expect(q question) uint32 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.nextID++
@@ -273,7 +273,7 @@
 )
 
 // tell sends a record to a daemon and reports whether that has noted it.
-func (a *asks) tell(address string, r Record) bool {
+func (a *datagrams) tell(address string, r Record) bool {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return false
@@ -298,7 +298,7 @@
 	return false
 }
 
-func (a *asks) collect(answers <-chan heard, ids []uint32, loads map[string]placement.Load, wait time.Duration) {
+func (a *datagrams) collect(answers <-chan heard, ids []uint32, loads map[string]placement.Load, wait time.Duration) {
 	if len(ids) == 0 {
 		return
 	}
@@ -316,7 +316,7 @@
 }
 
 // forget ends the wait for answers that did not come.
-func (a *asks) forget(ids []uint32) {
+func (a *datagrams) forget(ids []uint32) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, id := range ids {
--- a/sidecar/peers_test.go
+++ b/sidecar/peers_test.go
@@ -119,11 +119,11 @@
 	a, b := join(t, s, "a", "a1"), join(t, s, "a", "a2")
 	a.knows(t, "a", 2)
 	b.knows(t, "a", 2)
-	require.True(t, a.asks.tell(b.opts.Addresses.Peers, a.peers.self()))
+	require.True(t, a.datagrams.tell(b.opts.Addresses.Peers, a.peers.self()))
 	old := a.peers.self()
 	old.Incarnation--
-	require.False(t, a.asks.tell(b.opts.Addresses.Peers, old), "an older record gets no answer")
-	require.False(t, a.asks.tell(freePort(t), a.peers.self()), "nobody is there")
+	require.False(t, a.datagrams.tell(b.opts.Addresses.Peers, old), "an older record gets no answer")
+	require.False(t, a.datagrams.tell(freePort(t), a.peers.self()), "nobody is there")
 }
 
 // TestNewVersionsSpread has one of several daemons hear of a version, and nobody
