--- a/soak/plan.go
+++ b/soak/plan.go
@@ -81,29 +81,22 @@
 	faultEvery = 500 * time.Millisecond
 	minFault   = 300 * time.Millisecond
 	maxFault   = 4 * time.Second
+	// plannedPart of a plan has planned work only: what must not be lost then is
+	// not judged beside anything unplanned.
+	plannedPart = 3
 )
 
 // Draw returns the plan of a seed.
 func Draw(seed uint64, vms int, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	p := Plan{Seed: seed, VMs: vms, Length: length}
-	total := 0
-	for _, w := range weights {
-		total += w.n
-	}
 	at := calmStart
 	for {
 		at += time.Duration(rng.ExpFloat64() * float64(faultEvery)).Round(time.Millisecond)
 		if at >= length-calmEnd {
 			return p
 		}
-		kind, n := "", rng.IntN(total)
-		for _, w := range weights {
-			if n -= w.n; n < 0 {
-				kind = w.kind
-				break
-			}
-		}
+		kind := drawKind(rng, at < length/plannedPart)
 		f := Fault{At: at, Kind: kind, Mode: modes[kind][rng.IntN(len(modes[kind]))]}
 		f.For = (minFault + time.Duration(rng.Float64()*float64(maxFault-minFault))).Round(time.Millisecond)
 		f.For = min(f.For, length-calmEnd-at)
@@ -114,6 +107,26 @@
 	}
 }
 
+// drawKind draws a kind of fault.
+func drawKind(rng *rand.Rand, plannedOnly bool) string {
+	for {
+		total := 0
+		for _, w := range weights {
+			total += w.n
+		}
+		n := rng.IntN(total)
+		for _, w := range weights {
+			if n -= w.n; n >= 0 {
+				continue
+			}
+			if plannedOnly && !planned[w.kind] {
+				break
+			}
+			return w.kind
+		}
+	}
+}
+
 // WriteTo writes a plan as text that Read reads.
 func (p *Plan) WriteTo(w io.Writer) (int64, error) {
 	var b strings.Builder
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,7 @@
 		require.Equal(t, p, again)
 		for _, f := range p.Faults {
 			require.LessOrEqual(t, f.At+f.For, p.Length-calmEnd)
+			require.True(t, f.At >= p.Length/plannedPart || planned[f.Kind], "first planned work alone")
 		}
 	}
 }
