Count requests at upstreams down when nobody waits for them any longer

Cause: an entry counts what it has at each upstream; an attempt that lost to another one, timed out or was left by its caller was never counted down, so that an upstream looked fuller with each. The test counted 9 left; none now. A call that must not run twice also ends when its sender gives up between the break of its connection and the question about it.

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -111,6 +111,15 @@
 // Len returns the number of candidates.
 func (p *Placer) Len() int { return len(p.order) }
 
+// Outstanding returns how many requests Choose has counted that Done has not ended.
+func (p *Placer) Outstanding() int {
+	n := 0
+	for _, v := range p.order {
+		n += v.mine
+	}
+	return n
+}
+
 // Mean returns the mean slowness of the service.
 func (p *Placer) Mean() float64 { return p.mean }
 
--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -295,3 +295,32 @@
 	}
 	require.NotEmpty(t, b1.up.requests())
 }
+
+// TestEndedRequestsLeaveNoTrace holds what entries count at upstreams to what is
+// there: a request that timed out, or was answered by a second upstream, is not.
+func TestEndedRequestsLeaveNoTrace(t *testing.T) {
+	doc := documentOf(1, "b")
+	for i := range doc.Routes {
+		doc.Routes[i].Timeout = 300 * time.Millisecond
+	}
+	s := newStore(doc)
+	a := join(t, s, "a", "a1")
+	b1, b2 := join(t, s, "b", "b1"), join(t, s, "b", "b2")
+	a.knows(t, "b", 2)
+	hang := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	b1.up.set(hang)
+	for range 6 {
+		_, _ = a.get(t, "/safe/")
+	}
+	b2.up.set(hang)
+	for range 3 {
+		_, _ = a.get(t, "/safe/")
+		_, _ = a.post(t, "/unsafe/")
+	}
+	svc := a.entry.service("b")
+	eventually(t, "nothing is left", func() bool {
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		return svc.placer.Outstanding() == 0
+	})
+}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -161,9 +161,11 @@
 	return unknown(outcome.ReasonDeadline)
 }
 
+// cancelAll ends the attempts that nobody waits for any longer.
 func (r *race) cancelAll() {
 	for _, t := range r.live {
 		t.cancel()
+		r.release(t)
 	}
 }
 
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -143,6 +143,9 @@
 			// The guard may be out of reach for a moment; the first connection
 			// may still bring the answer.
 			answered = true
+		case <-ctx.Done():
+			// The sender has given up; what became of it nobody waits for.
+			return unknown(outcome.ReasonCancelled)
 		case <-timer.C:
 			ask()
 		case <-silent.C:
