--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -31,9 +31,7 @@
 	Caller     model.ServiceName
 	Upstream   lifecycle.Incarnation
 	Idempotent bool
-	// Repeat tells that an upstream has got the request before.
-	Repeat bool
-	Rank   int
+	Rank       int
 	// Work is how long such requests usually run where nothing slows them.
 	Work time.Duration
 	// Within is the time left to the target latency, zero where there is none;
@@ -60,6 +58,8 @@
 	Load *placement.Load
 	// Ran is how long the upstream took.
 	Ran time.Duration
+	// CallsPerRun is how many calls to other services a run there makes of late.
+	CallsPerRun float64
 	// Arrived tells that the upstream may have got the request, if only to
 	// refuse it.
 	Arrived bool
@@ -80,12 +80,12 @@
 const callHeader = "Dt"
 
 // callFields is the number of fields of an encoded call.
-const callFields = 13
+const callFields = 12
 
 // encode returns the fields that an HTTP request does not hold by itself.
 func (c *Call) encode() string {
-	return fmt.Sprintf("%s %d %s %s %s %d %t %t %d %d %d %d %d",
-		c.ID, c.Send, c.Service, c.Caller, c.Upstream.ID, c.Upstream.Born, c.Idempotent, c.Repeat, c.Rank,
+	return fmt.Sprintf("%s %d %s %s %s %d %t %d %d %d %d %d",
+		c.ID, c.Send, c.Service, c.Caller, c.Upstream.ID, c.Upstream.Born, c.Idempotent, c.Rank,
 		c.Work.Microseconds(), c.Within.Milliseconds(), c.Deadline.Milliseconds(), c.Alternative.Milliseconds())
 }
 
@@ -104,13 +104,12 @@
 	if len(f) != callFields {
 		return nil, &FieldError{What: "call", Value: s}
 	}
-	n, err := numbers(f[1], f[5], f[8], f[9], f[10], f[11], f[12])
+	n, err := numbers(f[1], f[5], f[7], f[8], f[9], f[10], f[11])
 	if err != nil {
 		return nil, err
 	}
 	idempotent, err := strconv.ParseBool(f[6])
-	repeat, repeatErr := strconv.ParseBool(f[7])
-	if err != nil || repeatErr != nil || f[0] == "" || f[2] == "" || f[4] == "" {
+	if err != nil || f[0] == "" || f[2] == "" || f[4] == "" {
 		return nil, &FieldError{What: "call", Value: s}
 	}
 	return &Call{
@@ -120,7 +119,6 @@
 		Caller:      model.ServiceName(f[3]),
 		Upstream:    lifecycle.Incarnation{ID: model.UpstreamID(f[4]), Born: n[1]},
 		Idempotent:  idempotent,
-		Repeat:      repeat,
 		Rank:        int(n[2]),
 		Work:        time.Duration(n[3]) * time.Microsecond,
 		Within:      time.Duration(n[4]) * time.Millisecond,
@@ -130,7 +128,7 @@
 }
 
 // answerFields is the number of fields of an encoded answer.
-const answerFields = 10
+const answerFields = 11
 
 // encode returns the fields of an answer that a response does not hold by
 // itself.
@@ -143,9 +141,9 @@
 	if reason == "" {
 		reason = "-"
 	}
-	return fmt.Sprintf("%s %s %t %d %d %d %d %d %d %d/%d",
+	return fmt.Sprintf("%s %s %t %d %d %d %d %d %d %d %d/%d",
 		a.Outcome.Kind, reason, a.Arrived, l.Running, l.Waiting, l.Limit,
-		int(l.Slow*hundred), l.SlowAge.Milliseconds(), int(l.Failing*hundred), a.Ran.Microseconds(), a.Version)
+		int(l.Slow*hundred), l.SlowAge.Milliseconds(), int(l.Failing*hundred), int(a.CallsPerRun*hundred), a.Ran.Microseconds(), a.Version)
 }
 
 // hundred turns shares and ratios into whole hundredths.
@@ -159,19 +157,20 @@
 	}
 	kind, ok := outcome.ParseKind(f[0])
 	arrived, err := strconv.ParseBool(f[2])
-	ran, version, cut := strings.Cut(f[9], "/")
+	ran, version, cut := strings.Cut(f[10], "/")
 	if !ok || err != nil || !cut {
 		return nil, &FieldError{What: "answer", Value: s}
 	}
-	n, err := numbers(f[3], f[4], f[5], f[6], f[7], f[8], ran, version)
+	n, err := numbers(f[3], f[4], f[5], f[6], f[7], f[8], ran, version, f[9])
 	if err != nil {
 		return nil, err
 	}
 	a := &Answer{
-		Outcome: outcome.Outcome{Kind: kind},
-		Arrived: arrived,
-		Ran:     time.Duration(n[6]) * time.Microsecond,
-		Version: model.Version(n[7]),
+		Outcome:     outcome.Outcome{Kind: kind},
+		Arrived:     arrived,
+		Ran:         time.Duration(n[6]) * time.Microsecond,
+		Version:     model.Version(n[7]),
+		CallsPerRun: float64(n[8]) / hundred,
 	}
 	if f[1] != "-" {
 		a.Outcome.Reason = outcome.Reason(f[1])
--- /dev/null
+++ b/sidecar/calls.go
@@ -0,0 +1,32 @@
+package sidecar
+
+// called notes a request that began on this VM and goes to another service: a call
+// of the own upstream, or of a caller beside it, which counts as one.
+func (g *guard) called() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.calls++
+}
+
+const (
+	// recentRuns is how many runs the count of calls covers, halved when it is
+	// full; before fewRuns of them usualCalls are assumed of each.
+	recentRuns = 128
+	fewRuns    = 8
+	usualCalls = 1
+)
+
+// countRun notes a run. g.mu is held.
+func (g *guard) countRun() {
+	if g.runs++; g.runs >= recentRuns {
+		g.runs, g.calls = g.runs/2, g.calls/2
+	}
+}
+
+// callsPerRun returns how many calls a run of the own upstream makes. g.mu is held.
+func (g *guard) callsPerRun() float64 {
+	if g.runs < fewRuns {
+		return usualCalls
+	}
+	return g.calls / g.runs
+}
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -90,7 +90,7 @@
 	if end == 0 || r.late {
 		end = r.req.deadline
 	}
-	if now.Add(t.choice.Expected) > end || !r.s.resends.take(now, r.e.d.peers.size()) {
+	if now.Add(t.choice.Expected) > end || !r.e.takeResend(r.s, now) {
 		r.release(t)
 		return
 	}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -224,6 +224,8 @@
 	generation uint64
 	filled     bool
 	resends    *resends
+	// callsPerRun is how many calls to other services a run of this one makes.
+	callsPerRun float64
 }
 
 // service returns the state of a service.
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -93,9 +93,7 @@
 	s := e.service(req.service)
 	s.resends.request(req.began)
 	if req.service != e.d.service() {
-		// Some of the requests that begin here are calls of the own upstream, and
-		// those of a run that is a repeat count as repeats themselves.
-		s.resends.charge(req.began, e.d.guard.repeatShare())
+		e.d.guard.called()
 	}
 	most := req.route.MaxAttempts + maxMisses + maxGivenBack + 1
 	r := &race{
@@ -212,6 +210,9 @@
 	now := r.e.d.now()
 	r.s.mu.Lock()
 	r.s.placer.Done(now, t.choice.Upstream.Key, a.Load)
+	if a.Load != nil {
+		r.s.callsPerRun = a.CallsPerRun
+	}
 	if a.Load == nil && a.Outcome.Kind != outcome.Answered {
 		r.s.placer.Unreachable(now, t.choice.Upstream.Key)
 	}
@@ -224,7 +225,7 @@
 		r.arrived++
 		r.req.sends = r.arrived
 	case t.charged:
-		r.s.resends.refund(now)
+		r.e.refundResend(r.s, now)
 	}
 	if !a.Arrived {
 		r.misses++
@@ -258,7 +259,7 @@
 	now := r.e.d.now()
 	charged := false
 	if r.arrived > 0 {
-		if charged = r.s.resends.take(now, r.e.d.peers.size()); !charged {
+		if charged = r.e.takeResend(r.s, now); !charged {
 			r.e.d.metrics.denied.Inc(1)
 			return r.final()
 		}
@@ -271,7 +272,7 @@
 	}
 	if !ok {
 		if charged {
-			r.s.resends.refund(now)
+			r.e.refundResend(r.s, now)
 		}
 		return r.final()
 	}
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -61,8 +61,10 @@
 	told    bool
 	failing float64
 	probing chan struct{}
-	// repeats is the recent share of runs that were repeats.
-	repeats float64
+	// runs and calls count, of late, what the own upstream was sent and what it may
+	// have called at other services.
+	runs  float64
+	calls float64
 	// closed tells that the daemon stops and sends nothing new.
 	closed   bool
 	attempts *attempts
@@ -152,13 +154,6 @@
 	g.mu.Unlock()
 }
 
-// repeatShare returns the recent share of runs that were repeats.
-func (g *guard) repeatShare() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.repeats
-}
-
 // setService changes the service that the upstream belongs to.
 func (g *guard) setService(s model.ServiceName) {
 	g.mu.Lock()
@@ -215,6 +210,7 @@
 	defer g.mu.Unlock()
 	l := g.load()
 	out.Load = &l
+	out.CallsPerRun = g.callsPerRun()
 	return &out
 }
 
--- a/sidecar/resends.go
+++ b/sidecar/resends.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// resendMargin is the part of the budget that is used. The rest covers what the
-	// estimate of repeats by nested calls leaves out, and daemons that died with
-	// their counts.
+	// resendMargin is the part of the budget that is used. The rest covers that runs
+	// which are repeated make more calls than others, as mostly those fail that
+	// make calls, and daemons that died with their counts.
 	resendMargin = 0.75
 )
 
@@ -46,16 +46,54 @@
 	r.window.Request(now)
 }
 
-// take counts one more send if the budget, shared by so many daemons, holds it.
-func (r *resends) take(now model.Instant, daemons int) bool {
+// take counts n more sends if the budget, shared by so many daemons, holds them.
+func (r *resends) take(now model.Instant, n float64, daemons int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.window.SetSlack(r.slack / float64(max(daemons, 1)))
-	return r.window.Take(now, 1)
+	return r.window.Take(now, n)
 }
 
-// refund takes back a send that never reached an upstream.
-func (r *resends) refund(now model.Instant) { r.charge(now, -1) }
+// takeResend counts one more send of a request to a service, and with it the calls
+// that its run will make once more, if all budgets hold them.
+func (e *entry) takeResend(s *service, now model.Instant) bool {
+	daemons := e.d.peers.size()
+	if !s.resends.take(now, 1, daemons) {
+		return false
+	}
+	others := e.others(s)
+	for i, o := range others {
+		if !o.resends.take(now, s.callsPerRun, daemons) {
+			for _, taken := range others[:i] {
+				taken.resends.charge(now, -s.callsPerRun)
+			}
+			s.resends.charge(now, -1)
+			return false
+		}
+	}
+	return true
+}
+
+// refundResend takes back a send that never reached an upstream.
+func (e *entry) refundResend(s *service, now model.Instant) {
+	s.resends.charge(now, -1)
+	for _, o := range e.others(s) {
+		o.resends.charge(now, -s.callsPerRun)
+	}
+}
+
+// others returns the other services that requests have been sent to.
+func (e *entry) others(s *service) []*service {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]*service, 0, len(e.services))
+	for _, o := range e.services {
+		if o != s {
+			out = append(out, o)
+		}
+	}
+	return out
+}
 
 // charge counts n more sends that nobody asked the budget for.
 func (r *resends) charge(now model.Instant, n float64) {
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -21,8 +21,6 @@
 	// that must not run twice: an upstream that forgets connections resets the
 	// request, and then nobody knows whether it ran.
 	keptIdle = time.Second
-	// repeatWeight makes the share of repeats cover about 32 runs.
-	repeatWeight = 1.0 / 32
 	// minDeadline is the least time that an upstream is given.
 	minDeadline = 2 * time.Millisecond
 )
@@ -57,11 +55,7 @@
 		x.MaxIdle = keptIdle
 	}
 	g.mu.Lock()
-	repeat := 0.0
-	if c.Repeat {
-		repeat = 1
-	}
-	g.repeats += (repeat - g.repeats) * repeatWeight
+	g.countRun()
 	pool, running := g.pool, g.queue.Running()
 	g.mu.Unlock()
 	began := g.now()
