Read on from the last offset after an outage

Ruled out: a refused document (no line says so) and peers (no daemon had it).

A daemon now reads on from its last offset; the first read after an outage does not wait, so the store's return is told at once. The newest records are read at a start and where the history is gone, and what is kept of the history after them if the newest configuration cannot be read.

The doubling pause of recordlog moves to core/retry as Pause and replaces the three loops of sidecar and platform.

--- a/configuration/follow.go
+++ b/configuration/follow.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// maxReaderBackoff bounds the wait of a reader while the log is down.
-const maxReaderBackoff = 2 * time.Second
+// maxReaderPause bounds the wait of a reader while the log is down.
+const maxReaderPause = 2 * time.Second
 
 // wait returns the time to the next read, spread by up to a quarter.
 func (s *Store) wait() time.Duration {
@@ -50,13 +50,13 @@
 	s.mu.Unlock()
 	reads := s.opts.Reads()
 	if failing {
-		s.backoff.Min, s.backoff.Max = s.opts.Interval, s.opts.IdleInterval
+		s.pause.Min, s.pause.Max = s.opts.Interval, s.opts.IdleInterval
 		if reads {
-			s.backoff.Max = maxReaderBackoff
+			s.pause.Max = maxReaderPause
 		}
-		return s.backoff.Next(s.rng)
+		return s.pause.Next(s.rng)
 	}
-	s.backoff.Reset()
+	s.pause.Reset()
 	d := s.opts.Interval
 	if sure && !reads {
 		d = s.opts.IdleInterval
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -12,6 +12,7 @@
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/policy"
+	"github.com/dottereltiller/dottereltiller/core/retry"
 	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
@@ -60,7 +61,7 @@
 	opts    Options
 	metrics metrics
 	rng     *rand.Rand
-	backoff recordlog.Backoff
+	pause   retry.Pause
 
 	current atomic.Pointer[InForce]
 
@@ -68,7 +69,7 @@
 	publishing sync.Mutex
 	listeners  []func(*InForce)
 
-	// mu guards what follows. rng and backoff are used by Serve alone.
+	// mu guards what follows. rng and pause are used by Serve alone.
 	mu     sync.Mutex
 	folder *config.Folder
 	status Status
--- /dev/null
+++ b/core/retry/pause.go
@@ -0,0 +1,61 @@
+package retry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Pause gives the times to wait between tries of one call that keeps failing. The
+// zero value is ready and starts at DefaultPauseMin. It is not safe for concurrent
+// use.
+type Pause struct {
+	// Min and Max bound the wait. Defaults: 100ms and 3s.
+	Min, Max time.Duration
+	failures int
+}
+
+// The default bounds of a Pause.
+const (
+	DefaultPauseMin = 100 * time.Millisecond
+	DefaultPauseMax = 3 * time.Second
+)
+
+// maxDoublings keeps the shift below from overflowing.
+const maxDoublings = 16
+
+// Next counts a failure and returns how long to wait: a random time up to a
+// bound that doubles, at least half of it. Without an rng the process's own is
+// used.
+func (p *Pause) Next(rng *rand.Rand) time.Duration {
+	low, high := p.Min, p.Max
+	if low <= 0 {
+		low = DefaultPauseMin
+	}
+	if high <= 0 {
+		high = DefaultPauseMax
+	}
+	bound := min(low<<min(p.failures, maxDoublings), high)
+	p.failures++
+	random := rand.Int64N
+	if rng != nil {
+		random = rng.Int64N
+	}
+	return bound/2 + time.Duration(random(int64(bound/2)+1))
+}
+
+// Wait counts a failure and waits after it. It returns early with the context's
+// error when the context ends.
+func (p *Pause) Wait(ctx context.Context) error {
+	timer := time.NewTimer(p.Next(nil))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Reset forgets the failures, after a success.
+func (p *Pause) Reset() { p.failures = 0 }
--- a/membership/follow.go
+++ b/membership/follow.go
@@ -13,8 +13,8 @@
 const (
 	readLimit  = 1024
 	logTimeout = 5 * time.Second
-	// maxReaderBackoff bounds the wait of a reader while the log is down.
-	maxReaderBackoff = 4 * time.Second
+	// maxReaderPause bounds the wait of a reader while the log is down.
+	maxReaderPause = 4 * time.Second
 	// batchEvents bounds the events of one record.
 	batchEvents = 500
 	// zoneAge is how old an event is before its zone's writer appends it, so
@@ -67,13 +67,13 @@
 	defer r.mu.Unlock()
 	if err != nil {
 		r.metrics.logFailed.Inc(1)
-		r.backoff.Max = r.opts.IdleInterval
+		r.pause.Max = r.opts.IdleInterval
 		if reads {
-			r.backoff.Max = maxReaderBackoff
+			r.pause.Max = maxReaderPause
 		}
-		return r.backoff.Next(r.rng)
+		return r.pause.Next(r.rng)
 	}
-	r.backoff.Reset()
+	r.pause.Reset()
 	d := r.opts.Interval
 	if !reads {
 		d = r.opts.IdleInterval
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -13,6 +13,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/member"
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/retry"
 	"github.com/dottereltiller/dottereltiller/peer"
 	"github.com/dottereltiller/dottereltiller/recordlog"
 )
@@ -87,9 +88,9 @@
 	peers     peerLists
 	subsets   map[model.ServiceName]subset
 
-	// next, backoff, checkpointDue and problem are used by the log loop alone.
+	// next, pause, checkpointDue and problem are used by the log loop alone.
 	next          recordlog.Offset
-	backoff       recordlog.Backoff
+	pause         retry.Pause
 	checkpointDue time.Time
 	problem       bool
 }
@@ -119,7 +120,7 @@
 		directory: member.New(o.Directory),
 		leases:    make(map[model.UpstreamID]lease),
 		subsets:   make(map[model.ServiceName]subset),
-		backoff:   recordlog.Backoff{Min: o.Interval},
+		pause:     retry.Pause{Min: o.Interval},
 	}
 	r.checks.init()
 	r.tick()
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -52,11 +52,12 @@
 	return 0
 }
 
-// take brings a document into force if it is newer than what is.
-func (c *configuration) take(raw []byte, from string) {
+// take brings a document into force if it is newer than what is. It reports whether
+// the document is a configuration.
+func (c *configuration) take(raw []byte, from string) bool {
 	doc, err := c.source.Decode(raw)
 	if err == nil && doc.Version <= c.version() {
-		return
+		return true
 	}
 	var table *route.Table
 	if err == nil {
@@ -65,13 +66,13 @@
 	if err != nil {
 		c.decisions.Write(decision.ConfigRefused, "", slog.Uint64("version", uint64(doc.Version)),
 			slog.Uint64("in_force", uint64(c.version())), slog.String("from", from), slog.String("error", err.Error()))
-		return
+		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	previous := c.version()
 	if doc.Version <= previous {
-		return
+		return true
 	}
 	c.current.Store(&inForce{table: table, raw: raw})
 	c.decisions.Write(decision.ConfigInForce, "", slog.Uint64("version", uint64(doc.Version)),
@@ -79,6 +80,7 @@
 	for _, f := range c.onChange {
 		f(table)
 	}
+	return true
 }
 
 const (
@@ -109,7 +111,7 @@
 }
 
 // Take implements Follower.
-func (f *follower) Take(raw []byte, from string) { f.d.config.take(raw, from) }
+func (f *follower) Take(raw []byte, from string) bool { return f.d.config.take(raw, from) }
 
 // lookouts is how many daemons read from the store at short intervals. The others
 // hear of a new version from them even where all of their own reads hang.
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/retry"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/telemetry"
@@ -296,19 +297,16 @@
 
 // announce joins, again and again until the store has taken it.
 func (j *joiner) announce(ctx context.Context) {
-	backoff := firstBackoff
+	pause := retry.Pause{Min: minPause, Max: maxPause}
 	for {
 		err := j.join(ctx)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
 		j.d.opts.Decisions.Write(decision.AnnounceFailed, "", slog.String("error", err.Error()))
-		select {
-		case <-time.After(backoff):
-		case <-ctx.Done():
+		if pause.Wait(ctx) != nil {
 			return
 		}
-		backoff = min(2*backoff, lastBackoff)
 	}
 }
 
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -134,8 +134,8 @@
 
 // Follower follows the configuration.
 type Follower interface {
-	// Take takes in a document.
-	Take(raw []byte, from string)
+	// Take takes in a document and reports whether it is a configuration.
+	Take(raw []byte, from string) bool
 	// Reachable takes in whether the store can be reached.
 	Reachable(ok bool)
 	// Lookout reports whether this daemon looks after the store for others too. A
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -69,10 +69,10 @@
 const (
 	// syncTimeout bounds one exchange of records.
 	syncTimeout = 1500 * time.Millisecond
-	// firstBackoff and lastBackoff bound the pause after a failed exchange. A
+	// minPause and maxPause bound the pause after a failed exchange. A
 	// daemon that restarts is back within one or two seconds.
-	firstBackoff = 100 * time.Millisecond
-	lastBackoff  = 2 * time.Second
+	minPause = 100 * time.Millisecond
+	maxPause = 2 * time.Second
 	// forgetAfter is how long a daemon is looked for. One that comes back later
 	// announces itself.
 	forgetAfter = time.Minute
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -1,15 +1,14 @@
 package sidecar
 
 import (
-	"time"
-
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/retry"
 )
 
 // sync sends the own record to a peer until the peer has it.
 func (p *peers) sync(q *peer) {
 	defer p.wg.Done()
-	backoff := firstBackoff
+	pause := retry.Pause{Min: minPause, Max: maxPause}
 	for {
 		p.mu.Lock()
 		if !q.due || p.ctx.Err() != nil || p.all[q.record.Address] != q {
@@ -23,24 +22,21 @@
 		p.mu.Unlock()
 		if !message.Full && p.tellByDatagram(address, message.From) {
 			p.noted(q)
-			backoff = firstBackoff
+			pause.Reset()
 			continue
 		}
 		message.Version = p.version()
 		reply, err := sendSync(p.ctx, pool, message)
 		if err == nil {
 			p.synced(q, address, reply)
-			backoff = firstBackoff
+			pause.Reset()
 			continue
 		}
 		if !p.unsynced(q, err) {
 			return
 		}
-		select {
-		case <-time.After(backoff):
-		case <-p.ctx.Done():
-		}
-		backoff = min(2*backoff, lastBackoff)
+		// The loop looks at the context itself.
+		_ = pause.Wait(p.ctx)
 	}
 }
 
