--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -26,9 +26,14 @@
 	source    Source
 	decisions *decision.Log
 	current   atomic.Pointer[inForce]
-	// mu orders changes.
+	// mu orders changes. changed is closed and replaced at each, and guarded by it.
 	mu       sync.Mutex
 	onChange []func(*route.Table)
+	changed  chan struct{}
+}
+
+func newConfiguration(source Source, decisions *decision.Log) *configuration {
+	return &configuration{source: source, decisions: decisions, changed: make(chan struct{})}
 }
 
 func (c *configuration) table() *route.Table {
@@ -80,9 +85,41 @@
 	for _, f := range c.onChange {
 		f(table)
 	}
+	c.wake()
 	return true
 }
 
+// wake has those who wait look again. c.mu is held.
+func (c *configuration) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// lookAgain has those who wait look again after something else has changed.
+func (c *configuration) lookAgain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wake()
+}
+
+// await waits until a configuration is in force for which a condition holds. It
+// reports false when the context ends first.
+func (c *configuration) await(ctx context.Context, holds func(*route.Table) bool) bool {
+	for {
+		c.mu.Lock()
+		changed := c.changed
+		c.mu.Unlock()
+		if t := c.table(); t != nil && holds(t) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 const (
 	// askPeersEvery is how often another daemon is asked for its configuration
 	// while the store cannot be reached: a change must be in force in two
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -59,7 +59,7 @@
 	}
 	d := &Daemon{opts: o, origin: time.Now(), metrics: newMetrics(o.Scope)}
 	d.tunables.Store(&o.Tunables)
-	d.config = &configuration{source: o.Source, decisions: o.Decisions}
+	d.config = newConfiguration(o.Source, o.Decisions)
 	d.guard = newGuard(&d.opts, d.now, d.metrics)
 	d.guard.version = d.config.version
 	d.guard.health = d.healthPath
@@ -92,6 +92,7 @@
 	d.tunables.Store(&t)
 	d.entry.setResends(t.Resends)
 	d.guard.setService(t.Service)
+	d.config.lookAgain()
 }
 
 func (d *Daemon) healthPath() string {
@@ -199,8 +200,6 @@
 	greetingWait = 500 * time.Millisecond
 	// readyWait bounds the wait for another daemon before this one is ready.
 	readyWait = 1500 * time.Millisecond
-	// readyPoll is how often the start looks for the configuration.
-	readyPoll = 20 * time.Millisecond
 	// serverBackoff is the pause of a part that keeps failing.
 	serverBackoff = time.Second
 	// lingering is how long a stopping daemon goes on taking what comes: callers
@@ -329,8 +328,8 @@
 		return
 	}
 	j.await(ctx, greetingWait)
-	for ctx.Err() == nil && j.d.healthPath() == "" {
-		time.Sleep(readyPoll)
+	if !j.d.config.await(ctx, func(*route.Table) bool { return j.d.healthPath() != "" }) {
+		return
 	}
 	j.d.guard.discover()
 	if cur, _ := j.d.guard.current(); cur.State != lifecycle.Unknown {
@@ -350,10 +349,7 @@
 func (j *joiner) becomeReady(ctx context.Context) {
 	j.await(ctx, readyWait)
 	time.AfterFunc(readyWait, j.d.peers.introduce)
-	for ctx.Err() == nil && j.d.config.version() == 0 {
-		time.Sleep(readyPoll)
-	}
-	if ctx.Err() == nil {
+	if j.d.config.await(ctx, func(*route.Table) bool { return true }) {
 		j.d.ready.Store(true)
 	}
 }
--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -137,12 +137,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newStore(documentOf(1, "b"))
-			a := join(t, s, "a", "a1")
-			b1 := join(t, s, "b", "b1")
-			join(t, s, "b", "b2")
-			a.knows(t, "b", 2)
-			b1.up.set(broken)
+			a := joinWithBroken(t, broken)
 			for range 6 {
 				status, text := a.get(t, "/safe/")
 				require.Equal(t, http.StatusOK, status)
@@ -152,14 +147,22 @@
 	}
 }
 
-// TestNotRunIsSentElsewhere does so also where nothing may run twice.
-func TestNotRunIsSentElsewhere(t *testing.T) {
+// joinWithBroken returns a daemon of service a that knows two upstreams of service b,
+// of which only b2 does what it should.
+func joinWithBroken(t *testing.T, broken http.HandlerFunc) *member {
+	t.Helper()
 	s := newStore(documentOf(1, "b"))
 	a := join(t, s, "a", "a1")
 	b1 := join(t, s, "b", "b1")
 	join(t, s, "b", "b2")
 	a.knows(t, "b", 2)
-	b1.up.set(shed)
+	b1.up.set(broken)
+	return a
+}
+
+// TestNotRunIsSentElsewhere does so also where nothing may run twice.
+func TestNotRunIsSentElsewhere(t *testing.T) {
+	a := joinWithBroken(t, shed)
 	for range 6 {
 		status, text := a.post(t, "/unsafe/")
 		require.Equal(t, http.StatusOK, status)
