Histograms by service and stage, ages as gauges

An on-call engineer could not see from the metrics how old what a daemon believes is, nor which service or stage a delay belongs to. Now: latency by service and route; choose, send, guard_wait and upstream_run by service; load_age, the age of the figures by which requests were sent; gauges for the age of the configuration and how long the store and the longest lost peer have been away. Sets of histograms are bounded at 256, the rest shares one.

The waits between tries move to a package of their own: core does no I/O.

--- a/configuration/store.go
+++ b/configuration/store.go
@@ -12,7 +12,7 @@
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/policy"
-	"github.com/dottereltiller/dottereltiller/core/retry"
+	"github.com/dottereltiller/dottereltiller/pause"
 	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
@@ -61,7 +61,7 @@
 	opts    Options
 	metrics metrics
 	rng     *rand.Rand
-	pause   retry.Pause
+	pause   pause.Doubling
 
 	current atomic.Pointer[InForce]
 
--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -10,6 +10,4 @@
 //
 // Backoff spreads the retries that are left over time, and gives up when too
 // little of the deadline remains.
-//
-// Pause spaces the tries of the system's own calls, which go on until they succeed.
 package retry
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -13,7 +13,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/member"
 	"github.com/dottereltiller/dottereltiller/core/model"
-	"github.com/dottereltiller/dottereltiller/core/retry"
+	"github.com/dottereltiller/dottereltiller/pause"
 	"github.com/dottereltiller/dottereltiller/peer"
 	"github.com/dottereltiller/dottereltiller/recordlog"
 )
@@ -90,7 +90,7 @@
 
 	// next, pause, checkpointDue and problem are used by the log loop alone.
 	next          recordlog.Offset
-	pause         retry.Pause
+	pause         pause.Doubling
 	checkpointDue time.Time
 	problem       bool
 }
@@ -120,7 +120,7 @@
 		directory: member.New(o.Directory),
 		leases:    make(map[model.UpstreamID]lease),
 		subsets:   make(map[model.ServiceName]subset),
-		pause:     retry.Pause{Min: o.Interval},
+		pause:     pause.Doubling{Min: o.Interval},
 	}
 	r.checks.init()
 	r.tick()
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -13,7 +13,7 @@
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/policy"
-	"github.com/dottereltiller/dottereltiller/core/retry"
+	"github.com/dottereltiller/dottereltiller/pause"
 	"github.com/dottereltiller/dottereltiller/recordlog"
 )
 
@@ -129,7 +129,7 @@
 		return Entry{}, &InvalidError{Problem: err}
 	}
 	rng := rand.New(rand.NewPCG(uint64(c.UnixMilli), uint64(len(record))))
-	var pause retry.Pause
+	var waits pause.Doubling
 	sent := false
 	for {
 		_, failure := v.log.Append(ctx, recordlog.StreamConfig, [][]byte{record})
@@ -145,7 +145,7 @@
 				return Entry{}, failure
 			}
 			return Entry{}, &UnknownError{ChangeID: c.ID, Err: failure}
-		case <-time.After(pause.Next(rng)):
+		case <-time.After(waits.Next(rng)):
 		}
 	}
 }
--- a/core/retry/pause.go
+++ b/pause/pause.go
@@ -1,4 +1,8 @@
-package retry
+// Package pause spaces the tries of the system's own calls, such as those to the
+// metadata store, which go on until one succeeds. A Doubling waits longer after each
+// failure, up to a bound, and a random part of that, so that daemons that failed
+// together do not come back together.
+package pause
 
 import (
 	"context"
@@ -6,19 +10,19 @@
 	"time"
 )
 
-// Pause gives the times to wait between tries of one call that keeps failing. The
-// zero value is ready and starts at DefaultPauseMin. It is not safe for concurrent
+// Doubling gives the times to wait between tries of one call that keeps failing. The
+// zero value is ready and starts at DefaultMin. It is not safe for concurrent
 // use.
-type Pause struct {
+type Doubling struct {
 	// Min and Max bound the wait. Defaults: 100ms and 3s.
 	Min, Max time.Duration
 	failures int
 }
 
-// The default bounds of a Pause.
+// The default bounds of a Doubling.
 const (
-	DefaultPauseMin = 100 * time.Millisecond
-	DefaultPauseMax = 3 * time.Second
+	DefaultMin = 100 * time.Millisecond
+	DefaultMax = 3 * time.Second
 )
 
 // maxDoublings keeps the shift below from overflowing.
@@ -27,13 +31,13 @@
 // Next counts a failure and returns how long to wait: a random time up to a
 // bound that doubles, at least half of it. Without an rng the process's own is
 // used.
-func (p *Pause) Next(rng *rand.Rand) time.Duration {
+func (p *Doubling) Next(rng *rand.Rand) time.Duration {
 	low, high := p.Min, p.Max
 	if low <= 0 {
-		low = DefaultPauseMin
+		low = DefaultMin
 	}
 	if high <= 0 {
-		high = DefaultPauseMax
+		high = DefaultMax
 	}
 	bound := min(low<<min(p.failures, maxDoublings), high)
 	p.failures++
@@ -46,7 +50,7 @@
 
 // Wait counts a failure and waits after it. It returns early with the context's
 // error when the context ends.
-func (p *Pause) Wait(ctx context.Context) error {
+func (p *Doubling) Wait(ctx context.Context) error {
 	timer := time.NewTimer(p.Next(nil))
 	defer timer.Stop()
 	select {
@@ -58,4 +62,4 @@
 }
 
 // Reset forgets the failures, after a success.
-func (p *Pause) Reset() { p.failures = 0 }
+func (p *Doubling) Reset() { p.failures = 0 }
--- a/core/retry/pause_test.go
+++ b/pause/pause_test.go
@@ -1,4 +1,4 @@
-package retry
+package pause
 
 import (
 	"context"
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestPauseDoublesUpToItsBound(t *testing.T) {
+func TestDoublesUpToItsBound(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	p := Pause{Min: 100 * time.Millisecond, Max: time.Second}
+	p := Doubling{Min: 100 * time.Millisecond, Max: time.Second}
 	for i := range 100 {
 		bound := min(100*time.Millisecond<<min(i, 10), time.Second)
 		d := p.Next(rng)
@@ -23,9 +23,9 @@
 	require.LessOrEqual(t, p.Next(rng), 100*time.Millisecond)
 }
 
-func TestPauseWaits(t *testing.T) {
+func TestWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := Pause{Min: time.Second, Max: time.Second}
+		p := Doubling{Min: time.Second, Max: time.Second}
 		began := time.Now()
 		require.NoError(t, p.Wait(t.Context()))
 		require.GreaterOrEqual(t, time.Since(began), 500*time.Millisecond)
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -17,6 +17,7 @@
 type inForce struct {
 	table *route.Table
 	raw   []byte
+	since time.Time
 }
 
 // configuration holds the newest configuration seen. Versions only rise: a
@@ -50,6 +51,14 @@
 	return nil
 }
 
+// age returns for how long the configuration has been in force. Zero means none.
+func (c *configuration) age() time.Duration {
+	if f := c.current.Load(); f != nil {
+		return time.Since(f.since)
+	}
+	return 0
+}
+
 func (c *configuration) version() model.Version {
 	if t := c.table(); t != nil {
 		return t.Version()
@@ -79,7 +88,7 @@
 	if doc.Version <= previous {
 		return true
 	}
-	c.current.Store(&inForce{table: table, raw: raw})
+	c.current.Store(&inForce{table: table, raw: raw, since: time.Now()})
 	c.decisions.Write(decision.ConfigInForce, "", slog.Uint64("version", uint64(doc.Version)),
 		slog.Uint64("previous", uint64(previous)), slog.Int("routes", table.Routes()), slog.String("from", from))
 	for _, f := range c.onChange {
@@ -171,7 +180,11 @@
 		return
 	}
 	f.away = !ok
-	f.d.sourceLost.Store(!ok)
+	since := model.Instant(0)
+	if f.away {
+		since = f.d.now()
+	}
+	f.d.sourceLost.Store(int64(since))
 	select {
 	case <-f.lost:
 	default:
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -14,9 +14,9 @@
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
-	"github.com/dottereltiller/dottereltiller/core/retry"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/pause"
 	"github.com/dottereltiller/dottereltiller/telemetry"
 )
 
@@ -47,8 +47,9 @@
 	// ready is set once the daemon has a configuration and knows the others.
 	ready    atomic.Bool
 	stopping atomic.Bool
-	// sourceLost is set while the store of the configuration is away.
-	sourceLost atomic.Bool
+	// sourceLost is the model.Instant since when the store of the configuration is
+	// away. Zero means that it is there.
+	sourceLost atomic.Int64
 	inFlight   atomic.Int64
 }
 
@@ -296,14 +297,14 @@
 
 // announce joins, again and again until the store has taken it.
 func (j *joiner) announce(ctx context.Context) {
-	pause := retry.Pause{Min: minPause, Max: maxPause}
+	waits := pause.Doubling{Min: minPause, Max: maxPause}
 	for {
 		err := j.join(ctx)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
 		j.d.opts.Decisions.Write(decision.AnnounceFailed, "", slog.String("error", err.Error()))
-		if pause.Wait(ctx) != nil {
+		if waits.Wait(ctx) != nil {
 			return
 		}
 	}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -173,7 +173,7 @@
 	if req.route != nil {
 		name = req.route.Name
 	}
-	e.d.metrics.answered(name, a.Outcome, took)
+	e.d.metrics.answered(string(req.service), name, a.Outcome, took)
 	if a.Outcome.Kind == outcome.Answered {
 		copyHeader(w.Header(), a.Header)
 		writeWhole(w, req.http.Method, a)
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
@@ -251,6 +252,7 @@
 	*Daemon
 	up     *upstream
 	source *source
+	scope  tally.TestScope
 	stop   func()
 }
 
@@ -297,8 +299,8 @@
 
 func start(t *testing.T, o Options, s *store) *member {
 	t.Helper()
-	m := &member{source: &source{s: s}}
-	o.Source = m.source
+	m := &member{source: &source{s: s}, scope: tally.NewTestScope("", nil)}
+	o.Source, o.Scope = m.source, m.scope
 	d, err := New(o)
 	require.NoError(t, err)
 	m.Daemon = d
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -1,6 +1,11 @@
 package sidecar
 
-import "github.com/dottereltiller/dottereltiller/core/lifecycle"
+import (
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
 
 // Gauge is a figure read when it is asked for.
 type Gauge struct {
@@ -15,9 +20,12 @@
 		{"ready", "1 while requests are taken", func() float64 { return number(d.ready.Load() && !d.stopping.Load()) }},
 		{"in_flight", "requests of local callers in hand", func() float64 { return float64(d.inFlight.Load()) }},
 		{"config_version", "version of the configuration in force", func() float64 { return float64(d.config.version()) }},
-		{"config_source_lost", "1 while the store of the configuration is away", func() float64 { return number(d.sourceLost.Load()) }},
+		{"config_age_seconds", "how long the configuration has been in force", func() float64 { return d.config.age().Seconds() }},
+		{"config_source_lost", "1 while the store of the configuration is away", func() float64 { return number(d.sourceAway() > 0) }},
+		{"config_source_lost_seconds", "how long the store of the configuration has been away", func() float64 { return d.sourceAway().Seconds() }},
 		{"peers_known", "daemons known, this one included", func() float64 { return float64(d.peers.size()) }},
 		{"peers_lost", "daemons that cannot be reached", func() float64 { return float64(d.peers.size() - 1 - len(d.peers.reachable())) }},
+		{"peers_lost_seconds", "how long the longest lost of them has been out of reach", func() float64 { return d.peers.longestLost().Seconds() }},
 		{"upstream_running", "requests that run in the own upstream", func() float64 { return float64(d.guard.snapshot().Running) }},
 		{"upstream_waiting", "requests that wait for it", func() float64 { return float64(d.guard.snapshot().Waiting) }},
 		{"upstream_limit", "requests that may run there at once", func() float64 { return float64(d.guard.snapshot().Limit) }},
@@ -37,6 +45,14 @@
 	}
 }
 
+// sourceAway returns how long the store of the configuration has been away.
+func (d *Daemon) sourceAway() time.Duration {
+	if since := d.sourceLost.Load(); since != 0 {
+		return d.now().Sub(model.Instant(since))
+	}
+	return 0
+}
+
 func number(b bool) float64 {
 	if b {
 		return 1
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/telemetry"
 )
@@ -21,17 +22,30 @@
 	denied    tally.Counter
 	settled   tally.Counter
 	outcomes  *telemetry.OutcomeCounter
-	// waited and ran are the hops of a request at its guard.
-	waited tally.Timer
-	ran    tally.Timer
 
-	mu sync.Mutex
-	// latencies holds a histogram for each route.
-	latencies map[string]tally.Timer
+	// latencies holds a histogram for each route, stages one for each stage of a
+	// request and each service.
+	latencies timers
+	stages    timers
 }
 
-// maxRoutes bounds the routes with a histogram of their own; the others share one.
-const maxRoutes = 256
+// The stages of a request, which name their histograms.
+const (
+	// stageChoose ends with the first send.
+	stageChoose = "choose"
+	// stageSend lasts from a send until its answer is back.
+	stageSend = "send"
+	// stageGuard is the wait at the guard, stageUpstream the run in the upstream.
+	stageGuard    = "guard_wait"
+	stageUpstream = "upstream_run"
+	// stageLoadAge is no stage: how old the figures of load were that decided where
+	// a request went.
+	stageLoadAge = "load_age"
+)
+
+// maxTimers bounds the histograms of one set; what is beyond shares one for each
+// name.
+const maxTimers = 256
 
 func newMetrics(scope tally.Scope) *metrics {
 	scope = telemetry.OrNoop(scope)
@@ -45,30 +59,68 @@
 		denied:    scope.Counter("resend_budget_empty"),
 		settled:   scope.Counter("settled"),
 		outcomes:  telemetry.NewOutcomeCounter(scope, "requests"),
-		waited:    scope.Timer("guard_wait"),
-		ran:       scope.Timer("upstream_run"),
-		latencies: make(map[string]tally.Timer),
+		latencies: timers{scope: scope},
+		stages:    timers{scope: scope},
 	}
 }
 
 func (m *metrics) upstreamConns() { m.conns.Inc(1) }
 
 // answered records how long a request took.
-func (m *metrics) answered(route string, o outcome.Outcome, took time.Duration) {
+func (m *metrics) answered(service, route string, o outcome.Outcome, took time.Duration) {
 	m.outcomes.Count(o)
-	m.latency(route).Record(took)
+	m.latencies.record("latency", service, route, took)
+}
+
+// stage records how long a stage of a request to a service took.
+func (m *metrics) stage(name string, service model.ServiceName, took time.Duration) {
+	m.stages.record(name, string(service), "", took)
+}
+
+// timers is a bounded set of histograms. The zero value with a scope is ready. It is
+// safe for concurrent use.
+type timers struct {
+	scope tally.Scope
+	mu    sync.Mutex
+	all   map[timerKey]tally.Timer
+}
+
+type timerKey struct{ name, service, route string }
+
+func (s *timers) record(name, service, route string, took time.Duration) {
+	s.timer(timerKey{name, service, route}).Record(took)
 }
 
-func (m *metrics) latency(route string) tally.Timer {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if t := m.latencies[route]; t != nil {
+func (s *timers) timer(k timerKey) tally.Timer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.all[k]; t != nil {
 		return t
 	}
-	if len(m.latencies) >= maxRoutes {
-		route = "other"
+	if len(s.all) >= maxTimers {
+		k = k.other()
+		if t := s.all[k]; t != nil {
+			return t
+		}
+	}
+	tags := map[string]string{"service": k.service}
+	if k.route != "" {
+		tags["route"] = k.route
+	}
+	t := s.scope.Tagged(tags).Timer(k.name)
+	if s.all == nil {
+		s.all = make(map[timerKey]tally.Timer)
 	}
-	t := m.scope.Tagged(map[string]string{"route": route}).Timer("latency")
-	m.latencies[route] = t
+	s.all[k] = t
 	return t
 }
+
+// other is the key of all that have no histogram of their own.
+func (k timerKey) other() timerKey {
+	const other = "other"
+	k.service = other
+	if k.route != "" {
+		k.route = other
+	}
+	return k
+}
--- /dev/null
+++ b/sidecar/metrics_test.go
@@ -0,0 +1,75 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+)
+
+// counts returns how many values each histogram holds, by name and tags.
+func counts(s tally.TestScope) map[string]int {
+	out := map[string]int{}
+	for _, t := range s.Snapshot().Timers() {
+		out[fmt.Sprint(t.Name(), " ", t.Tags()["service"], " ", t.Tags()["route"])] += len(t.Values())
+	}
+	return out
+}
+
+func TestStagesOfARequestAreMeasured(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a, b := join(t, s, "a", "a1"), join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	status, _ := a.get(t, "/safe/")
+	require.Equal(t, http.StatusOK, status)
+	at := counts(a.scope)
+	require.Equal(t, 1, at["latency b safe"], "%v", at)
+	for _, stage := range []string{stageChoose, stageSend, stageLoadAge} {
+		require.Equal(t, 1, at[stage+" b "], "%s: %v", stage, at)
+	}
+	at = counts(b.scope)
+	for _, stage := range []string{stageGuard, stageUpstream} {
+		require.Equal(t, 1, at[stage+" b "], "%s: %v", stage, at)
+	}
+}
+
+func TestHistogramsAreBounded(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	m := newMetrics(scope)
+	for i := range 3 * maxTimers {
+		m.answered("b", fmt.Sprint("route", i), outcome.Done(), time.Millisecond)
+	}
+	at := counts(scope)
+	require.Len(t, at, maxTimers+1)
+	require.Equal(t, 2*maxTimers, at["latency other other"])
+}
+
+func TestAgesAreTold(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a, b := join(t, s, "a", "a1"), join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	read := func(name string) float64 {
+		for _, g := range a.Gauges() {
+			if g.Name == name {
+				return g.Read()
+			}
+		}
+		require.Fail(t, "no gauge "+name)
+		return 0
+	}
+	require.Positive(t, read("config_age_seconds"))
+	require.Zero(t, read("config_source_lost_seconds"))
+	require.Zero(t, read("peers_lost_seconds"))
+	f := &follower{d: a.Daemon, lost: make(chan bool, 1)}
+	f.Reachable(false)
+	require.Positive(t, read("config_source_lost_seconds"))
+	f.Reachable(true)
+	require.Zero(t, read("config_source_lost_seconds"))
+	a.peers.missed(b.opts.Addresses.Peers, errStopped)
+	require.Positive(t, read("peers_lost_seconds"))
+}
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -81,9 +80,6 @@
 	// it knows nobody.
 	lookers   = 3
 	lookAfter = 2500 * time.Millisecond
-	// verifyEvery is the least time between two looks at a daemon that was silent
-	// to a question.
-	verifyEvery = time.Second
 	// fullAsks is how many daemons a starting one asks for all that they know.
 	fullAsks = 2
 	// peerIdle is how long connections between daemons are kept.
@@ -123,9 +119,6 @@
 	greetedOnce sync.Once
 }
 
-// errStopped is why a daemon that has stopped as planned is looked for.
-var errStopped = errors.New("stopped as planned")
-
 func newPeers(own Record, now func() model.Instant, d *decision.Log) *peers {
 	return &peers{
 		now: now, decisions: d, own: own,
@@ -193,13 +186,6 @@
 	}
 }
 
-// regain notes that a peer can be reached again. p.mu is held.
-func (p *peers) regain(q *peer) {
-	q.lost = false
-	p.generation++
-	p.decisions.Write(decision.PeerRegained, "", slog.String("peer", q.record.Address))
-}
-
 // owe has the own record sent to a peer. p.mu is held.
 func (p *peers) owe(q *peer) {
 	q.due = true
@@ -360,36 +346,3 @@
 	}
 	return out
 }
-
-// missed takes in that a call could not be sent to a daemon, and has it looked
-// for.
-func (p *peers) missed(address string, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	q := p.all[address]
-	if q == nil || q.lost {
-		return
-	}
-	p.lose(q, err)
-	p.owe(q)
-}
-
-// verify looks at a daemon that was silent to a question: one datagram may have
-// been lost, or the daemon.
-func (p *peers) verify(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	q := p.all[address]
-	if q == nil || q.lost || q.verified != 0 && p.now().Sub(q.verified) < verifyEvery {
-		return
-	}
-	q.verified = p.now()
-	p.owe(q)
-}
-
-// lose notes that a peer cannot be reached. p.mu is held.
-func (p *peers) lose(q *peer, err error) {
-	q.lost, q.lostAt = true, p.now()
-	p.generation++
-	p.decisions.Write(decision.PeerLost, "", slog.String("peer", q.record.Address), slog.String("error", err.Error()))
-}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -63,8 +63,8 @@
 	ran := g.now().Sub(began)
 	a := g.read(ctx, c, reply, err)
 	a.Ran = ran
-	g.metrics.waited.Record(waited)
-	g.metrics.ran.Record(ran)
+	g.metrics.stage(stageGuard, c.Service, waited)
+	g.metrics.stage(stageUpstream, c.Service, ran)
 	g.judge(ctx, a)
 	g.tellRun(c, a, err, waited, running)
 	return a
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -27,6 +27,10 @@
 	ctx, cancel := context.WithCancel(r.req.ctx)
 	now := r.e.d.now()
 	t.cancel, t.sent, t.send = cancel, now, r.launch
+	if r.launch == 0 {
+		r.e.d.metrics.stage(stageChoose, r.req.service, now.Sub(r.req.began))
+	}
+	r.e.d.metrics.stage(stageLoadAge, r.req.service, t.choice.Age)
 	r.launch++
 	r.live = append(r.live, t)
 	c := &Call{
@@ -45,6 +49,7 @@
 	}
 	go func() {
 		a := r.e.send(ctx, t, c)
+		r.e.d.metrics.stage(stageSend, c.Service, r.e.d.now().Sub(now))
 		t.acknowledge()
 		r.done <- ended{try: t, answer: a}
 	}()
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -2,13 +2,13 @@
 
 import (
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
-	"github.com/dottereltiller/dottereltiller/core/retry"
+	"github.com/dottereltiller/dottereltiller/pause"
 )
 
 // sync sends the own record to a peer until the peer has it.
 func (p *peers) sync(q *peer) {
 	defer p.wg.Done()
-	pause := retry.Pause{Min: minPause, Max: maxPause}
+	waits := pause.Doubling{Min: minPause, Max: maxPause}
 	for {
 		p.mu.Lock()
 		if !q.due || p.ctx.Err() != nil || p.all[q.record.Address] != q {
@@ -22,21 +22,21 @@
 		p.mu.Unlock()
 		if !message.Full && p.tellByDatagram(address, message.From) {
 			p.noted(q)
-			pause.Reset()
+			waits.Reset()
 			continue
 		}
 		message.Version = p.version()
 		reply, err := sendSync(p.ctx, pool, message)
 		if err == nil {
 			p.synced(q, address, reply)
-			pause.Reset()
+			waits.Reset()
 			continue
 		}
 		if !p.unsynced(q, err) {
 			return
 		}
 		// The loop looks at the context itself.
-		_ = pause.Wait(p.ctx)
+		_ = waits.Wait(p.ctx)
 	}
 }
 
