Refuse requests that crash upstreams

Cause: a request that crashes each upstream that runs it was held back by the re-send limits alone, and its caller may send it again at any daemon. The product's own daemons have a quarantine; sidecar daemons did not use it.

A guard whose run loses its connection looks whether its upstream still listens; if not, or if another incarnation follows one that had not left, the runs lost last are suspects of that crash. The table of package quarantine judges them: three crashes, ten minutes, bystanders cleared by any whole answer. Daemons tell four others of every change, those tell four more, and whoever knows a suspect compares with one other daemon a second.

Ruled out: two crashes as in the product's own default (upstreams here also crash by themselves, several at once); a lost connection alone as a crash.

--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -27,6 +27,7 @@
 	Withdrawn      Kind = "request withdrawn"
 	Ran            Kind = "request ran"
 	RunFailed      Kind = "run failed"
+	Suspected      Kind = "request suspected"
 	UpstreamState  Kind = "upstream state"
 	ReportRefused  Kind = "report refused"
 	PeerState      Kind = "peer state"
@@ -77,6 +78,7 @@
 		{Withdrawn, Trouble, "The entry asked a guard over a new connection what became of a request.", []string{"upstream", "result"}},
 		{Ran, Plain, "The guard had the upstream run a request.", []string{"upstream", "status", "ran_ms", "waited_ms", "slow", "running"}},
 		{RunFailed, Trouble, "An upstream was sent a request and gave no whole answer, or a failure.", []string{"upstream", "outcome", "reason", "status", "ran_ms", "error"}},
+		{Suspected, State, "The upstream crashed while it ran a request. One that ran in several crashes is refused.", []string{"upstream", "born", "fingerprint"}},
 		{UpstreamState, State, "The upstream of this VM changed its state.", []string{"upstream", "born", "sequence", "state", "cause"}},
 		{ReportRefused, State, "A report of an upstream could not be used.", []string{"upstream", "error"}},
 		{PeerState, State, "The upstream of another daemon changed its state.", []string{"peer", "upstream", "born", "state", "stopping"}},
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -39,6 +39,7 @@
 	config    *configuration
 	peers     *peers
 	guard     *guard
+	suspects  *suspects
 	entry     *entry
 	datagrams *datagrams
 	servers   []*server
@@ -74,6 +75,8 @@
 	d.peers.version = d.config.version
 	d.peers.behind = d.behind
 	d.peers.restore = d.guard.restore
+	d.suspects = newSuspects(d)
+	d.guard.crashes.crashed = d.suspects.crashed
 	d.entry = newEntry(d)
 	if err := d.listen(); err != nil {
 		d.closeServers()
@@ -227,6 +230,8 @@
 	tree.Add(d.datagrams)
 	tree.Add(&follower{d: d, lost: make(chan bool, 1)})
 	tree.Add(&joiner{d: d})
+	tree.Add(d.suspects)
+	tree.Add(d.suspects.store)
 	d.opts.Decisions.Write(decision.Started, "", slog.String("address", d.opts.Addresses.Peers),
 		slog.String("zone", string(d.opts.Zone)), slog.String("service", string(d.service())),
 		slog.Int64("incarnation", d.peers.self().Incarnation), slog.String("version", telemetry.Version()))
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -15,6 +15,7 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/quarantine"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/decision"
 )
@@ -50,6 +51,8 @@
 	candidates int
 	expected   time.Duration
 	upstream   string
+	// print is nil until somebody asks for it.
+	print *quarantine.Fingerprint
 }
 
 // entry takes callers' requests. It is safe for concurrent use.
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -173,6 +173,9 @@
 	r.drop(end.try)
 	a := end.answer
 	r.learn(end.try, a)
+	if a.Outcome.Kind == outcome.Answered {
+		r.e.d.suspects.answered(r.req)
+	}
 	if a.Outcome.Kind == outcome.Answered && (a.Status < http.StatusInternalServerError || !r.req.route.Idempotent) {
 		return a
 	}
@@ -253,6 +256,12 @@
 	if r.req.ctx.Err() != nil {
 		return r.timeout()
 	}
+	if a := r.e.d.suspects.refused(r.req); a != nil {
+		if r.failure == nil {
+			return a
+		}
+		return r.final()
+	}
 	if r.arrived >= r.req.route.MaxAttempts || r.misses > maxMisses || r.full >= maxFull {
 		return r.final()
 	}
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -68,6 +68,7 @@
 	// closed tells that the daemon stops and sends nothing new.
 	closed   bool
 	attempts *attempts
+	crashes  *crashes
 }
 
 func newGuard(o *Options, now func() model.Instant, m *metrics) *guard {
@@ -77,6 +78,7 @@
 		waiting:  make(map[uint64]chan slots.Exit),
 		slow:     1,
 		attempts: newAttempts(now),
+		crashes:  &crashes{address: o.Addresses.Upstream, now: now, crashed: func(lostRun) {}},
 	}
 	g.wake = time.AfterFunc(time.Hour, g.pump)
 	g.wake.Stop()
@@ -91,10 +93,14 @@
 // report takes in what the upstream says of itself.
 func (g *guard) report(r lifecycle.Report, cause string) lifecycle.Verdict {
 	g.mu.Lock()
+	previous := g.tracker.Current()
 	v := g.tracker.Observe(r)
 	g.follow(v)
 	cur := g.tracker.Current()
 	g.mu.Unlock()
+	if v == lifecycle.Started && previous.State == lifecycle.Ready {
+		g.crashes.end(previous.Incarnation)
+	}
 	if v == lifecycle.Started || v == lifecycle.Changed {
 		g.tell(cur, cause)
 	}
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -159,6 +159,8 @@
 		writePeerAnswer(w, r.Method, p.d.guard.finish(p.d.guard.attempts.settle(r.Context(), r.URL.Query().Get("key"))))
 	case pathConfig:
 		p.config(w)
+	case pathSuspects:
+		p.d.suspects.ServeHTTP(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
--- /dev/null
+++ b/sidecar/quarantine_test.go
@@ -0,0 +1,143 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+// poison crashes the upstreams that run it.
+const poison = "poison"
+
+// crashOn has an upstream crash when it runs a request with a body.
+func (u *upstream) crashOn(body string) {
+	u.set(func(w http.ResponseWriter, _ *http.Request) {
+		u.mu.Lock()
+		last := u.bodies[len(u.bodies)-1]
+		u.mu.Unlock()
+		if last != body {
+			answerWell(w, u.id)
+			return
+		}
+		_ = u.server.Listener.Close()
+		go u.server.CloseClientConnections()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+func (u *upstream) ran(body string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, b := range u.bodies {
+		if b == body {
+			return true
+		}
+	}
+	return false
+}
+
+func ran(members []*member, body string) int {
+	n := 0
+	for _, m := range members {
+		if m.up.ran(body) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRequestThatCrashesUpstreamsIsRefused sends one again and again, at different
+// daemons.
+func TestRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	callers := []*member{join(t, s, "a", "a1"), join(t, s, "a", "a2")}
+	const upstreams = 6
+	var of []*member
+	for i := range upstreams {
+		m := join(t, s, "b", fmt.Sprint("b", i))
+		m.up.crashOn(poison)
+		of = append(of, m)
+	}
+	for _, a := range callers {
+		a.knows(t, "b", upstreams)
+	}
+	for i := range crashesToRefuse {
+		callers[i%2].ask(t, http.MethodPost, "/unsafe/", poison)
+		require.Eventually(t, func() bool { return ran(of, poison) == i+1 }, waitLimit, time.Millisecond)
+	}
+	for _, a := range callers {
+		require.Eventually(t, func() bool {
+			for _, e := range a.suspects.store.List() {
+				if e.Refused {
+					return true
+				}
+			}
+			return false
+		}, waitLimit, time.Millisecond)
+		resp, text := a.ask(t, http.MethodPost, "/unsafe/", poison)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Equal(t, "quarantined\n", text)
+		require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	}
+	require.Equal(t, crashesToRefuse, ran(of, poison))
+	status, _ := callers[0].post(t, "/unsafe/")
+	require.Equal(t, http.StatusOK, status, "another request is served")
+}
+
+// TestLostConnectionIsNoCrash resets a request's connection while its upstream runs
+// on.
+func TestLostConnectionIsNoCrash(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a, b := join(t, s, "a", "a1"), join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	b.up.set(hangUp)
+	for range crashesToRefuse {
+		status, _ := a.post(t, "/unsafe/")
+		require.Equal(t, http.StatusBadGateway, status)
+	}
+	require.False(t, b.suspects.store.Watching())
+}
+
+func life(born int64) lifecycle.Incarnation {
+	return lifecycle.Incarnation{ID: "u", Born: born}
+}
+
+// TestCrashNamesWhatRan has an upstream crash of which a new incarnation tells.
+func TestCrashNamesWhatRan(t *testing.T) {
+	var now model.Instant
+	var named []string
+	up := newUpstream(t, "u")
+	c := &crashes{
+		address: up.address(), now: func() model.Instant { return now },
+		crashed: func(r lostRun) { named = append(named, r.id) },
+	}
+	c.lose(lostRun{id: "long before", upstream: life(1)})
+	now = now.Add(crashSpan + time.Millisecond)
+	c.lose(lostRun{id: "one", upstream: life(1)})
+	now = now.Add(crashSpan)
+	c.lose(lostRun{id: "two", upstream: life(1)})
+	c.lose(lostRun{id: "other life", upstream: life(2)})
+	require.Empty(t, named, "the upstream still listens")
+	c.end(life(1))
+	require.Equal(t, []string{"one", "two"}, named)
+	c.end(life(1))
+	require.Len(t, named, 2)
+	up.server.Close()
+	c.lose(lostRun{id: "three", upstream: life(2)})
+	require.Equal(t, []string{"one", "two", "other life", "three"}, named)
+}
+
+func TestLostRunsAreBounded(t *testing.T) {
+	up := newUpstream(t, "u")
+	c := &crashes{address: up.address(), now: func() model.Instant { return 0 }, crashed: func(lostRun) {}}
+	for range maxLost + 5 {
+		c.lose(lostRun{upstream: life(1)})
+	}
+	require.Len(t, c.lost, maxLost)
+}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/quarantine"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/hop"
 )
@@ -56,7 +58,7 @@
 	}
 	g.mu.Lock()
 	g.countRun()
-	pool, running := g.pool, g.queue.Running()
+	pool, running, life := g.pool, g.queue.Running(), g.tracker.Current().Incarnation
 	g.mu.Unlock()
 	began := g.now()
 	reply, err := pool.Do(ctx, x)
@@ -66,10 +68,20 @@
 	g.metrics.stage(stageGuard, c.Service, waited)
 	g.metrics.stage(stageUpstream, c.Service, ran)
 	g.judge(ctx, a)
+	if a.Outcome.Reason == outcome.ReasonConnectionLost {
+		go g.crashes.lose(lostRunOf(c, life))
+	}
 	g.tellRun(c, a, err, waited, running)
 	return a
 }
 
+func lostRunOf(c *Call, life lifecycle.Incarnation) lostRun {
+	r := asked(c.Service, c.Method, c.Target, c.Body)
+	f := quarantine.Of(r)
+	r.Body = nil
+	return lostRun{id: c.ID, print: f, request: r, upstream: life}
+}
+
 // mine reports whether a response belongs to a call.
 func (g *guard) mine(c *Call, r *http.Response) bool {
 	reading := g.opts.Edge.Read(r.StatusCode, r.Header)
