soak: requests that crash upstreams

Sent at one daemon after another until the plan ends; upstreams crash when they run them and are back 700 ms later. From 3 s after the third crash on, daemons that nothing disturbs may send three more.

--- a/soak/check.go
+++ b/soak/check.go
@@ -31,6 +31,10 @@
 	service  string
 	runs     int
 	promised bool
+	// poison names a request that crashes upstreams, calm tells whether its daemon
+	// is undisturbed.
+	poison string
+	calm   func() bool
 }
 
 // checker holds what callers and upstreams see to the promises.
@@ -40,11 +44,27 @@
 	repeats    []time.Time
 	firsts     []time.Time
 	drained    map[string]time.Time
+	crashes    map[string]*crashes
 	violations []string
 }
 
+// crashes are the runs of a request that crashes upstreams.
+type crashes struct {
+	runs  int
+	third time.Time
+	late  int
+}
+
+const (
+	// enoughCrashes must be known everywhere calmFor later, and lateCrashes may
+	// follow then.
+	enoughCrashes = 3
+	lateCrashes   = 3
+	poisonPrefix  = "poison-"
+)
+
 func newChecker() *checker {
-	return &checker{requests: make(map[string]*sent), drained: make(map[string]time.Time)}
+	return &checker{requests: make(map[string]*sent), drained: make(map[string]time.Time), crashes: make(map[string]*crashes)}
 }
 
 func (c *checker) violate(format string, args ...any) {
@@ -95,6 +115,9 @@
 	if s.promised && s.unsafe {
 		c.violate("promise: %s ran at %s after its caller was told that it never would", attempt, u.ID())
 	}
+	if s.poison != "" {
+		c.crash(s)
+	}
 	if caller != s.service {
 		c.violate("caller: %s came from %s and ran as of %s", attempt, s.service, caller)
 	}
@@ -103,6 +126,30 @@
 	}
 }
 
+// sendPoison notes that a request crashes upstreams.
+func (c *checker) sendPoison(attempt, key string, calm func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests[attempt].poison, c.requests[attempt].calm = key, calm
+	if c.crashes[key] == nil {
+		c.crashes[key] = &crashes{}
+	}
+}
+
+// crash notes that a request crashes the upstream that runs it. c.mu is held.
+func (c *checker) crash(s *sent) {
+	k := c.crashes[s.poison]
+	k.runs++
+	switch {
+	case k.runs == enoughCrashes:
+		k.third = time.Now()
+	case k.runs > enoughCrashes && s.at.Sub(k.third) > calmFor && s.calm():
+		if k.late++; k.late == lateCrashes+1 {
+			c.violate("poison: a request went on crashing upstreams %s after its third crash, %d in all", s.at.Sub(k.third).Round(time.Millisecond), k.runs)
+		}
+	}
+}
+
 // drain notes that the leaving of an incarnation was acknowledged. Another one may
 // have its id.
 func (c *checker) drain(id string) {
--- a/soak/inflict.go
+++ b/soak/inflict.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -66,6 +68,8 @@
 		w.replace(m, f)
 	case kindConfig:
 		w.publish()
+	case kindPoison:
+		w.poison(f)
 	case kindForeign:
 		w.store.Put(platformtest.TopicOperator, platformtest.Record{Key: "config", Value: []byte("\xff{")})
 		w.store.Put(platformtest.TopicOperator, platformtest.Record{Key: "config", Value: []byte(`{"version":"r1","routes":7}`)})
@@ -119,3 +123,23 @@
 	m.upstream.Crash()
 	_ = m.upstream.Start(w.id(f.VM))
 }
+
+// poisonEvery is the time between two sends of a request that crashes upstreams.
+const poisonEvery = 300 * time.Millisecond
+
+// poison sends a request that crashes upstreams to one daemon after another, until
+// the plan ends.
+func (w *world) poison(f Fault) {
+	key := strconv.FormatInt(f.At.Milliseconds(), 10)
+	path := "/safe/" + platformtest.CrashPath + key
+	for n := 0; time.Since(w.began) < w.plan.Length; n++ {
+		m := w.machines[n%len(w.machines)]
+		attempt := fmt.Sprintf("%s%s-%d", poisonPrefix, key, n)
+		w.check.send(attempt, m.vm.Service, false)
+		w.check.sendPoison(attempt, key, m.calm)
+		if r, err := m.caller.Send(context.Background(), path, attempt, false, deadline); err == nil {
+			w.check.answer(attempt, r)
+		}
+		time.Sleep(poisonEvery)
+	}
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -50,6 +50,7 @@
 	kindDrain    = "drain"
 	kindConfig   = "config"
 	kindForeign  = "foreign" // records of another writer in the store
+	kindPoison   = "poison"  // a request that crashes upstreams, sent again and again
 )
 
 // modes lists the variants of each kind. A dash means that there are none.
@@ -60,7 +61,7 @@
 	kindStoreVia: {"reset", "silent", "half"},
 	kindStore:    {"busy", "many", "silent", "slow", "lost", "late", "forget"},
 	kindUpstream: {"lose", "shed", "err", "hang", "cut", "double", "slow"},
-	kindCrash:    {"same-id", "new-id"}, kindDrain: {"-"}, kindConfig: {"-"}, kindForeign: {"-"},
+	kindCrash:    {"same-id", "new-id"}, kindDrain: {"-"}, kindConfig: {"-"}, kindForeign: {"-"}, kindPoison: {"-"},
 }
 
 // weights tells how often each kind is drawn.
@@ -69,7 +70,7 @@
 	n    int
 }{
 	{kindKill, 4}, {kindTerm, 4}, {kindPause, 2}, {kindReload, 2}, {kindPeers, 5}, {kindApp, 2}, {kindStoreVia, 3},
-	{kindStore, 4}, {kindUpstream, 5}, {kindCrash, 3}, {kindDrain, 3}, {kindConfig, 5}, {kindForeign, 1},
+	{kindStore, 4}, {kindUpstream, 5}, {kindCrash, 3}, {kindDrain, 3}, {kindConfig, 5}, {kindForeign, 1}, {kindPoison, 1},
 }
 
 const (
@@ -100,7 +101,7 @@
 		f := Fault{At: at, Kind: kind, Mode: modes[kind][rng.IntN(len(modes[kind]))]}
 		f.For = (minFault + time.Duration(rng.Float64()*float64(maxFault-minFault))).Round(time.Millisecond)
 		f.For = min(f.For, length-calmEnd-at)
-		if kind != kindStore && kind != kindConfig && kind != kindForeign {
+		if kind != kindStore && kind != kindConfig && kind != kindForeign && kind != kindPoison {
 			f.VM = 1 + rng.IntN(vms)
 		}
 		p.Faults = append(p.Faults, f)
