Bound the memory of request bodies in hand

Cause (review): entries and guards hold bodies whole, up to the configured 64 MiB each, with no bound over all of them; a few large ones at a time end a process on a VM of 184 MB. Answers have no such bound yet (docs/FINDINGS.md).

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -52,6 +52,7 @@
 	ReasonForbidden        Reason = "forbidden"
 	ReasonBadRequest       Reason = "bad-request"
 	ReasonTooLarge         Reason = "too-large"
+	ReasonNoMemory         Reason = "no-memory"
 	ReasonQueueFull        Reason = "queue-full"
 	ReasonShed             Reason = "over-share"
 	ReasonCeiling          Reason = "over-ceiling"
--- a/core/outcome/reason.go
+++ b/core/outcome/reason.go
@@ -13,6 +13,7 @@
 	ReasonForbidden:        "The caller belongs to no group of the service.",
 	ReasonBadRequest:       "The request or one of its Dottereltiller headers cannot be read.",
 	ReasonTooLarge:         "The request body is larger than allowed.",
+	ReasonNoMemory:         "The daemon holds as many request bodies as its memory allows.",
 	ReasonQueueFull:        "More requests of the group wait than its queue bound allows.",
 	ReasonShed:             "Too many requests wait, and the group is furthest over its share.",
 	ReasonCeiling:          "The group is at its rate or concurrency ceiling.",
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -40,6 +40,7 @@
 	peers     *peers
 	guard     *guard
 	suspects  *suspects
+	bodies    *bodies
 	entry     *entry
 	datagrams *datagrams
 	servers   []*server
@@ -76,6 +77,7 @@
 	d.peers.behind = d.behind
 	d.peers.restore = d.guard.restore
 	d.suspects = newSuspects(d)
+	d.bodies = newBodies(o.BodyBytes)
 	d.guard.crashes.crashed = d.suspects.crashed
 	d.entry = newEntry(d)
 	if err := d.listen(); err != nil {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -36,12 +36,14 @@
 
 // request is a caller's request on its way.
 type request struct {
-	http       *http.Request
-	id         string
-	route      *route.Route
-	table      *route.Table
-	service    model.ServiceName
-	body       []byte
+	http    *http.Request
+	id      string
+	route   *route.Route
+	table   *route.Table
+	service model.ServiceName
+	body    []byte
+	// held is the room that the body takes.
+	held       *heldBody
 	began      model.Instant
 	deadline   model.Instant
 	target     model.Instant
@@ -79,6 +81,7 @@
 		return
 	}
 	req := &request{http: r, id: attempt.ID, began: e.d.now()}
+	defer func() { req.held.release() }()
 	refused := e.classify(req, attempt)
 	if refused == nil {
 		refused = e.readBody(w, req)
@@ -134,15 +137,17 @@
 	if limit <= 0 {
 		limit = maxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.http.Body, limit))
+	held, err := e.d.bodies.read(http.MaxBytesReader(w, req.http.Body, limit))
 	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
+	case errors.As(err, &large), errors.Is(err, errTooLarge):
 		return notRun(outcome.ReasonTooLarge)
+	case errors.Is(err, errNoRoom):
+		return refuse(outcome.ReasonNoMemory, spread(busyRetry))
 	case err != nil:
 		return notRun(outcome.ReasonBadRequest)
 	}
-	req.body = body
+	req.held, req.body = held, held.bytes
 	return nil
 }
 
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -172,11 +173,16 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	held, err := p.d.bodies.read(r.Body)
+	if errors.Is(err, errNoRoom) || errors.Is(err, errTooLarge) {
+		writePeerAnswer(w, r.Method, p.d.guard.finish(notRun(outcome.ReasonNoMemory)))
+		return
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.RequestURI, r.Host, r.Header, body
+	defer held.release()
+	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.RequestURI, r.Host, r.Header, held.bytes
 	writePeerAnswer(w, r.Method, p.acknowledged(w, func() *Answer { return p.d.guard.Do(r.Context(), c) }))
 }
 
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -21,6 +21,9 @@
 	// other daemon remembers anything.
 	First bool
 	Tunables
+	// BodyBytes bounds the memory for the bodies of the requests in hand. Default:
+	// 64 MiB.
+	BodyBytes int64
 	// Control serves what the own upstream reports.
 	Control func(Registry) http.Handler
 	// ReadyPath is the path of the readiness answer.
--- a/soak/inflict.go
+++ b/soak/inflict.go
@@ -59,9 +59,7 @@
 	case kindStore:
 		w.failStore(f)
 	case kindUpstream:
-		m.upstream.Fail(platformtest.UpstreamFault(f.Mode), failShare)
-		time.Sleep(f.For)
-		m.upstream.Fail(platformtest.UpstreamWell, 0)
+		w.failUpstreams(m, f)
 	case kindCrash:
 		w.restart(m, f)
 	case kindDrain:
@@ -99,6 +97,22 @@
 	w.store.Fail(platformtest.StoreWell)
 }
 
+// failUpstreams makes an upstream fail some of its requests, or all of them all if
+// the fault names none.
+func (w *world) failUpstreams(m *machine, f Fault) {
+	share, which := failShare, []*machine{m}
+	if m == nil {
+		share, which = 1, w.machines
+	}
+	for _, m := range which {
+		m.upstream.Fail(platformtest.UpstreamFault(f.Mode), share)
+	}
+	time.Sleep(f.For)
+	for _, m := range which {
+		m.upstream.Fail(platformtest.UpstreamWell, 0)
+	}
+}
+
 // restart crashes an upstream and starts it again.
 func (w *world) restart(m *machine, f Fault) {
 	id := m.upstream.ID()
--- /dev/null
+++ b/soak/mutants_test.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"encoding/json"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// mutant is the daemon with a deliberate fault. It shows that the checks see what
+// they are for.
+type mutant struct {
+	// edits replace text of source files; each must be there exactly once.
+	edits []edit
+	// plan is drawn by nobody: it holds the faults under which the mutant fails.
+	plan string
+	// want begins the violation.
+	want string
+}
+
+type edit struct{ file, old, new string }
+
+// Plans in which a kind of fault comes again and again.
+const (
+	headOfPlan = "soak 950 8 30000\n"
+	drains     = headOfPlan + "3000 drain 1 - 300\n3500 drain 2 - 300\n4000 drain 3 - 300\n9000 drain 4 - 300\n"
+	losses     = headOfPlan + "3000 upstream 1 lose 8000\n3000 upstream 2 lose 8000\n3000 upstream 3 lose 8000\n"
+	doubles    = headOfPlan + "3000 upstream 1 double 9000\n3000 upstream 2 double 9000\n3000 upstream 3 double 9000\n"
+	cuts       = headOfPlan + "3000 upstream 1 cut 8000\n3000 upstream 2 cut 8000\n"
+	failures   = headOfPlan + "3000 upstream 0 err 11000\n"
+	stops      = headOfPlan + "3000 term 1 - 300\n6000 term 2 - 300\n9000 term 3 - 300\n12000 term 4 - 300\n15000 term 5 - 300\n"
+	reloads    = headOfPlan + "3000 reload 1 - 300\n4000 reload 2 - 300\n5000 reload 3 - 300\n6000 reload 4 - 300\n"
+	sheds      = headOfPlan + "3000 upstream 0 shed 4000\n"
+	poisons    = headOfPlan + "3000 poison 0 - 300\n"
+	cutLinks   = headOfPlan + "3000 peers 1 reset 9000\n3000 peers 2 delay 9000\n3000 peers 3 half 9000\n3000 peers 4 trickle 9000\n3000 peers 5 silent 9000\n"
+	restarts   = headOfPlan + "3000 crash 1 same-id 1500\n3500 crash 2 same-id 1500\n4000 crash 3 same-id 1500\n6000 crash 4 new-id 1500\n"
+	versions   = headOfPlan + "3000 store 0 silent 3000\n9000 config 0 - 300\n13000 config 0 - 300\n17000 config 0 - 300\n"
+)
+
+var mutants = map[string]mutant{
+	"drained upstreams get requests": {
+		edits: []edit{{"platform/reports.go", `"draining": lifecycle.Draining}`, `"draining": lifecycle.Ready}`}},
+		plan:  drains, want: "drain",
+	},
+	"answers that belong to nobody are taken": {
+		edits: []edit{
+			{"hop/pool.go", "|| l.strayed || l.reader.Buffered() > 0", ""},
+			{"sidecar/run.go", "return reading.ID == c.ID || reading.ID == \"\" && (reading.NotRun || reading.Mistaken)", "return reading.ID != \"\" || c.ID != \"\""},
+		},
+		plan: doubles, want: "mixed",
+	},
+	"an unknown end is followed by another send": {
+		edits: []edit{{"sidecar/forward.go", "if a.Outcome.Kind == outcome.Unknown && !r.req.route.Idempotent {", "if a.Outcome.Kind > outcome.Unknown+9 {"}},
+		plan:  losses, want: "twice",
+	},
+	"a lost run counts as not run": {
+		edits: []edit{{"sidecar/run.go", "case !lost.Sent:", "case lost != nil:"}},
+		plan:  losses, want: "twice",
+	},
+	"re-sends know no budget": {
+		edits: []edit{{"sidecar/resends.go", "	daemons := e.d.peers.size()\n	if !s.resends.take(now, 1, daemons) {\n		return false\n	}\n", "	daemons := e.d.peers.size()\n	if daemons > 0 {\n		return true\n	}\n"}},
+		plan:  failures, want: "budget",
+	},
+	"a stop cuts what runs": {
+		edits: []edit{{"sidecar/daemon.go", "end := began.Add(d.tunables.Load().Grace - graceMargin)", "end := began"}},
+		plan:  stops, want: "lost",
+	},
+	"answers that break off are delivered": {
+		edits: []edit{{"hop/exchange.go", "if _, err := io.Copy(&buf, io.LimitReader(resp.Body, maxReply+1)); err != nil {\n		return nil, err\n	}", "_, _ = io.Copy(&buf, io.LimitReader(resp.Body, maxReply+1))"}},
+		plan:  cuts, want: "mixed",
+	},
+	"requests that crash upstreams are served": {
+		edits: []edit{{"sidecar/quarantine.go", "	if !s.store.Watching() {\n		return nil\n	}\n	left", "	if s.store != nil {\n		return nil\n	}\n	left"}},
+		plan:  poisons, want: "poison",
+	},
+	"a reload ends the process": {
+		edits: []edit{{"platform/watch.go", "signal.Notify(hup, syscall.SIGHUP)", "signal.Notify(hup, syscall.SIGUSR1)"}},
+		plan:  reloads, want: "lost",
+	},
+	"a refusal tells no time to come back": {
+		edits: []edit{{"sidecar/entry.go", "if a.Outcome.RetryAfter > 0 {", "if a.Outcome.RetryAfter < 0 {"}},
+		plan:  sheds, want: "advice",
+	},
+	"a withdrawn attempt starts": {
+		edits: []edit{{"sidecar/attempts.go", "a.started = !a.barred", "a.started = true"}},
+		plan:  cutLinks, want: "twice",
+	},
+	"another life under the same id is passed over": {
+		edits: []edit{{"core/lifecycle/lifecycle.go", "return r.Born > t.current.Born", "return r.Born < 0"}},
+		plan:  restarts, want: "recovery",
+	},
+	"new versions are not read": {
+		edits: []edit{{"platform/source.go", "	s.next = next\n	take(records, f)\n", "	s.next = next\n	take(records[:0], f)\n"}},
+		plan:  versions, want: "late",
+	},
+	"only the caller's daemon is named": {
+		edits: []edit{{"sidecar/run.go", "Caller: c.Caller, Upstream: c.Upstream.ID", "Caller: c.Service + \"x\", Upstream: c.Upstream.ID"}},
+		plan:  sheds, want: "caller",
+	},
+}
+
+const root = ".."
+
+// TestMutantsApply holds the deliberate faults to the source as it is.
+func TestMutantsApply(t *testing.T) {
+	for name, m := range mutants {
+		t.Run(name, func(t *testing.T) {
+			overlay(t, m)
+			_, err := Read(strings.NewReader(m.plan))
+			require.NoError(t, err)
+		})
+	}
+}
+
+// overlay writes the edited files and returns the file that has the compiler take
+// them.
+func overlay(t *testing.T, m mutant) string {
+	t.Helper()
+	dir := t.TempDir()
+	replaced := map[string]string{}
+	for i, e := range m.edits {
+		original, err := filepath.Abs(filepath.Join(root, e.file))
+		require.NoError(t, err)
+		source, err := os.ReadFile(original)
+		require.NoError(t, err)
+		require.Equal(t, 1, strings.Count(string(source), e.old), "%s: %q", e.file, e.old)
+		edited := filepath.Join(dir, string(rune('a'+i))+".go")
+		require.NoError(t, os.WriteFile(edited, []byte(strings.Replace(string(source), e.old, e.new, 1)), 0o600))
+		replaced[original] = edited
+	}
+	text, err := json.Marshal(map[string]any{"Replace": replaced})
+	require.NoError(t, err)
+	path := filepath.Join(dir, "overlay.json")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	return path
+}
+
+// TestMutantsAreFound plays each deliberate fault. It takes minutes, so it runs only
+// where DOTTERELTILLER_MUTANTS is set.
+func TestMutantsAreFound(t *testing.T) {
+	if os.Getenv("DOTTERELTILLER_MUTANTS") == "" {
+		t.Skip("takes minutes; set DOTTERELTILLER_MUTANTS to play the deliberate faults")
+	}
+	names := slices.Sorted(maps.Keys(mutants))
+	for i, name := range names {
+		m := mutants[name]
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			binary := filepath.Join(dir, "mutant")
+			build := exec.Command("go", "build", "-overlay", overlay(t, m), "-o", binary, "./cmd/dottereltillerd")
+			build.Dir = root
+			out, err := build.CombinedOutput()
+			require.NoError(t, err, string(out))
+			p, err := Read(strings.NewReader(m.plan))
+			require.NoError(t, err)
+			// The seed chooses the addresses.
+			p.Seed += uint64(i)
+			r, err := Run(t.Context(), p, Options{Binary: binary, Dir: dir})
+			require.NoError(t, err)
+			require.Contains(t, strings.Join(r.Violations, "\n"), m.want+":")
+		})
+	}
+}
