Move the admission of a guard into core/slots

Whether a call may wait, is better off elsewhere or would end too late was decided in sidecar/guard.go between locks and log lines. It now stands beside the queue it reads, with a table of cases in virtual time; nothing it decides has changed.

--- /dev/null
+++ b/core/slots/admit_test.go
@@ -0,0 +1,49 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestAdmit(t *testing.T) {
+	arrival := func(change func(*Arrival)) Arrival {
+		a := Arrival{Rank: 1, Work: 100 * ms, Within: 300 * ms, Deadline: 1000 * ms}
+		change(&a)
+		return a
+	}
+	for name, c := range map[string]struct {
+		running, waiting int
+		arrival          Arrival
+		speed            Speed
+		want             Admission
+		expected         time.Duration
+	}{
+		"idle":                        {0, 0, arrival(func(*Arrival) {}), Speed{Slow: 1}, Admitted, 100 * ms},
+		"no worse than elsewhere":     {0, 0, arrival(func(a *Arrival) { a.Alternative = 80 * ms }), Speed{Slow: 1}, Admitted, 100 * ms},
+		"slower than elsewhere":       {0, 0, arrival(func(a *Arrival) { a.Alternative = 80 * ms }), Speed{Slow: 2}, SlowerHere, 200 * ms},
+		"failing more than elsewhere": {0, 0, arrival(func(a *Arrival) { a.Alternative = 80 * ms }), Speed{Slow: 1, Failing: 0.5}, SlowerHere, 200 * ms},
+		"full, still useful":          {4, 4, arrival(func(*Arrival) {}), Speed{Slow: 1}, Admitted, 225 * ms},
+		"full, too late":              {4, 20, arrival(func(*Arrival) {}), Speed{Slow: 1}, Full, 625 * ms},
+		"full, late but urgent":       {4, 20, arrival(func(a *Arrival) { a.Urgent = true }), Speed{Slow: 1}, Admitted, 625 * ms},
+		"slow with room":              {0, 0, arrival(func(*Arrival) {}), Speed{Slow: 7}, Admitted, 700 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := New(4)
+			for i := range c.running + c.waiting {
+				q.Add(item(uint64(i+1), 1, 100, 300))
+			}
+			for range c.running {
+				q.Next(0, 1)
+			}
+			it, got, expected := q.Admit(at(5), c.arrival, c.speed)
+			require.Equal(t, c.want, got)
+			require.Equal(t, c.expected, expected)
+			if got == Admitted {
+				require.Equal(t, at(5).Add(c.arrival.Within), it.Target)
+				require.Equal(t, at(5).Add(c.arrival.Deadline), it.Deadline)
+			}
+		})
+	}
+}
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -25,18 +25,6 @@
 	probeTimeout = 50 * time.Millisecond
 	// startProbeTimeout bounds the same at the start, when nothing waits for it.
 	startProbeTimeout = 500 * time.Millisecond
-	// worseFactor and worseBy are how much later than elsewhere a call must be
-	// expected to end before it is given back: the way back costs a round trip
-	// and the figures from elsewhere are older.
-	worseFactor = 1.25
-	worseBy     = 10 * time.Millisecond
-	// usefulShare is the share of its time that a request may take where its
-	// target is out of reach: past that its caller does better to come back. One
-	// that comes before the last rank, such as a nested call whose parent fails
-	// without it, may take urgentShare. Grounds: on a mesh whose nested calls are
-	// short of room the worth of its heaviest day rises from 0.39 to 0.43.
-	usefulShare = 0.5
-	urgentShare = 0.85
 )
 
 // guard admits calls to the own upstream. It is safe for concurrent use.
@@ -247,28 +235,13 @@
 		g.mu.Unlock()
 		return 0, nil, notRun(reason)
 	}
-	now := g.now()
-	ahead := g.queue.Ahead(c.Rank)
-	expected := placement.Expected(c.Work, g.slow, ahead, g.queue.Limit(), g.failing)
-	if c.Alternative > 0 && expected > time.Duration(worseFactor*float64(c.Alternative))+worseBy {
+	it, admission, expected := g.queue.Admit(g.now(), slots.Arrival{
+		Rank: c.Rank, Urgent: g.urgent(c.Rank), Work: c.Work,
+		Within: c.Within, Deadline: c.Deadline, Alternative: c.Alternative,
+	}, slots.Speed{Slow: g.slow, Failing: g.failing})
+	if admission != slots.Admitted {
 		g.mu.Unlock()
-		g.tellGivenBack(c, "slower-here", expected)
-		return 0, nil, notRun(outcome.ReasonWithdrawn)
-	}
-	useful := max(c.Within, time.Duration(g.usefulShare(c.Rank)*float64(c.Deadline)))
-	if g.queue.Running() >= g.queue.Limit() && expected > useful {
-		g.mu.Unlock()
-		g.tellGivenBack(c, "full", expected)
-		return 0, nil, notRun(outcome.ReasonQueueFull)
-	}
-	it := slots.Item{
-		Rank: c.Rank, Work: c.Work, Arrived: now, Deadline: now.Add(c.Deadline), Useful: now.Add(useful),
-	}
-	if c.Within != 0 {
-		it.Target = now.Add(c.Within)
-	}
-	if c.Alternative > 0 {
-		it.GiveUp = now.Add(c.Alternative/2 + worseBy)
+		return 0, nil, g.turnAway(c, admission, expected)
 	}
 	g.nextID++
 	it.ID = g.nextID
@@ -280,12 +253,14 @@
 	return it.ID, exits, nil
 }
 
-// usefulShare returns the share of its time that a request of a rank may take.
-func (g *guard) usefulShare(rank int) float64 {
-	if g.urgent(rank) {
-		return urgentShare
+// turnAway hands a call back that is not to wait here.
+func (g *guard) turnAway(c *Call, a slots.Admission, expected time.Duration) *Answer {
+	if a == slots.SlowerHere {
+		g.tellGivenBack(c, "slower-here", expected)
+		return notRun(outcome.ReasonWithdrawn)
 	}
-	return usefulShare
+	g.tellGivenBack(c, "full", expected)
+	return notRun(outcome.ReasonQueueFull)
 }
 
 // refusal returns why a call cannot run here. g.mu is held.
