Start the newest request that can still make its target

Cause: in overload most of what waits at a guard will be late whatever is done. By urgency the queue served each just before it was too late, so that any slow spell made it late, and every eighth start went to the request that had waited longest, which was late already.

Now: rank, then the newest of those that can make their target; every eighth start is of the last rank, by the same order.

--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -1,12 +1,16 @@
 // Package slots decides which of the requests that wait for an upstream runs
 // next, and which need not wait any longer.
 //
-// A lower rank goes first. Within a rank the request goes first that must start
-// soonest to make its target latency, so that a short nested call is not stuck
-// behind long ones; requests that have missed their target come after all that
-// can still make theirs. So that nobody starves, every so often the one that has
-// waited longest goes first, whatever its rank. A request that can no longer end
-// before its deadline is refused at once: running it would help nobody.
+// A lower rank goes first. Within a rank the newest goes first of those that can
+// still make their target latency. While there is room the order does not matter, as
+// all of them do. When there is not, most of what waits will be late whatever is done,
+// and the oldest first would serve each just after its target; the newest first serves
+// those that it does serve in time, and lets the others know soon. Those that have
+// missed their target come last, the most urgent first.
+//
+// So that no rank starves, every so often the last one has its turn. A request that
+// can no longer end before its deadline is refused at once: running it would help
+// nobody.
 package slots
 
 import (
@@ -57,9 +61,9 @@
 }
 
 const (
-	// oldestEvery is how often the request that has waited longest goes first:
-	// one start in eight leaves seven eighths of the capacity to rank.
-	oldestEvery = 8
+	// lastRankEvery is how often the last rank has its turn: one start in eight
+	// leaves seven eighths of the capacity to the order of ranks.
+	lastRankEvery = 8
 )
 
 // Queue holds the requests that wait for one upstream, and counts those that
@@ -162,42 +166,34 @@
 
 // first returns the index of the request to start.
 func (q *Queue) first(now model.Instant, slow float64) int {
-	if q.starts%oldestEvery == oldestEvery-1 {
-		return q.oldest()
-	}
+	lastRank := q.starts%lastRankEvery == lastRankEvery-1
 	best := 0
 	for i := 1; i < len(q.items); i++ {
-		if before(&q.items[i], &q.items[best], now, slow) {
-			best = i
-		}
-	}
-	return best
-}
-
-func (q *Queue) oldest() int {
-	best := 0
-	for i := range q.items {
-		if q.items[i].Arrived < q.items[best].Arrived {
+		a, b := &q.items[i], &q.items[best]
+		switch {
+		case a.Rank != b.Rank:
+			if a.Rank > b.Rank == lastRank {
+				best = i
+			}
+		case before(a, b, now, slow):
 			best = i
 		}
 	}
 	return best
 }
 
-// before reports whether a starts ahead of b.
+// before reports whether a starts ahead of b of the same rank.
 func before(a, b *Item, now model.Instant, slow float64) bool {
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
-	}
 	aStart, bStart := a.startBy(slow), b.startBy(slow)
 	aLate, bLate := aStart < now, bStart < now
-	if aLate != bLate {
+	switch {
+	case aLate != bLate:
 		return bLate
-	}
-	if aStart != bStart {
+	case !aLate && a.Arrived != b.Arrived:
+		return a.Arrived > b.Arrived
+	default:
 		return aStart < bStart
 	}
-	return a.Arrived < b.Arrived
 }
 
 // startBy is the last instant at which the request must start to make its target.
--- /dev/null
+++ b/replay/mesh_guard_test.go
@@ -0,0 +1,102 @@
+package replay_test
+
+import (
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/slots"
+)
+
+// reach has a guard take a request.
+func (m *mesh) reach(j *job, alternative time.Duration) {
+	n := j.at
+	m.load(n)
+	took := m.now.Sub(j.began)
+	it, admission, _ := n.queue.Admit(m.now, slots.Arrival{
+		Rank: j.rank, Urgent: j.rank == 0, Work: meshWork, Alternative: alternative,
+		Within: max(meshTarget-took, 0), Deadline: meshDeadline - took,
+	}, slots.Speed{Slow: n.slow})
+	if admission != slots.Admitted {
+		m.giveBack(j, admission == slots.Full)
+		return
+	}
+	m.nextID++
+	it.ID = m.nextID
+	n.waiting[it.ID] = j
+	n.queue.Add(it)
+	m.pump(n)
+}
+
+func (m *mesh) giveBack(j *job, full bool) {
+	from := j.at
+	l := m.load(from)
+	m.after(nearTicks, func() {
+		m.done(j, from, &l)
+		j.tried[from.key] = true
+		j.givenBack++
+		if full {
+			j.full++
+		}
+		m.place(j)
+	})
+}
+
+func (m *mesh) done(j *job, from *meshNode, l *placement.Load) {
+	if m.policy == byPlacement {
+		j.entry.placer.Done(m.now, from.key, l)
+	}
+	j.entry.mine[from]--
+}
+
+func (m *mesh) pump(n *meshNode) {
+	for {
+		d, ok := n.queue.Next(m.now, n.slow)
+		if !ok {
+			return
+		}
+		j := n.waiting[d.ID]
+		delete(n.waiting, d.ID)
+		switch d.Exit {
+		case slots.Start:
+			n.runs = append(n.runs, j)
+		case slots.Hopeless:
+			m.done(j, n, nil)
+			m.turned++
+		default:
+			m.giveBack(j, d.Exit == slots.Overdue)
+		}
+	}
+}
+
+// work lets an upstream work for a tick.
+func (m *mesh) work(n *meshNode) {
+	speed := n.speeds[m.ticks]
+	if n.coldUntil > m.now {
+		speed /= coldFactor
+	}
+	if float64(len(n.runs)) >= kneeShare*float64(n.slots) {
+		speed /= kneeFactor
+	}
+	kept := n.runs[:0]
+	for _, j := range n.runs {
+		if j.left -= speed * tick.Seconds(); j.left > 0 {
+			kept = append(kept, j)
+			continue
+		}
+		n.queue.Finish()
+		m.finish(j)
+	}
+	n.runs = kept
+	m.pump(n)
+}
+
+func (m *mesh) finish(j *job) {
+	l := m.load(j.at)
+	m.done(j, j.at, &l)
+	switch took := m.now.Sub(j.began); {
+	case took <= meshTarget:
+		m.inTime++
+	default:
+		m.late++
+	}
+}
--- /dev/null
+++ b/replay/mesh_test.go
@@ -0,0 +1,298 @@
+package replay_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/slots"
+)
+
+// The mesh plays the decisions of sidecar daemons, core/placement at each entry and
+// core/slots at each guard, against upstreams as they were recorded: their speed
+// changes several times a second as neighbours come and go, they slow down near full,
+// and are slow after a start.
+
+const (
+	tick = time.Millisecond
+	// noiseEvery is how long a neighbour stays or is away, noiseFactor how much
+	// longer work takes beside one.
+	noiseEvery  = 300
+	noiseFactor = 4.0
+	// kneeShare of the slots can be busy before all runs take kneeFactor times as
+	// long.
+	kneeShare  = 0.8
+	kneeFactor = 1.7
+	// coldTicks is how long an upstream is slow after its start, coldFactor how
+	// much.
+	coldTicks  = 3000
+	coldFactor = 2.0
+	// The entry's figures, as in package sidecar.
+	askNear, askFar  = 4, 3
+	askAge           = 15 * time.Millisecond
+	maxGivenBack     = 2
+	maxFull          = 2
+	surelyFull       = 30 * time.Millisecond
+	nearTicks        = 1
+	farTicks         = 2
+	farAskTicks      = 3
+	slowKnownFor     = 80 * time.Millisecond
+	meshWork         = 160 * time.Millisecond
+	meshTarget       = 500 * time.Millisecond
+	meshDeadline     = 1200 * time.Millisecond
+	meshTicks        = 20_000
+	meshZones        = 3
+	upstreamsPerZone = 4
+)
+
+// pattern is a load and how the upstreams are disturbed.
+type pattern struct {
+	// rate is the requests a second to all entries.
+	rate float64
+	// slots of each upstream, and the share of time that it has a neighbour.
+	slots int
+	noise float64
+	// restarted upstreams start anew after five seconds.
+	restarted int
+}
+
+// policy chooses where a request goes. The zero value is the product's.
+type policy uint8
+
+const (
+	byPlacement policy = iota
+	byChance
+	byFewest
+)
+
+type meshNode struct {
+	key    string
+	zone   model.AvailabilityZone
+	speeds []float64
+	placer *placement.Placer
+	queue  *slots.Queue
+	// slow is what the guard knows, from slowAt.
+	slow      float64
+	slowAt    model.Instant
+	slots     int
+	coldUntil model.Instant
+	mine      map[*meshNode]int
+	runs      []*job
+	waiting   map[uint64]*job
+}
+
+type job struct {
+	entry, at *meshNode
+	began     model.Instant
+	left      float64
+	rank      int
+	givenBack int
+	full      int
+	tried     map[string]bool
+}
+
+type mesh struct {
+	pattern
+	policy policy
+	rng    *rand.Rand
+	now    model.Instant
+	ticks  int
+	nodes  []*meshNode
+	due    map[int][]func()
+	nextID uint64
+	sent   int
+	inTime int
+	late   int
+	turned int
+}
+
+func newMesh(p pattern, how policy, seed uint64) *mesh {
+	m := &mesh{pattern: p, policy: how, rng: rand.New(rand.NewPCG(seed, 0)), due: map[int][]func(){}}
+	noise := rand.New(rand.NewPCG(seed, 1))
+	for z := range meshZones {
+		for i := range upstreamsPerZone {
+			n := &meshNode{
+				key: string(rune('a'+z)) + string(rune('0'+i)), zone: model.AvailabilityZone(rune('a' + z)),
+				slots: p.slots, queue: slots.New(placement.LimitOf(p.slots)), slow: 1,
+				mine: map[*meshNode]int{}, waiting: map[uint64]*job{},
+			}
+			n.speeds = speeds(noise, p.noise)
+			n.placer = placement.New(placement.Options{Zone: n.zone, Rand: m.rng.Float64})
+			m.nodes = append(m.nodes, n)
+		}
+	}
+	for _, n := range m.nodes {
+		n.placer.Set(m.candidates())
+	}
+	return m
+}
+
+func (m *mesh) candidates() []placement.Upstream {
+	var ups []placement.Upstream
+	for _, n := range m.nodes {
+		ups = append(ups, placement.Upstream{Key: n.key, Zone: n.zone, Slots: n.slots, ColdUntil: n.coldUntil})
+	}
+	return ups
+}
+
+// speeds draws how fast an upstream is at each tick, 1 being as usual.
+func speeds(rng *rand.Rand, share float64) []float64 {
+	out := make([]float64, 2*meshTicks)
+	phase, speed := rng.IntN(noiseEvery), 1.0
+	for i := range out {
+		if (i+phase)%noiseEvery == 0 {
+			speed = 1
+			if rng.Float64() < share {
+				speed = 1 / noiseFactor
+			}
+		}
+		out[i] = speed
+	}
+	return out
+}
+
+// play runs the pattern and returns the share of requests served within their target.
+func (m *mesh) play() float64 {
+	const restartAt = 5000
+	for m.ticks = 0; m.ticks < meshTicks+int(meshDeadline/tick); m.ticks++ {
+		m.now = model.Instant(0).Add(time.Duration(m.ticks) * tick)
+		if m.ticks == restartAt {
+			m.restart()
+		}
+		for _, f := range m.due[m.ticks] {
+			f()
+		}
+		delete(m.due, m.ticks)
+		for _, n := range m.nodes {
+			m.work(n)
+		}
+		if m.ticks >= meshTicks {
+			continue
+		}
+		for range m.arrivals() {
+			m.arrive()
+		}
+	}
+	return float64(m.inTime) / float64(m.sent)
+}
+
+// arrivals draws how many requests come in this tick.
+func (m *mesh) arrivals() int {
+	n, left := 0, math.Exp(-m.rate*tick.Seconds())
+	for p := m.rng.Float64(); p > left; p *= m.rng.Float64() {
+		n++
+	}
+	return n
+}
+
+func (m *mesh) restart() {
+	for _, n := range m.nodes[:m.restarted] {
+		n.coldUntil = m.now.Add(coldTicks * tick)
+	}
+	for _, n := range m.nodes {
+		n.placer.Set(m.candidates())
+	}
+}
+
+func (m *mesh) after(ticks int, f func()) { m.due[m.ticks+ticks] = append(m.due[m.ticks+ticks], f) }
+
+func (m *mesh) arrive() {
+	j := &job{entry: m.nodes[m.rng.IntN(len(m.nodes))], began: m.now, tried: map[string]bool{}, rank: 1}
+	if m.rng.Float64() < 0.3 {
+		j.rank = 0
+	}
+	j.left = meshWork.Seconds() * math.Exp(0.3*m.rng.NormFloat64())
+	m.sent++
+	m.place(j)
+}
+
+// place sends a request to an upstream or turns it away.
+func (m *mesh) place(j *job) {
+	if j.full >= maxFull || m.now.Sub(j.began) >= meshDeadline {
+		m.turned++
+		return
+	}
+	if len(j.tried) == len(m.nodes) {
+		clear(j.tried)
+	}
+	to, alternative, ticks, ok := m.choose(j)
+	if !ok {
+		m.turned++
+		return
+	}
+	j.at = to
+	if to.zone == j.entry.zone {
+		ticks += nearTicks
+	} else {
+		ticks += farTicks
+	}
+	m.after(ticks, func() { m.reach(j, alternative) })
+}
+
+func (m *mesh) choose(j *job) (to *meshNode, alternative time.Duration, ticks int, ok bool) {
+	switch m.policy {
+	case byChance:
+		return m.nodes[m.rng.IntN(len(m.nodes))], 0, 0, true
+	case byFewest:
+		to = m.nodes[m.rng.IntN(len(m.nodes))]
+		for _, n := range m.nodes {
+			if j.entry.mine[n] < j.entry.mine[to] {
+				to = n
+			}
+		}
+		j.entry.mine[to]++
+		return to, 0, 0, true
+	}
+	ask := placement.Ask{
+		Work: meshWork, Target: meshTarget - m.now.Sub(j.began),
+		Exclude: func(u placement.Upstream) bool { return j.tried[u.Key] },
+	}
+	p := j.entry.placer
+	m.inquire(p, ask, j.rank, true, askNear)
+	if !p.Comfortable(m.now, ask) {
+		m.inquire(p, ask, j.rank, false, askFar)
+		ticks = farAskTicks
+	}
+	c, ok := p.Choose(m.now, ask)
+	if !ok {
+		return nil, 0, 0, false
+	}
+	if c.Age < surelyFull && c.Expected > meshDeadline-m.now.Sub(j.began) {
+		p.Done(m.now, c.Upstream.Key, nil)
+		return nil, 0, 0, false
+	}
+	if j.givenBack < maxGivenBack {
+		alternative = c.Alternative
+	}
+	return m.node(c.Upstream.Key), alternative, ticks, true
+}
+
+func (m *mesh) node(key string) *meshNode {
+	for _, n := range m.nodes {
+		if n.key == key {
+			return n
+		}
+	}
+	return nil
+}
+
+func (m *mesh) inquire(p *placement.Placer, ask placement.Ask, rank int, near bool, most int) {
+	for _, up := range p.ToAsk(m.now, ask, near, askAge, most) {
+		n := m.node(up.Key)
+		l := m.load(n)
+		l.Waiting = max(n.queue.Ahead(rank)-l.Running, 0)
+		p.Learn(m.now, up.Key, l)
+	}
+}
+
+func (m *mesh) load(n *meshNode) placement.Load {
+	if m.now.Sub(n.slowAt) >= slowKnownFor {
+		n.slow, n.slowAt = 1/n.speeds[m.ticks], m.now
+	}
+	return placement.Load{
+		Running: n.queue.Running(), Waiting: n.queue.Waiting(), Limit: n.queue.Limit(),
+		Slow: n.slow, SlowAge: m.now.Sub(n.slowAt),
+	}
+}
--- /dev/null
+++ b/replay/noisy_test.go
@@ -0,0 +1,87 @@
+package replay_test
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/placement"
+)
+
+// central returns the share within the target of one queue that knows how fast every
+// upstream is now and will be, in which each request takes the place where it ends
+// first, and is turned away where that would miss its target. It never fills an
+// upstream past its knee.
+func central(p pattern, seed uint64) float64 {
+	m := newMesh(p, byPlacement, seed)
+	free := make([][]int, len(m.nodes))
+	for i := range free {
+		free[i] = make([]int, placement.LimitOf(p.slots))
+	}
+	inTime, sent := 0, 0
+	for m.ticks = 0; m.ticks < meshTicks; m.ticks++ {
+		for range m.arrivals() {
+			sent++
+			work := meshWork.Seconds() * math.Exp(0.3*m.rng.NormFloat64())
+			node, slot, end := -1, -1, m.ticks+int(meshTarget/tick)+1
+			for i := range m.nodes {
+				for s := range free[i] {
+					if e := m.nodes[i].endOf(max(free[i][s], m.ticks), end, work); e < end {
+						node, slot, end = i, s, e
+					}
+				}
+			}
+			if node >= 0 {
+				free[node][slot] = end
+				inTime++
+			}
+		}
+	}
+	return float64(inTime) / float64(sent)
+}
+
+// endOf returns the tick at which work ends that starts at one, or most.
+func (n *meshNode) endOf(start, most int, work float64) int {
+	for t := start; t < most && t < len(n.speeds); t++ {
+		if work -= n.speeds[t] * tick.Seconds(); work <= 0 {
+			return t
+		}
+	}
+	return most
+}
+
+// TestNoisyUpstreams holds the share of requests within their target to what has been
+// reached, for loads that were hard.
+func TestNoisyUpstreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		pattern
+		// atLeast is a little below what the product reaches.
+		atLeast float64
+	}{
+		"usual load":           {pattern{rate: 80, slots: 6, noise: 0.25}, 0.97},
+		"heavy load":           {pattern{rate: 125, slots: 6, noise: 0.25}, 0.965},
+		"overload":             {pattern{rate: 250, slots: 6, noise: 0.25}, 0.79},
+		"heavy noise":          {pattern{rate: 80, slots: 6, noise: 0.5}, 0.91},
+		"a third starts anew":  {pattern{rate: 100, slots: 6, noise: 0.25, restarted: 4}, 0.955},
+		"two slots":            {pattern{rate: 25, slots: 2, noise: 0.25}, 0.93},
+		"many slots, no noise": {pattern{rate: 400, slots: 20}, 0.999},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// noMore is what chance alone makes of two shares that are equal.
+			const seeds, noMore = 3, 0.002
+			var ours, chance, fewest, best float64
+			for seed := range uint64(seeds) {
+				ours += newMesh(c.pattern, byPlacement, seed).play() / seeds
+				chance += newMesh(c.pattern, byChance, seed).play() / seeds
+				fewest += newMesh(c.pattern, byFewest, seed).play() / seeds
+				best += central(c.pattern, seed) / seeds
+			}
+			t.Logf("within target: %.3f; by chance %.3f, fewest outstanding %.3f, central queue %.3f", ours, chance, fewest, best)
+			require.GreaterOrEqual(t, ours, c.atLeast)
+			require.GreaterOrEqual(t, ours, chance-noMore)
+			require.GreaterOrEqual(t, ours, fewest-noMore)
+			require.LessOrEqual(t, ours, best+noMore)
+		})
+	}
+}
