Let the share of failures fade with time

Cause, found by a test of health answers that lie: a guard's share of failures changed only by its own runs. An upstream that failed a single request while others were idle was expected to take an eighth longer for good, so nothing was sent there and nothing could show that it was well again: after 20 s and some thousand requests it had not been tried once.

The share now halves every two seconds (core/placement/failing.go). One that fails everything is tried again after about seven seconds and then every two.

Ruled out: the avoidance after a silent question (300 ms), the jitter of choices (0.1, less than the eighth).

--- /dev/null
+++ b/core/placement/failing_test.go
@@ -0,0 +1,49 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFailingFades(t *testing.T) {
+	var f Failing
+	require.Zero(t, f.Share(at(0)))
+	for range 40 {
+		f.Count(at(0), true)
+	}
+	require.InDelta(t, 1, f.Share(at(0)), 0.01)
+	require.InDelta(t, 0.5, f.Share(at(0).Add(failTrust)), 0.01)
+	require.Less(t, f.Share(at(0).Add(4*failTrust)), jitter, "it is tried again")
+	f.Count(at(0).Add(4*failTrust), true)
+	require.Greater(t, f.Share(at(0).Add(4*failTrust)), jitter, "and left again")
+	for range 40 {
+		f.Count(at(0).Add(5*failTrust), false)
+	}
+	require.Less(t, f.Share(at(0).Add(5*failTrust)), 0.01)
+}
+
+// TestFailedOnceIsChosenAgain answers an upstream that failed one request while others
+// were idle: it was expected to take an eighth longer for good, and never chosen.
+func TestFailedOnceIsChosenAgain(t *testing.T) {
+	p := New(Options{Zone: "own", Rand: rand.New(rand.NewPCG(1, 1)).Float64})
+	p.Set([]Upstream{{Key: "a", Zone: "own", Slots: 6}, {Key: "b", Zone: "own", Slots: 6}})
+	var f Failing
+	f.Count(at(0), true)
+	chosen := 0
+	for i := range 400 {
+		now := at(0).Add(time.Duration(i) * 50 * time.Millisecond)
+		l := idle(1)
+		l.Failing = f.Share(now)
+		p.Learn(now, "a", l)
+		p.Learn(now, "b", idle(1))
+		c := choose(t, p, now)
+		if c.Upstream.Key == "a" {
+			chosen++
+		}
+		p.Done(now, c.Upstream.Key, nil)
+	}
+	require.Greater(t, chosen, 100)
+}
--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -125,7 +125,5 @@
 	if !v.known {
 		return 0
 	}
-	const trust = 2 * time.Second // a failing upstream is tried again after a few of these
-	age := now.Sub(v.loadAt)
-	return v.load.Failing * math.Exp2(-float64(age)/float64(trust))
+	return v.load.Failing * trusted(now.Sub(v.loadAt))
 }
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -192,6 +192,8 @@
 	handle func(w http.ResponseWriter, r *http.Request)
 	seen   []*http.Request
 	bodies []string
+	// health is the status of the health answer. Zero means 200.
+	health int
 }
 
 func newUpstream(t *testing.T, id string) *upstream {
@@ -209,6 +211,12 @@
 	u.handle = h
 }
 
+func (u *upstream) setHealth(status int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.health = status
+}
+
 func (u *upstream) requests() []*http.Request {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -219,6 +227,9 @@
 	w.Header().Set("T-Instance", u.id)
 	w.Header().Set("T-Slow", "1")
 	if r.URL.Path == "/health" {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		w.WriteHeader(max(u.health, http.StatusOK))
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -47,7 +47,7 @@
 	slow    float64
 	slowAt  model.Instant
 	told    bool
-	failing float64
+	failing placement.Failing
 	probing chan struct{}
 	// runs and calls count, of late, what the own upstream was sent and what it may
 	// have called at other services.
@@ -130,7 +130,7 @@
 	g.pool.Close()
 	g.pool = g.newPool()
 	g.queue.SetLimit(placement.LimitOf(g.tracker.Current().Slots))
-	g.told, g.failing = false, 0
+	g.told, g.failing = false, placement.Failing{}
 }
 
 // current returns the newest report of the upstream.
@@ -219,7 +219,7 @@
 func (g *guard) load() placement.Load {
 	l := placement.Load{
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
-		Slow: g.slow, SlowAge: g.now().Sub(g.slowAt), Failing: g.failing,
+		Slow: g.slow, SlowAge: g.now().Sub(g.slowAt), Failing: g.failing.Share(g.now()),
 	}
 	if !g.told {
 		l.Slow = 0
@@ -238,7 +238,7 @@
 	it, admission, expected := g.queue.Admit(g.now(), slots.Arrival{
 		Rank: c.Rank, Urgent: g.urgent(c.Rank), Work: c.Work,
 		Within: c.Within, Deadline: c.Deadline, Alternative: c.Alternative,
-	}, slots.Speed{Slow: g.slow, Failing: g.failing})
+	}, slots.Speed{Slow: g.slow, Failing: g.failing.Share(g.now())})
 	if admission != slots.Admitted {
 		g.mu.Unlock()
 		return 0, nil, g.turnAway(c, admission, expected)
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// failWeight makes the failing share cover about 8 requests.
-	failWeight = 1.0 / 8
 	// keptIdle is how long a connection may have been idle to carry a request
 	// that must not run twice: an upstream that forgets connections resets the
 	// request, and then nobody knows whether it ran.
@@ -149,16 +147,16 @@
 
 // judge takes in whether a run failed.
 func (g *guard) judge(ctx context.Context, a *Answer) {
-	failed := 0.0
+	failed := false
 	switch {
 	case a.Outcome.Kind == outcome.Unknown && errors.Is(ctx.Err(), context.Canceled):
 		return
 	case a.Outcome.Kind != outcome.Answered, a.Status >= http.StatusInternalServerError:
-		failed = 1
+		failed = true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.failing += (failed - g.failing) * failWeight
+	g.failing.Count(g.now(), failed)
 }
 
 func (g *guard) tellRun(c *Call, a *Answer, err error, waited time.Duration, running int) {
