Serve upstreams that do not tell their load

The time of a route's requests was learned only from answers with a slowness, so it stayed at the 50 ms that are assumed at first.

A guard that has got an answer without a load does not ask for 10 s and takes the upstream to work as usual; answers bring the work of their request, which then is the time that it ran.

--- a/replay/mesh_guard_test.go
+++ b/replay/mesh_guard_test.go
@@ -13,7 +13,7 @@
 	m.load(n)
 	took := m.now.Sub(j.began)
 	it, admission, _ := n.queue.Admit(m.now, slots.Arrival{
-		Rank: j.rank, Urgent: j.rank == 0, Work: meshWork, Alternative: alternative,
+		Rank: j.rank, Urgent: j.rank == 0, Work: m.usual(), Alternative: alternative,
 		Within: max(meshTarget-took, 0), Deadline: meshDeadline - took,
 	}, slots.Speed{Slow: n.slow})
 	if admission != slots.Admitted {
@@ -90,6 +90,9 @@
 	m.pump(n)
 }
 
+// noisyRun is how long requests run on the mean beside the usual neighbours.
+const noisyRun = 210 * time.Millisecond
+
 func (m *mesh) finish(j *job) {
 	l := m.load(j.at)
 	m.done(j, j.at, &l)
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -56,6 +56,8 @@
 	noise float64
 	// restarted upstreams start anew after five seconds.
 	restarted int
+	// untold upstreams do not say how slow they are.
+	untold bool
 }
 
 // policy chooses where a request goes. The zero value is the product's.
@@ -246,7 +248,7 @@
 		return to, 0, 0, true
 	}
 	ask := placement.Ask{
-		Work: meshWork, Target: meshTarget - m.now.Sub(j.began),
+		Work: m.usual(), Target: meshTarget - m.now.Sub(j.began),
 		Exclude: func(u placement.Upstream) bool { return j.tried[u.Key] },
 	}
 	p := j.entry.placer
@@ -269,6 +271,14 @@
 	return m.node(c.Upstream.Key), alternative, ticks, true
 }
 
+// usual returns how long requests usually run, as far as entries know.
+func (m *mesh) usual() time.Duration {
+	if m.untold {
+		return noisyRun
+	}
+	return meshWork
+}
+
 func (m *mesh) node(key string) *meshNode {
 	for _, n := range m.nodes {
 		if n.key == key {
@@ -288,7 +298,9 @@
 }
 
 func (m *mesh) load(n *meshNode) placement.Load {
-	if m.now.Sub(n.slowAt) >= slowKnownFor {
+	if m.untold {
+		n.slowAt = m.now
+	} else if m.now.Sub(n.slowAt) >= slowKnownFor {
 		n.slow, n.slowAt = 1/n.speeds[m.ticks], m.now
 	}
 	return placement.Load{
--- a/replay/noisy_test.go
+++ b/replay/noisy_test.go
@@ -65,6 +65,7 @@
 		"heavy noise":          {pattern{rate: 80, slots: 6, noise: 0.5}, 0.91},
 		"a third starts anew":  {pattern{rate: 100, slots: 6, noise: 0.25, restarted: 4}, 0.955},
 		"two slots":            {pattern{rate: 25, slots: 2, noise: 0.25}, 0.93},
+		"slowness untold":      {pattern{rate: 80, slots: 6, noise: 0.25, untold: true}, 0.945},
 		"many slots, no noise": {pattern{rate: 400, slots: 20}, 0.999},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -56,8 +56,10 @@
 	Body   []byte
 	// Load is the guard's; nil when it is not known.
 	Load *placement.Load
-	// Ran is how long the upstream took.
-	Ran time.Duration
+	// Ran is how long the upstream took, as its guard knows it, and Work how long it
+	// would have taken where nothing slows it.
+	Ran  time.Duration
+	Work time.Duration
 	// CallsPerRun is how many calls to other services a run there makes of late.
 	CallsPerRun float64
 	// Arrived tells that the upstream may have got the request, if only to
@@ -143,7 +145,7 @@
 	}
 	return fmt.Sprintf("%s %s %t %d %d %d %d %d %d %d %d/%d",
 		a.Outcome.Kind, reason, a.Arrived, l.Running, l.Waiting, l.Limit,
-		int(l.Slow*hundred), l.SlowAge.Milliseconds(), int(l.Failing*hundred), int(a.CallsPerRun*hundred), a.Ran.Microseconds(), a.Version)
+		int(l.Slow*hundred), l.SlowAge.Milliseconds(), int(l.Failing*hundred), int(a.CallsPerRun*hundred), a.Work.Microseconds(), a.Version)
 }
 
 // hundred turns shares and ratios into whole hundredths.
@@ -157,18 +159,18 @@
 	}
 	kind, ok := outcome.ParseKind(f[0])
 	arrived, err := strconv.ParseBool(f[2])
-	ran, version, cut := strings.Cut(f[10], "/")
+	work, version, cut := strings.Cut(f[10], "/")
 	if !ok || err != nil || !cut {
 		return nil, &FieldError{What: "answer", Value: s}
 	}
-	n, err := numbers(f[3], f[4], f[5], f[6], f[7], f[8], ran, version, f[9])
+	n, err := numbers(f[3], f[4], f[5], f[6], f[7], f[8], work, version, f[9])
 	if err != nil {
 		return nil, err
 	}
 	a := &Answer{
 		Outcome:     outcome.Outcome{Kind: kind},
 		Arrived:     arrived,
-		Ran:         time.Duration(n[6]) * time.Microsecond,
+		Work:        time.Duration(n[6]) * time.Microsecond,
 		Version:     model.Version(n[7]),
 		CallsPerRun: float64(n[8]) / hundred,
 	}
--- /dev/null
+++ b/sidecar/capacity_test.go
@@ -0,0 +1,103 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/route"
+)
+
+// The benchmarks of this file give the slopes of docs/CAPACITY.md: what a daemon holds
+// and sends for each other daemon, candidate and route.
+
+func recordOf(i int) Record {
+	return Record{
+		Address: fmt.Sprintf("10.1.%d.%d:7460", i/250, i%250), Incarnation: 1_790_000_000_000, Sequence: 7, Zone: "zone-a",
+		Service: model.ServiceName(fmt.Sprint("service-", i%77)), State: lifecycle.Ready, Slots: 6,
+		Upstream: lifecycle.Incarnation{ID: model.UpstreamID(fmt.Sprintf("i-%010d", i)), Born: 1_790_000_000_000},
+	}
+}
+
+func heapBytes() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func BenchmarkPeers(b *testing.B) {
+	for _, n := range []int{100, 400, 1700} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				p := newPeers(recordOf(0), func() model.Instant { return 0 }, nil)
+				records := make([]Record, n)
+				for i := range records {
+					records[i] = recordOf(i + 1)
+				}
+				p.asked = fullAsks
+				p.merge(records)
+				records = nil
+				b.ReportMetric((heapBytes()-before)/float64(n), "heap-B/daemon")
+				known, err := json.Marshal(syncMessage{From: p.self(), Known: p.known()})
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(known))/float64(n), "wire-B/daemon")
+				runtime.KeepAlive(p)
+			}
+		})
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{6, 22, 64, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := placement.New(placement.Options{Zone: "zone-0"})
+			var ups []placement.Upstream
+			for i := range n {
+				ups = append(ups, placement.Upstream{Key: fmt.Sprint(i), Zone: model.AvailabilityZone(fmt.Sprint("zone-", i%5)), Slots: 6})
+			}
+			p.Set(ups)
+			for i := range n {
+				p.Learn(0, fmt.Sprint(i), placement.Load{Running: i % 4, Limit: 4, Slow: 1})
+			}
+			ask := placement.Ask{Work: firstWork, Target: 4 * firstWork}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.ToAsk(0, ask, true, askAge, askNear)
+				c, _ := p.Choose(0, ask)
+				p.Done(0, c.Upstream.Key, nil)
+			}
+		})
+	}
+}
+
+func BenchmarkConfiguration(b *testing.B) {
+	for _, n := range []int{100, 400, 1600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			doc := documentOf(1, "b")
+			for i := range n {
+				r := doc.Routes[0]
+				r.Name, r.Prefix = fmt.Sprint("r", i), fmt.Sprintf("/r%d/", i)
+				doc.Routes = append(doc.Routes, r)
+			}
+			b.ReportAllocs()
+			before := heapBytes()
+			var t *route.Table
+			for b.Loop() {
+				var err error
+				if t, err = route.New(doc); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric((heapBytes()-before)/float64(n), "heap-B/route")
+			runtime.KeepAlive(t)
+		})
+	}
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -314,11 +314,10 @@
 	return firstWork
 }
 
-// worked takes in how long a request of a route ran, at a slowness.
-func (e *entry) worked(name string, ran time.Duration, slow float64) {
+// worked takes in the work of a request of a route.
+func (e *entry) worked(name string, usual time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	usual := time.Duration(float64(ran) / max(slow, 1))
 	w := e.works[name]
 	if w == nil {
 		if len(e.works) >= maxWorks {
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -187,6 +187,8 @@
 type upstream struct {
 	id     string
 	server *httptest.Server
+	// silent upstreams do not tell their load. It does not change.
+	silent bool
 	// handle answers requests; nil answers well.
 	mu     sync.Mutex
 	handle func(w http.ResponseWriter, r *http.Request)
@@ -225,7 +227,9 @@
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("T-Instance", u.id)
-	w.Header().Set("T-Slow", "1")
+	if !u.silent {
+		w.Header().Set("T-Slow", "1")
+	}
 	if r.URL.Path == "/health" {
 		u.mu.Lock()
 		defer u.mu.Unlock()
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -220,8 +220,8 @@
 		r.s.placer.Unreachable(now, t.choice.Upstream.Key)
 	}
 	r.s.mu.Unlock()
-	if a.Outcome.Kind == outcome.Answered && a.Status < http.StatusInternalServerError && a.Load != nil && a.Load.Slow > 0 {
-		r.e.worked(r.req.route.Name, a.Ran, a.Load.Slow)
+	if a.Outcome.Kind == outcome.Answered && a.Status < http.StatusInternalServerError && a.Work > 0 {
+		r.e.worked(r.req.route.Name, a.Work)
 	}
 	switch {
 	case a.Arrived:
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -47,8 +47,11 @@
 	slow    float64
 	slowAt  model.Instant
 	told    bool
-	failing placement.Failing
-	probing chan struct{}
+	// silentUntil is until when an upstream that does not tell its load is not asked
+	// for it.
+	silentUntil model.Instant
+	failing     placement.Failing
+	probing     chan struct{}
 	// runs and calls count, of late, what the own upstream was sent and what it may
 	// have called at other services.
 	runs  float64
@@ -221,7 +224,12 @@
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
 		Slow: g.slow, SlowAge: g.now().Sub(g.slowAt), Failing: g.failing.Share(g.now()),
 	}
-	if !g.told {
+	switch {
+	case g.told:
+	case g.silent():
+		// Its slowness is part of the time that requests are known to take.
+		l.Slow, l.SlowAge = 1, 0
+	default:
 		l.Slow = 0
 	}
 	return l
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -13,7 +13,7 @@
 // Callers that come meanwhile wait for the same answer.
 func (g *guard) refresh(ctx context.Context) {
 	g.mu.Lock()
-	if g.tracker.Current().State != lifecycle.Ready || g.told && g.now().Sub(g.slowAt) < freshFor {
+	if g.tracker.Current().State != lifecycle.Ready || g.silent() || g.told && g.now().Sub(g.slowAt) < freshFor {
 		g.mu.Unlock()
 		return
 	}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -21,6 +21,9 @@
 	// that must not run twice: an upstream that forgets connections resets the
 	// request, and then nobody knows whether it ran.
 	keptIdle = time.Second
+	// silentFor is how long an upstream that has answered without telling its load is
+	// not asked for it. Most such never tell, and each question is a request more.
+	silentFor = 10 * time.Second
 	// minDeadline is the least time that an upstream is given.
 	minDeadline = 2 * time.Millisecond
 )
@@ -63,6 +66,7 @@
 	ran := g.now().Sub(began)
 	a := g.read(ctx, c, reply, err)
 	a.Ran = ran
+	a.Work = g.workOf(ran)
 	g.metrics.stage(stageGuard, c.Service, waited)
 	g.metrics.stage(stageUpstream, c.Service, ran)
 	g.judge(ctx, a)
@@ -73,6 +77,17 @@
 	return a
 }
 
+// workOf returns how long a run would have taken where nothing slows it, or as it was
+// where the upstream does not tell how slow it is.
+func (g *guard) workOf(ran time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.told {
+		return ran
+	}
+	return time.Duration(float64(ran) / max(g.slow, 1))
+}
+
 func lostRunOf(c *Call, life lifecycle.Incarnation) lostRun {
 	r := asked(c.Service, c.Method, c.Target, c.Body)
 	f := quarantine.Of(r)
@@ -132,11 +147,14 @@
 
 // learn takes in what the upstream says of its load.
 func (g *guard) learn(l *UpstreamLoad) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if l == nil {
+		if !g.told {
+			g.silentUntil = g.now().Add(silentFor)
+		}
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if l.Slow > 0 {
 		g.slow, g.slowAt, g.told = l.Slow, g.now(), true
 	}
@@ -145,6 +163,9 @@
 	}
 }
 
+// silent reports whether the upstream is known not to tell its load. g.mu is held.
+func (g *guard) silent() bool { return !g.told && g.now() < g.silentUntil }
+
 // judge takes in whether a run failed.
 func (g *guard) judge(ctx context.Context, a *Answer) {
 	failed := false
