--- a/decision/log.go
+++ b/decision/log.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // Options configure a Log.
@@ -20,6 +22,8 @@
 	Buffer int
 	// Now reads the time. Default: time.Now.
 	Now func() time.Time
+	// Scope receives the counters of decisions. Nil means none.
+	Scope tally.Scope
 }
 
 const (
@@ -39,6 +43,7 @@
 // Log writes lines. It is safe for concurrent use. A nil Log drops everything.
 type Log struct {
 	opts    Options
+	counts  *counts
 	classes map[Kind]Class
 	lines   chan slog.Record
 	done    chan struct{}
@@ -70,6 +75,7 @@
 	}
 	l := &Log{
 		opts:    o,
+		counts:  newCounts(o.Scope),
 		classes: make(map[Kind]Class),
 		lines:   make(chan slog.Record, o.Buffer),
 		done:    make(chan struct{}),
@@ -100,6 +106,7 @@
 	if l == nil {
 		return
 	}
+	l.counts.add(k, attrs)
 	class := l.classes[k]
 	if class == Plain && !l.Keeps(request) {
 		return
