--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -36,8 +36,8 @@
 	// maxFailing bounds how far failures count against an upstream, so that a
 	// trial now and then finds out when they have ended.
 	maxFailing = 0.95
-	// spareShare is the share of the slots that is filled at first: servers slow
-	// down near saturation.
+	// spareShare is the share of the slots that is filled: servers slow down near
+	// saturation.
 	spareShare = 0.8
 	// saturatedSlow is how many times longer requests take on all slots of an
 	// upstream that slows down near saturation, as recorded of services with 6 of
