Tell when an upstream is suspected of failures and trusted again

On-call engineers saw that calls avoided an upstream and not since when, nor why. One line when its guard counts half of its runs as failed of late, one when that is a tenth or less again.

--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -18,33 +18,35 @@
 
 // The kinds.
 const (
-	Answered       Kind = "request answered"
-	Refused        Kind = "request refused"
-	Failed         Kind = "request failed"
-	Resent         Kind = "request sent again"
-	Hedged         Kind = "request hedged"
-	GivenBack      Kind = "request given back"
-	Withdrawn      Kind = "request withdrawn"
-	Ran            Kind = "request ran"
-	RunFailed      Kind = "run failed"
-	Suspected      Kind = "request suspected"
-	UpstreamState  Kind = "upstream state"
-	ReportRefused  Kind = "report refused"
-	PeerState      Kind = "peer state"
-	PeerLost       Kind = "peer lost"
-	PeerRegained   Kind = "peer regained"
-	ConfigInForce  Kind = "configuration in force"
-	ConfigRefused  Kind = "configuration refused"
-	StoreLost      Kind = "store lost"
-	StoreRegained  Kind = "store regained"
-	RecordRefused  Kind = "record refused"
-	Started        Kind = "daemon started"
-	Stopping       Kind = "daemon stopping"
-	Stopped        Kind = "daemon stopped"
-	Reloaded       Kind = "settings reloaded"
-	ReloadRefused  Kind = "settings refused"
-	LinesDropped   Kind = "lines dropped"
-	AnnounceFailed Kind = "announcement failed"
+	Answered        Kind = "request answered"
+	Refused         Kind = "request refused"
+	Failed          Kind = "request failed"
+	Resent          Kind = "request sent again"
+	Hedged          Kind = "request hedged"
+	GivenBack       Kind = "request given back"
+	Withdrawn       Kind = "request withdrawn"
+	Ran             Kind = "request ran"
+	RunFailed       Kind = "run failed"
+	Suspected       Kind = "request suspected"
+	UpstreamState   Kind = "upstream state"
+	UpstreamFailing Kind = "upstream failing"
+	UpstreamTrusted Kind = "upstream trusted"
+	ReportRefused   Kind = "report refused"
+	PeerState       Kind = "peer state"
+	PeerLost        Kind = "peer lost"
+	PeerRegained    Kind = "peer regained"
+	ConfigInForce   Kind = "configuration in force"
+	ConfigRefused   Kind = "configuration refused"
+	StoreLost       Kind = "store lost"
+	StoreRegained   Kind = "store regained"
+	RecordRefused   Kind = "record refused"
+	Started         Kind = "daemon started"
+	Stopping        Kind = "daemon stopping"
+	Stopped         Kind = "daemon stopped"
+	Reloaded        Kind = "settings reloaded"
+	ReloadRefused   Kind = "settings refused"
+	LinesDropped    Kind = "lines dropped"
+	AnnounceFailed  Kind = "announcement failed"
 )
 
 // Declaration tells what lines of a kind hold.
@@ -80,6 +82,8 @@
 		{RunFailed, Trouble, "An upstream was sent a request and gave no whole answer, or a failure.", []string{"upstream", "outcome", "reason", "status", "ran_ms", "error"}},
 		{Suspected, State, "The upstream crashed while it ran a request. One that ran in several crashes is refused.", []string{"upstream", "born", "fingerprint"}},
 		{UpstreamState, State, "The upstream of this VM changed its state.", []string{"upstream", "born", "sequence", "state", "cause"}},
+		{UpstreamFailing, State, "The upstream of this VM fails most requests, so that others are preferred.", []string{"upstream", "failing"}},
+		{UpstreamTrusted, State, "It no longer does.", []string{"upstream", "failing"}},
 		{ReportRefused, State, "A report of an upstream could not be used.", []string{"upstream", "error"}},
 		{PeerState, State, "The upstream of another daemon changed its state.", []string{"peer", "upstream", "born", "state", "stopping"}},
 		{PeerLost, State, "Another daemon could not be reached.", []string{"peer", "error"}},
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -51,7 +51,10 @@
 	// for it.
 	silentUntil model.Instant
 	failing     placement.Failing
-	probing     chan struct{}
+	// suspected is set from the line that tells of failures to the one that tells of
+	// their end.
+	suspected bool
+	probing   chan struct{}
 	// runs and calls count, of late, what the own upstream was sent and what it may
 	// have called at other services.
 	runs  float64
@@ -133,7 +136,7 @@
 	g.pool.Close()
 	g.pool = g.newPool()
 	g.queue.SetLimit(placement.LimitOf(g.tracker.Current().Slots))
-	g.told, g.failing = false, placement.Failing{}
+	g.told, g.failing, g.suspected = false, placement.Failing{}, false
 }
 
 // current returns the newest report of the upstream.
--- a/sidecar/lying_test.go
+++ b/sidecar/lying_test.go
@@ -1,11 +1,18 @@
 package sidecar
 
 import (
+	"bytes"
+	"log/slog"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/decision"
 )
 
 // TestHealthAnswersAreNotBelieved has one of two upstreams lie about its health. What
@@ -46,3 +53,25 @@
 		})
 	}
 }
+
+// TestFailuresAreTold has an upstream fail and recover: two lines tell of it, however
+// many requests it takes.
+func TestFailuresAreTold(t *testing.T) {
+	var out bytes.Buffer
+	decisions := decision.New(decision.Options{Handler: slog.NewJSONHandler(&out, nil)})
+	var now model.Instant
+	g := newGuard(&Options{Decisions: decisions}, func() model.Instant { return now }, newMetrics(nil))
+	run := func(status, times int) {
+		for range times {
+			now = now.Add(time.Millisecond)
+			g.judge(t.Context(), &Answer{Outcome: outcome.Done(), Status: status})
+		}
+	}
+	run(http.StatusOK, 20)
+	run(http.StatusInternalServerError, 30)
+	run(http.StatusOK, 50)
+	decisions.Close(time.Second)
+	require.Equal(t, 1, strings.Count(out.String(), string(decision.UpstreamFailing)))
+	require.Equal(t, 1, strings.Count(out.String(), string(decision.UpstreamTrusted)))
+	require.Less(t, strings.Index(out.String(), string(decision.UpstreamFailing)), strings.Index(out.String(), string(decision.UpstreamTrusted)))
+}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -24,6 +24,10 @@
 	// silentFor is how long an upstream that has answered without telling its load is
 	// not asked for it. Most such never tell, and each question is a request more.
 	silentFor = 10 * time.Second
+	// suspectShare of failures has a line say that the upstream fails, trustShare that
+	// it is well again: apart, so that chance does not write many.
+	suspectShare = 0.5
+	trustShare   = 0.1
 	// minDeadline is the least time that an upstream is given.
 	minDeadline = 2 * time.Millisecond
 )
@@ -178,6 +182,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.failing.Count(g.now(), failed)
+	share := g.failing.Share(g.now())
+	switch {
+	case !g.suspected && share >= suspectShare:
+		g.tellTrust(decision.UpstreamFailing, share)
+	case g.suspected && share <= trustShare:
+		g.tellTrust(decision.UpstreamTrusted, share)
+	}
+}
+
+// tellTrust notes that the upstream is suspected or trusted again. g.mu is held.
+func (g *guard) tellTrust(k decision.Kind, share float64) {
+	g.suspected = k == decision.UpstreamFailing
+	g.opts.Decisions.Write(k, "", slog.String("upstream", string(g.tracker.Current().ID)), slog.Float64("failing", share))
 }
 
 func (g *guard) tellRun(c *Call, a *Answer, err error, waited time.Duration, running int) {
