soak: datagrams pass again after a daemon has been away

Cause: the proxy kept the socket of each sender for good, also after the target's absence had ended its reader, so that no datagram was answered between two daemons once one of them had restarted; soaks tried connections there instead. Sockets now go with their readers, and after 3 s without an answer, which also lets 100 daemons keep below the limit of open files.

TestDatagramsPassAfterTheTargetRestarts fails before and passes after.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -19,6 +19,8 @@
 	// deaf holds the connections that were open when they went silent; they stay
 	// so for good.
 	deaf map[net.Conn]bool
+	// flows holds a socket for each sender of datagrams.
+	flows map[string]net.Conn
 }
 
 const (
@@ -29,7 +31,7 @@
 )
 
 func newLink(address, target string) (*link, error) {
-	l := &link{address: address, target: target, conns: make(map[net.Conn]bool), deaf: make(map[net.Conn]bool)}
+	l := &link{address: address, target: target, conns: make(map[net.Conn]bool), deaf: make(map[net.Conn]bool), flows: make(map[string]net.Conn)}
 	var err error
 	if l.tcp, err = net.Listen("tcp", address); err != nil {
 		return nil, err
@@ -175,10 +177,17 @@
 	}
 }
 
+const (
+	// datagramBytes is more than a datagram of a daemon.
+	datagramBytes = 2 << 10
+	// flowIdle is how long the socket of a sender is kept that gets no answer: with
+	// a hundred daemons each link has a hundred senders.
+	flowIdle = 3 * time.Second
+)
+
 // datagrams passes datagrams on, each sender over a socket of its own.
 func (l *link) datagrams() {
-	senders := make(map[string]net.Conn)
-	buf := make([]byte, copyBytes)
+	buf := make([]byte, datagramBytes)
 	for {
 		n, from, err := l.udp.ReadFromUDP(buf)
 		if err != nil {
@@ -187,21 +196,41 @@
 		if mode := l.current(nil); mode == "silent" || mode == "reset" {
 			continue
 		}
-		out := senders[from.String()]
-		if out == nil {
-			if out, err = net.Dial("udp4", l.target); err != nil {
-				continue
-			}
-			senders[from.String()] = out
-			go l.answers(out, from)
+		if out := l.flow(from); out != nil {
+			_, _ = out.Write(buf[:n])
 		}
-		_, _ = out.Write(buf[:n])
 	}
 }
 
-func (l *link) answers(out net.Conn, to *net.UDPAddr) {
-	buf := make([]byte, copyBytes)
+// flow returns the socket of a sender, nil when there can be none.
+func (l *link) flow(from *net.UDPAddr) net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := from.String()
+	if out := l.flows[key]; out != nil {
+		return out
+	}
+	out, err := net.Dial("udp4", l.target)
+	if err != nil {
+		return nil
+	}
+	l.flows[key] = out
+	go l.answers(out, key, from)
+	return out
+}
+
+// answers passes answers back until there is none for a while, or the target is not
+// there.
+func (l *link) answers(out net.Conn, key string, to *net.UDPAddr) {
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.flows, key)
+		_ = out.Close()
+	}()
+	buf := make([]byte, datagramBytes)
 	for {
+		_ = out.SetReadDeadline(time.Now().Add(flowIdle))
 		n, err := out.Read(buf)
 		if err != nil {
 			return
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestDatagramsPassAfterTheTargetRestarts has answers come back although the target
+// was gone for a while.
+func TestDatagramsPassAfterTheTargetRestarts(t *testing.T) {
+	const address, target = "127.99.0.1:7760", "127.99.0.1:7660"
+	l, err := newLink(address, target)
+	require.NoError(t, err)
+	t.Cleanup(l.close)
+	echo := func() *net.UDPConn {
+		to, err := net.ResolveUDPAddr("udp4", target)
+		require.NoError(t, err)
+		conn, err := net.ListenUDP("udp4", to)
+		require.NoError(t, err)
+		go func() {
+			buf := make([]byte, datagramBytes)
+			for {
+				n, from, err := conn.ReadFromUDP(buf)
+				if err != nil {
+					return
+				}
+				_, _ = conn.WriteToUDP(buf[:n], from)
+			}
+		}()
+		return conn
+	}
+	sender, err := net.Dial("udp4", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = sender.Close() })
+	answered := func() bool {
+		_, err := sender.Write([]byte("hello"))
+		require.NoError(t, err)
+		require.NoError(t, sender.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+		n, err := sender.Read(make([]byte, datagramBytes))
+		return err == nil && n == len("hello")
+	}
+	first := echo()
+	require.Eventually(t, answered, 10*time.Second, time.Millisecond)
+	require.NoError(t, first.Close())
+	for range 3 {
+		require.False(t, answered())
+	}
+	second := echo()
+	t.Cleanup(func() { _ = second.Close() })
+	require.Eventually(t, answered, 10*time.Second, time.Millisecond)
+}
