Keep idle connections by the newest promise

Callers reuse connections by the newest limit, so after a longer one came into force a request could arrive just as the timer closed the connection; it was read, forwarded and run. A longer limit now moves the timers of connections that are idle already; a shorter one does not, as callers may not know it yet.

TestIdleConnectionsKeepTheNewestPromise fails before and passes after.

--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -32,13 +32,19 @@
 	listener net.Listener
 
 	mu sync.Mutex
-	// idle closes connections that stay idle; limits change while it runs.
-	idle   map[net.Conn]*time.Timer
+	// idle holds the idle connections; limits change while it runs.
+	idle   map[net.Conn]*idleConn
 	limits route.Limits
 }
 
+// idleConn is a connection that is closed if it stays idle.
+type idleConn struct {
+	since time.Time
+	close *time.Timer
+}
+
 func newServer(name string, h http.Handler) *server {
-	s := &server{name: name, idle: make(map[net.Conn]*time.Timer)}
+	s := &server{name: name, idle: make(map[net.Conn]*idleConn)}
 	s.http = &http.Server{
 		Handler:                      h,
 		ReadHeaderTimeout:            headerTimeout,
@@ -56,23 +62,37 @@
 // timeout while it runs.
 const idleForever = 24 * time.Hour
 
-// limit takes in what callers are promised.
+// limit takes in what callers are promised. Where that is longer than before, it holds
+// for connections that are idle already: callers go by the newest promise. Where it is
+// shorter, some may not know yet.
 func (s *server) limit(l route.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	longer := l.IdleTimeout > s.limits.IdleTimeout
 	s.limits = l
+	if !longer {
+		return
+	}
+	for _, c := range s.idle {
+		if c.close.Stop() {
+			c.close.Reset(time.Until(c.since.Add(l.IdleTimeout + idleSlack)))
+		}
+	}
 }
 
 // state closes connections that have been idle for longer than promised.
 func (s *server) state(c net.Conn, st http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t := s.idle[c]; t != nil {
-		t.Stop()
+	if i := s.idle[c]; i != nil {
+		i.close.Stop()
 		delete(s.idle, c)
 	}
 	if st == http.StateIdle && s.limits.IdleTimeout > 0 {
-		s.idle[c] = time.AfterFunc(s.limits.IdleTimeout+idleSlack, func() { _ = c.Close() })
+		s.idle[c] = &idleConn{
+			since: time.Now(),
+			close: time.AfterFunc(s.limits.IdleTimeout+idleSlack, func() { _ = c.Close() }),
+		}
 	}
 }
 
--- /dev/null
+++ b/sidecar/server_test.go
@@ -0,0 +1,44 @@
+package sidecar
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/route"
+)
+
+// TestIdleConnectionsKeepTheNewestPromise changes how long idle connections are kept
+// while one is idle.
+func TestIdleConnectionsKeepTheNewestPromise(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after time.Duration
+		closedAfter   time.Duration
+	}{
+		"unchanged": {5 * time.Second, 5 * time.Second, 5*time.Second + idleSlack},
+		"longer":    {5 * time.Second, 20 * time.Second, 20*time.Second + idleSlack},
+		"shorter":   {20 * time.Second, 5 * time.Second, 20*time.Second + idleSlack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newServer("callers", http.NotFoundHandler())
+				s.limit(route.Limits{IdleTimeout: c.before})
+				conn, other := net.Pipe()
+				defer func() { _ = other.Close() }()
+				s.state(conn, http.StateActive)
+				s.state(conn, http.StateIdle)
+				time.Sleep(4 * time.Second)
+				s.limit(route.Limits{IdleTimeout: c.after})
+				time.Sleep(c.closedAfter - 4*time.Second - time.Millisecond)
+				require.NoError(t, conn.SetDeadline(time.Time{}), "it is open")
+				time.Sleep(2 * time.Millisecond)
+				synctest.Wait()
+				require.Error(t, conn.SetDeadline(time.Time{}), "it is closed")
+			})
+		})
+	}
+}
