--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -52,3 +52,14 @@
 	t.Cleanup(func() { _ = second.Close() })
 	require.Eventually(t, answered, 10*time.Second, time.Millisecond)
 }
+
+// TestSoaksOfOneSeedDoNotShareAddresses has two run beside each other.
+func TestSoaksOfOneSeedDoNotShareAddresses(t *testing.T) {
+	one, two := &world{plan: Plan{Seed: 99}}, &world{plan: Plan{Seed: 99}}
+	for _, w := range []*world{one, two} {
+		ln, err := w.listen()
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = ln.Close() })
+	}
+	require.NotEqual(t, one.ip(1), two.ip(1))
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -63,8 +63,10 @@
 	store    *platformtest.Store
 	server   *http.Server
 	machines []*machine
-	began    time.Time
-	ids      atomic.Int64
+	// net is the part of the loopback addresses that the soak has taken.
+	net   int
+	began time.Time
+	ids   atomic.Int64
 	// version is the newest configuration, published when.
 	mu        sync.Mutex
 	version   int
@@ -99,18 +101,36 @@
 	return Result{Violations: w.check.found(), Requests: int(w.requests.Load()), Served: int(w.served.Load())}, ctx.Err()
 }
 
-// ip returns the address of a VM. Soaks of different seeds do not share any.
+// nets is how many soaks fit beside each other on the loopback addresses.
+const nets = 100
+
+// ip returns the address of a VM, or for 0 of the store.
 func (w *world) ip(number int) string {
-	const nets, hosts = 100, 250
-	return fmt.Sprintf("127.%d.%d.%d", 100+w.plan.Seed%nets, number/hosts, 1+number%hosts)
+	const firstNet, hosts = 100, 250
+	return fmt.Sprintf("127.%d.%d.%d", firstNet+w.net, number/hosts, 1+number%hosts)
+}
+
+// listen takes addresses that no other soak has, beginning with those of the seed, and
+// listens on the store's.
+func (w *world) listen() (net.Listener, error) {
+	var last error
+	for i := range uint64(nets) {
+		w.net = int((w.plan.Seed + i) % nets)
+		ln, err := net.Listen("tcp", w.ip(0)+":8142")
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) {
+			return ln, err
+		}
+		last = err
+	}
+	return nil, last
 }
 
 func (w *world) build(ctx context.Context) error {
-	storeAddress := w.ip(0) + ":8142"
-	ln, err := net.Listen("tcp", storeAddress)
+	ln, err := w.listen()
 	if err != nil {
 		return err
 	}
+	storeAddress := ln.Addr().String()
 	w.server = &http.Server{Handler: w.store}
 	go func() { _ = w.server.Serve(ln) }()
 	w.publish()
