--- a/soak/plan.go
+++ b/soak/plan.go
@@ -64,6 +64,11 @@
 	kindCrash:    {"same-id", "new-id"}, kindDrain: {"-"}, kindConfig: {"-"}, kindForeign: {"-"}, kindPoison: {"-"},
 }
 
+// general kinds may name no VM: they happen to none, or to all of them.
+var general = map[string]bool{
+	kindStore: true, kindConfig: true, kindForeign: true, kindPoison: true, kindUpstream: true,
+}
+
 // weights tells how often each kind is drawn.
 var weights = []struct {
 	kind string
@@ -101,7 +106,7 @@
 		f := Fault{At: at, Kind: kind, Mode: modes[kind][rng.IntN(len(modes[kind]))]}
 		f.For = (minFault + time.Duration(rng.Float64()*float64(maxFault-minFault))).Round(time.Millisecond)
 		f.For = min(f.For, length-calmEnd-at)
-		if kind != kindStore && kind != kindConfig && kind != kindForeign && kind != kindPoison {
+		if kind == kindUpstream || !general[kind] {
 			f.VM = 1 + rng.IntN(vms)
 		}
 		p.Faults = append(p.Faults, f)
@@ -174,7 +179,7 @@
 		if _, err := fmt.Sscanf(text, "%d %s %d %s %d", &at, &f.Kind, &f.VM, &f.Mode, &length); err != nil {
 			return p, bad
 		}
-		if !slices.Contains(modes[f.Kind], f.Mode) || f.VM < 0 || f.VM > p.VMs {
+		if !slices.Contains(modes[f.Kind], f.Mode) || f.VM < 0 || f.VM > p.VMs || f.VM == 0 && !general[f.Kind] {
 			return p, bad
 		}
 		f.At, f.For = time.Duration(at)*time.Millisecond, time.Duration(length)*time.Millisecond
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,6 +39,7 @@
 		"unknown mode":    "soak 1 3 20000\n3000 kill 1 hard 100\n",
 		"no such machine": "soak 1 3 20000\n3000 kill 4 - 100\n",
 		"cut short":       "soak 1 3 20000\n3000 kill\n",
+		"no machine":      "soak 1 3 20000\n3000 kill 0 - 100\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Read(strings.NewReader(text))
