One bounded set of metrics instead of four

The same map with a bound, a key for what is beyond and a lock stood in telemetry.OutcomeCounter, the groups of entry, the counters of decision and the histograms of sidecar, twice with a reader's lock and twice without. It is telemetry.Bounded now. Names, tags and bounds are as before; the tests' figures are untouched, one reaches the map by its new name.

--- a/decision/count.go
+++ b/decision/count.go
@@ -2,9 +2,10 @@
 
 import (
 	"log/slog"
-	"sync"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/dottereltiller/dottereltiller/telemetry"
 )
 
 // maxCounters bounds the counters; what is beyond is counted without its reason.
@@ -13,10 +14,7 @@
 // counts counts decisions by kind and reason, whether or not their lines are kept. It
 // is safe for concurrent use.
 type counts struct {
-	scope tally.Scope
-
-	mu  sync.Mutex
-	all map[counted]tally.Counter
+	counters *telemetry.Bounded[counted, tally.Counter]
 }
 
 type counted struct {
@@ -24,13 +22,19 @@
 	reason string
 }
 
-func newCounts(s tally.Scope) *counts {
-	if s == nil {
-		s = tally.NoopScope
+// newCounts returns counts in a scope; nil counts nothing.
+func newCounts(scope tally.Scope) *counts {
+	scope = telemetry.OrNoop(scope)
+	other := func(k counted) counted { return counted{kind: k.kind} }
+	add := func(k counted) tally.Counter {
+		return scope.Tagged(map[string]string{"kind": string(k.kind), "reason": k.reason}).Counter("decisions")
 	}
-	return &counts{scope: s, all: make(map[counted]tally.Counter)}
+	return &counts{counters: telemetry.NewBounded(maxCounters, other, add)}
 }
 
+// reasonKey is the field that tells the reason of a decision.
+const reasonKey = "reason"
+
 // add counts a decision.
 func (c *counts) add(k Kind, attrs []slog.Attr) {
 	key := counted{kind: k}
@@ -40,25 +44,5 @@
 			break
 		}
 	}
-	c.counter(key).Inc(1)
-}
-
-// reasonKey is the field that tells the reason of a decision.
-const reasonKey = "reason"
-
-func (c *counts) counter(k counted) tally.Counter {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if n := c.all[k]; n != nil {
-		return n
-	}
-	if len(c.all) >= maxCounters {
-		k.reason = ""
-		if n := c.all[k]; n != nil {
-			return n
-		}
-	}
-	n := c.scope.Tagged(map[string]string{"kind": string(k.kind), "reason": k.reason}).Counter("decisions")
-	c.all[k] = n
-	return n
+	c.counters.Of(key).Inc(1)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -13,12 +12,9 @@
 
 // metrics counts what callers were told.
 type metrics struct {
-	scope    tally.Scope
 	refused  *telemetry.OutcomeCounter
 	attempts *telemetry.OutcomeCounter
-
-	mu     sync.RWMutex
-	groups map[groupKey]*groupMetrics
+	groups   *telemetry.Bounded[groupKey, *groupMetrics]
 }
 
 type groupKey struct {
@@ -36,49 +32,26 @@
 // beyond are counted as one.
 const maxGroups = 4096
 
-var otherGroups = groupKey{"other", "other"}
-
 func newMetrics(scope tally.Scope) *metrics {
 	scope = telemetry.OrNoop(scope)
+	other := func(groupKey) groupKey { return groupKey{"other", "other"} }
+	add := func(k groupKey) *groupMetrics {
+		scope := scope.Tagged(map[string]string{"service": string(k.service), "group": string(k.group)})
+		return &groupMetrics{
+			requests: telemetry.NewOutcomeCounter(scope, "requests"),
+			latency:  scope.Timer("latency"),
+		}
+	}
 	return &metrics{
-		scope:    scope,
 		refused:  telemetry.NewOutcomeCounter(scope, "refused"),
 		attempts: telemetry.NewOutcomeCounter(scope, "attempts"),
-		groups:   make(map[groupKey]*groupMetrics),
+		groups:   telemetry.NewBounded(maxGroups, other, add),
 	}
 }
 
 // ended counts a classified request.
 func (m *metrics) ended(req *request, o outcome.Outcome, took time.Duration) {
-	g := m.group(groupKey{req.service.Name, req.group})
+	g := m.groups.Of(groupKey{req.service.Name, req.group})
 	g.requests.Count(o)
 	g.latency.Record(took)
 }
-
-func (m *metrics) group(k groupKey) *groupMetrics {
-	m.mu.RLock()
-	g := m.groups[k]
-	m.mu.RUnlock()
-	if g != nil {
-		return g
-	}
-	return m.addGroup(k)
-}
-
-func (m *metrics) addGroup(k groupKey) *groupMetrics {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.groups) >= maxGroups {
-		k = otherGroups
-	}
-	if g := m.groups[k]; g != nil {
-		return g
-	}
-	scope := m.scope.Tagged(map[string]string{"service": string(k.service), "group": string(k.group)})
-	g := &groupMetrics{
-		requests: telemetry.NewOutcomeCounter(scope, "requests"),
-		latency:  scope.Timer("latency"),
-	}
-	m.groups[k] = g
-	return g
-}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -13,7 +12,6 @@
 
 // metrics are the figures of a daemon.
 type metrics struct {
-	scope     tally.Scope
 	givenBack tally.Counter
 	probes    tally.Counter
 	conns     tally.Counter
@@ -25,8 +23,8 @@
 
 	// latencies holds a histogram for each route, stages one for each stage of a
 	// request and each service.
-	latencies timers
-	stages    timers
+	latencies *timers
+	stages    *timers
 }
 
 // The stages of a request, which name their histograms.
@@ -50,7 +48,6 @@
 func newMetrics(scope tally.Scope) *metrics {
 	scope = telemetry.OrNoop(scope)
 	return &metrics{
-		scope:     scope,
 		givenBack: scope.Counter("given_back"),
 		probes:    scope.Counter("probes"),
 		conns:     scope.Counter("upstream_connections"),
@@ -59,8 +56,8 @@
 		denied:    scope.Counter("resend_budget_empty"),
 		settled:   scope.Counter("settled"),
 		outcomes:  telemetry.NewOutcomeCounter(scope, "requests"),
-		latencies: timers{scope: scope},
-		stages:    timers{scope: scope},
+		latencies: newTimers(scope),
+		stages:    newTimers(scope),
 	}
 }
 
@@ -69,50 +66,28 @@
 // answered records how long a request took.
 func (m *metrics) answered(service, route string, o outcome.Outcome, took time.Duration) {
 	m.outcomes.Count(o)
-	m.latencies.record("latency", service, route, took)
+	m.latencies.Of(timerKey{"latency", service, route}).Record(took)
 }
 
 // stage records how long a stage of a request to a service took.
 func (m *metrics) stage(name string, service model.ServiceName, took time.Duration) {
-	m.stages.record(name, string(service), "", took)
+	m.stages.Of(timerKey{name: name, service: string(service)}).Record(took)
 }
 
-// timers is a bounded set of histograms. The zero value with a scope is ready. It is
-// safe for concurrent use.
-type timers struct {
-	scope tally.Scope
-	mu    sync.Mutex
-	all   map[timerKey]tally.Timer
-}
+// timers is a bounded set of histograms.
+type timers = telemetry.Bounded[timerKey, tally.Timer]
 
+// timerKey names a histogram. One without a route covers all of a service.
 type timerKey struct{ name, service, route string }
 
-func (s *timers) record(name, service, route string, took time.Duration) {
-	s.timer(timerKey{name, service, route}).Record(took)
-}
-
-func (s *timers) timer(k timerKey) tally.Timer {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if t := s.all[k]; t != nil {
-		return t
-	}
-	if len(s.all) >= maxTimers {
-		k = k.other()
-		if t := s.all[k]; t != nil {
-			return t
+func newTimers(scope tally.Scope) *timers {
+	return telemetry.NewBounded(maxTimers, timerKey.other, func(k timerKey) tally.Timer {
+		tags := map[string]string{"service": k.service}
+		if k.route != "" {
+			tags["route"] = k.route
 		}
-	}
-	tags := map[string]string{"service": k.service}
-	if k.route != "" {
-		tags["route"] = k.route
-	}
-	t := s.scope.Tagged(tags).Timer(k.name)
-	if s.all == nil {
-		s.all = make(map[timerKey]tally.Timer)
-	}
-	s.all[k] = t
-	return t
+		return scope.Tagged(tags).Timer(k.name)
+	})
 }
 
 // other is the key of all that have no histogram of their own.
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -36,7 +36,7 @@
 	counters := scope.Snapshot().Counters()
 	require.Len(t, counters, maxOutcomes+1)
 	require.EqualValues(t, maxOutcomes, counters["n+outcome=not-run,reason=other"].Value())
-	require.Len(t, c.counters, maxOutcomes+1)
+	require.Len(t, c.counters.all, maxOutcomes+1)
 	require.Zero(t, testing.AllocsPerRun(100, func() { c.Count(outcome.NotRunBecause("1")) }))
 }
 
