sidecar: one way to ask another daemon, to draw daemons and to hear of versions

Three calls to other daemons had the same time limit, request, status check and decoding (sync, configuration, suspects); they share askPeer and exchangeMessages, and their handlers readMessage and writeMessage. Drawing some of the daemons within reach stood three times: someReachable. Five callers of behind compared versions as it does itself, and three of regain looked first whether the peer was lost: the look is in regain now. The wait group of peers was counted and never waited for: gone.

No behaviour changes but one text: records of suspects that are no JSON are refused with the decoder's words. go test -race ./sidecar passes.

--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -212,28 +211,23 @@
 
 // askOne exchanges records with one other daemon, which brings its version.
 func (f *follower) askOne(ctx context.Context) {
-	addresses := f.d.peers.reachable()
-	if len(addresses) == 0 {
-		return
-	}
-	address := addresses[rand.IntN(len(addresses))]
-	pool := f.d.peers.pool(address)
-	if pool == nil {
-		return
-	}
-	reply, err := sendSync(ctx, pool, syncMessage{From: f.d.peers.self(), Version: f.d.config.version()})
-	if err != nil {
-		f.d.peers.missed(address, err)
-		return
-	}
-	f.d.peers.merge([]Record{reply.From})
-	if reply.Version > f.d.config.version() {
+	for _, address := range f.d.peers.someReachable(1) {
+		pool := f.d.peers.pool(address)
+		if pool == nil {
+			return
+		}
+		reply, err := sendSync(ctx, pool, syncMessage{From: f.d.peers.self(), Version: f.d.config.version()})
+		if err != nil {
+			f.d.peers.missed(address, err)
+			return
+		}
+		f.d.peers.merge([]Record{reply.From})
 		f.d.behind(address, reply.Version)
 	}
 }
 
-// behind fetches a newer configuration from the daemon that told of it, once at
-// a time.
+// behind takes in that a daemon has a version of the configuration, and fetches it
+// from there if it is newer, once at a time.
 func (d *Daemon) behind(address string, v model.Version) {
 	if v <= d.config.version() || !d.fetching.CompareAndSwap(false, true) {
 		return
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -131,9 +130,7 @@
 
 // spread tells some daemons of the configuration in force.
 func (a *datagrams) spread() {
-	peers := a.d.peers.reachable()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, address := range peers[:min(newsTo, len(peers))] {
+	for _, address := range a.d.peers.someReachable(newsTo) {
 		if to, err := netip.ParseAddrPort(address); err == nil {
 			_, _ = a.conn.WriteToUDPAddrPort(append(a.head(kindNews, 0), a.d.opts.Addresses.Peers...), to)
 		}
@@ -220,9 +217,7 @@
 	}
 	// The channel has room for every answer.
 	q.to <- heard{key: q.key, load: l}
-	if v > a.d.config.version() {
-		a.d.behind(q.address, v)
-	}
+	a.d.behind(q.address, v)
 }
 
 // ask asks the guards of the upstreams, and returns the loads by key once all
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -48,38 +48,64 @@
 
 func sendSync(ctx context.Context, pool *hop.Pool, m syncMessage) (syncMessage, error) {
 	var reply syncMessage
-	body, err := json.Marshal(m)
+	err := exchangeMessages(ctx, pool, pathSync, m, &reply)
+	return reply, err
+}
+
+// exchangeMessages sends a message in JSON and reads the reply. The error is a
+// *hop.LostError where the daemon was not reached, and a *StatusError where it refused.
+func exchangeMessages(ctx context.Context, pool *hop.Pool, path string, question, reply any) error {
+	body, err := json.Marshal(question)
 	if err != nil {
-		return reply, err
+		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	r, err := pool.Do(ctx, hop.Exchange{Method: http.MethodPost, Target: pathSync, Host: peerHost, Header: http.Header{}, Body: body})
+	answer, err := askPeer(ctx, pool, http.MethodPost, path, body)
 	if err != nil {
-		return reply, err
+		return err
 	}
-	if r.Status != http.StatusOK {
-		return reply, &StatusError{Path: pathSync, Status: r.Status}
-	}
-	return reply, json.Unmarshal(r.Body, &reply)
+	return json.Unmarshal(answer, reply)
 }
 
-// peerHost is the Host of messages between daemons, which none looks at.
-const peerHost = "-"
-
-func fetchConfig(ctx context.Context, pool *hop.Pool) ([]byte, error) {
+// askPeer asks another daemon within syncTimeout and returns the body of its answer.
+func askPeer(ctx context.Context, pool *hop.Pool, method, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	r, err := pool.Do(ctx, hop.Exchange{Method: http.MethodGet, Target: pathConfig, Host: peerHost, Header: http.Header{}})
+	r, err := pool.Do(ctx, hop.Exchange{Method: method, Target: path, Host: peerHost, Header: http.Header{}, Body: body})
 	if err != nil {
 		return nil, err
 	}
 	if r.Status != http.StatusOK {
-		return nil, &StatusError{Path: pathConfig, Status: r.Status}
+		return nil, &StatusError{Path: path, Status: r.Status}
 	}
 	return r.Body, nil
 }
 
+// readMessage reads a message of at most so many bytes, or refuses it.
+func readMessage(w http.ResponseWriter, r *http.Request, most int64, m any) bool {
+	err := json.NewDecoder(io.LimitReader(r.Body, most)).Decode(m)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+// writeMessage answers with a message.
+func writeMessage(w http.ResponseWriter, m any) {
+	body, err := json.Marshal(m)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+// peerHost is the Host of messages between daemons, which none looks at.
+const peerHost = "-"
+
+func fetchConfig(ctx context.Context, pool *hop.Pool) ([]byte, error) {
+	return askPeer(ctx, pool, http.MethodGet, pathConfig, nil)
+}
+
 // askSettle asks a guard over a new connection what became of an attempt, and
 // withdraws it if it has not started.
 func askSettle(ctx context.Context, pool *hop.Pool, key string) *Answer {
@@ -208,16 +234,13 @@
 
 func (p peerHandler) sync(w http.ResponseWriter, r *http.Request) {
 	var m syncMessage
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxSync)).Decode(&m); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !readMessage(w, r, maxSync, &m) {
 		return
 	}
 	held, _ := p.d.peers.of(m.From.Address)
 	p.d.peers.merge(append([]Record{m.From}, m.Known...))
 	p.d.peers.heardFrom(m.From.Address)
-	if m.Version > p.d.config.version() {
-		p.d.behind(m.From.Address, m.Version)
-	}
+	p.d.behind(m.From.Address, m.Version)
 	reply := syncMessage{From: p.d.peers.self(), Version: p.d.config.version()}
 	if held.Sequence > 0 {
 		// The sender may have started anew and forgotten what it knew.
@@ -226,12 +249,7 @@
 	if m.Full {
 		reply.Known = append(reply.Known, p.d.peers.known()[1:]...)
 	}
-	body, err := json.Marshal(reply)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(body)
+	writeMessage(w, reply)
 }
 
 func (p peerHandler) config(w http.ResponseWriter) {
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -94,7 +94,7 @@
 	now       func() model.Instant
 	decisions *decision.Log
 	version   func() model.Version
-	// behind is told of a daemon with a newer configuration.
+	// behind is told which version of the configuration a daemon has.
 	behind func(address string, v model.Version)
 	// tellByDatagram sends a record to a daemon without a connection, and reports
 	// whether it was noted.
@@ -113,7 +113,6 @@
 	// told is set once the own record has been sent to everybody.
 	told bool
 	ctx  context.Context
-	wg   sync.WaitGroup
 	// greeted is closed once another daemon has answered, or there is none.
 	greeted     chan struct{}
 	greetedOnce sync.Once
@@ -181,9 +180,7 @@
 		return
 	}
 	q.due = q.full
-	if q.lost {
-		p.regain(q)
-	}
+	p.regain(q)
 }
 
 // owe has the own record sent to a peer. p.mu is held.
@@ -193,7 +190,6 @@
 		return
 	}
 	q.syncing = true
-	p.wg.Add(1)
 	go p.sync(q)
 }
 
@@ -334,6 +330,13 @@
 	return len(p.all) + 1
 }
 
+// someReachable draws up to n of the daemons that are not lost.
+func (p *peers) someReachable(n int) []string {
+	out := p.reachable()
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
 // reachable returns the addresses of the daemons that are not lost.
 func (p *peers) reachable() []string {
 	p.mu.Lock()
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
+	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -126,9 +124,7 @@
 				continue
 			}
 		}
-		peers := s.d.peers.reachable()
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		for _, address := range peers[:min(n, len(peers))] {
+		for _, address := range s.d.peers.someReachable(n) {
 			go s.exchange(ctx, address)
 		}
 	}
@@ -147,23 +143,15 @@
 	if pool == nil {
 		return
 	}
-	body, err := json.Marshal(suspectsMessage{Digest: s.store.Digest(), Records: s.store.Delta(nil, maxExchange)})
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	r, err := pool.Do(ctx, hop.Exchange{Method: http.MethodPost, Target: pathSuspects, Host: peerHost, Header: http.Header{}, Body: body})
-	if err != nil {
-		s.d.peers.missed(address, err)
-		return
-	}
-	if r.Status != http.StatusOK {
-		return
-	}
+	question := suspectsMessage{Digest: s.store.Digest(), Records: s.store.Delta(nil, maxExchange)}
 	var reply suspectsMessage
-	if json.Unmarshal(r.Body, &reply) == nil {
+	err := exchangeMessages(ctx, pool, pathSuspects, question, &reply)
+	var lost *hop.LostError
+	switch {
+	case err == nil:
 		s.apply(reply)
+	case errors.As(err, &lost):
+		s.d.peers.missed(address, err)
 	}
 }
 
@@ -173,14 +161,12 @@
 // ServeHTTP takes in another daemon's records and answers with those it lacks.
 func (s *suspects) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var m suspectsMessage
-	if err := json.NewDecoder(io.LimitReader(r.Body, 2*maxExchange)).Decode(&m); err != nil || !s.apply(m) {
-		http.Error(w, "records cannot be read", http.StatusBadRequest)
+	if !readMessage(w, r, 2*maxExchange, &m) {
 		return
 	}
-	body, err := json.Marshal(suspectsMessage{Records: s.store.Delta(m.Digest, maxExchange)})
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+	if !s.apply(m) {
+		http.Error(w, "records cannot be read", http.StatusBadRequest)
 		return
 	}
-	_, _ = w.Write(body)
+	writeMessage(w, suspectsMessage{Records: s.store.Delta(m.Digest, maxExchange)})
 }
--- a/sidecar/reach.go
+++ b/sidecar/reach.go
@@ -61,8 +61,11 @@
 	p.decisions.Write(decision.PeerLost, "", slog.String("peer", q.record.Address), slog.String("error", err.Error()))
 }
 
-// regain notes that a peer can be reached again. p.mu is held.
+// regain notes that a peer can be reached. p.mu is held.
 func (p *peers) regain(q *peer) {
+	if !q.lost {
+		return
+	}
 	q.lost = false
 	p.generation++
 	p.decisions.Write(decision.PeerRegained, "", slog.String("peer", q.record.Address))
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -103,9 +103,7 @@
 		return unknown(outcome.ReasonConnectionLost), false
 	}
 	a := answerOf(reply)
-	if a.Version > e.d.config.version() {
-		e.d.behind(t.target.address, a.Version)
-	}
+	e.d.behind(t.target.address, a.Version)
 	return a, true
 }
 
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -7,7 +7,6 @@
 
 // sync sends the own record to a peer until the peer has it.
 func (p *peers) sync(q *peer) {
-	defer p.wg.Done()
 	waits := pause.Doubling{Min: minPause, Max: maxPause}
 	for {
 		p.mu.Lock()
@@ -44,22 +43,16 @@
 func (p *peers) noted(q *peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if q.lost {
-		p.regain(q)
-	}
+	p.regain(q)
 }
 
 func (p *peers) synced(q *peer, address string, reply syncMessage) {
 	p.mu.Lock()
-	if q.lost {
-		p.regain(q)
-	}
+	p.regain(q)
 	q.full = false
 	p.mu.Unlock()
 	p.merge(append([]Record{reply.From}, reply.Known...))
-	if reply.Version > p.version() {
-		p.behind(address, reply.Version)
-	}
+	p.behind(address, reply.Version)
 	p.greetedOnce.Do(func() { close(p.greeted) })
 }
 
