Read a response's head once; figures where they are held

The guard read the headers of each response twice, to accept it and to use it; the first reading is kept. Answer.Ran served one log line and is its argument now. The usual work of a route is a duration and not a struct of one. A gauge took the guard's lock from outside; it calls a method. The ticks of membership run by interval.Run like three other parts. A comment named a field that is gone.

Behaviour as before; go vet and the tests of the packages pass.

--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -86,7 +86,7 @@
 	mineThen int
 	// others is the mean number of requests that others have there.
 	others float64
-	// lastFailed is the instant of the last failure seen here.
+	// avoidUntil is until when it is passed over after it could not be reached.
 	avoidUntil model.Instant
 }
 
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -13,6 +13,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/member"
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/interval"
 	"github.com/dottereltiller/dottereltiller/pause"
 	"github.com/dottereltiller/dottereltiller/peer"
 	"github.com/dottereltiller/dottereltiller/recordlog"
@@ -261,18 +262,11 @@
 func (r *Registry) String() string { return "membership" }
 
 func (r *Registry) serveTicks(ctx context.Context) error {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			if r.tick() {
-				r.opts.Hint()
-			}
+	return interval.Run(ctx, tickInterval, func() {
+		if r.tick() {
+			r.opts.Hint()
 		}
-	}
+	})
 }
 
 // tick does what has become due and reports whether peers should hear of it.
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -56,9 +56,7 @@
 	Body   []byte
 	// Load is the guard's; nil when it is not known.
 	Load *placement.Load
-	// Ran is how long the upstream took, as its guard knows it, and Work how long it
-	// would have taken where nothing slows it.
-	Ran  time.Duration
+	// Work is how long the upstream would have taken where nothing slows it.
 	Work time.Duration
 	// CallsPerRun is how many calls to other services a run there makes of late.
 	CallsPerRun float64
--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -23,6 +23,13 @@
 	}
 }
 
+// recentCallsPerRun is callsPerRun for who does not hold g.mu.
+func (g *guard) recentCallsPerRun() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.callsPerRun()
+}
+
 // callsPerRun returns how many calls a run of the own upstream makes. g.mu is held.
 func (g *guard) callsPerRun() float64 {
 	if g.runs < fewRuns {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -64,11 +64,12 @@
 	mu       sync.Mutex
 	splitter route.Splitter
 	services map[model.ServiceName]*service
-	works    map[string]*work
+	// works holds the usual time of each route's requests where nothing slows them.
+	works map[string]time.Duration
 }
 
 func newEntry(d *Daemon) *entry {
-	return &entry{d: d, services: make(map[model.ServiceName]*service), works: make(map[string]*work)}
+	return &entry{d: d, services: make(map[model.ServiceName]*service), works: make(map[string]time.Duration)}
 }
 
 // ServeHTTP answers one request.
@@ -295,11 +296,6 @@
 	}
 }
 
-// work is the usual time of a route's requests where nothing slows them.
-type work struct {
-	mean time.Duration
-}
-
 const (
 	// firstWork is assumed of a route that nothing is known of.
 	firstWork = 50 * time.Millisecond
@@ -313,8 +309,8 @@
 func (e *entry) workOf(name string) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if w := e.works[name]; w != nil {
-		return w.mean
+	if mean, ok := e.works[name]; ok {
+		return mean
 	}
 	return firstWork
 }
@@ -323,13 +319,12 @@
 func (e *entry) worked(name string, usual time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w := e.works[name]
-	if w == nil {
+	mean, ok := e.works[name]
+	if !ok {
 		if len(e.works) >= maxWorks {
 			clear(e.works)
 		}
-		e.works[name] = &work{mean: usual}
-		return
+		mean = usual
 	}
-	w.mean += time.Duration(float64(usual-w.mean) * workWeight)
+	e.works[name] = mean + time.Duration(float64(usual-mean)*workWeight)
 }
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -32,11 +32,7 @@
 		{"upstream_slow", "how long work takes there, 1 being as usual", func() float64 { return d.guard.snapshot().Slow }},
 		{"upstream_slow_age_seconds", "age of that figure", func() float64 { return d.guard.snapshot().SlowAge.Seconds() }},
 		{"upstream_failing", "recent share of failed runs", func() float64 { return d.guard.snapshot().Failing }},
-		{"upstream_calls_per_run", "calls to other services for each run of late", func() float64 {
-			d.guard.mu.Lock()
-			defer d.guard.mu.Unlock()
-			return d.guard.callsPerRun()
-		}},
+		{"upstream_calls_per_run", "calls to other services for each run of late", d.guard.recentCallsPerRun},
 		{"upstream_ready", "1 while the own upstream takes requests", func() float64 {
 			cur, _ := d.guard.current()
 			return number(cur.State == lifecycle.Ready)
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -54,9 +54,13 @@
 	defer cancel()
 	h := endToEnd(c.Header)
 	g.opts.Edge.Dress(h, Dressing{ID: c.ID, Deadline: left, Caller: c.Caller, Upstream: c.Upstream.ID})
+	var reading Reading
 	x := hop.Exchange{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body,
-		Accept: func(r *http.Response) bool { return g.mine(c, r) },
+		Accept: func(r *http.Response) bool {
+			reading = g.opts.Edge.Read(r.StatusCode, r.Header)
+			return reading.isOf(c)
+		},
 	}
 	if !c.Idempotent {
 		x.MaxIdle = keptIdle
@@ -68,8 +72,7 @@
 	began := g.now()
 	reply, err := pool.Do(ctx, x)
 	ran := g.now().Sub(began)
-	a := g.read(ctx, c, reply, err)
-	a.Ran = ran
+	a := g.read(ctx, c, reading, reply, err)
 	a.Work = g.workOf(ran)
 	g.metrics.stage(stageGuard, c.Service, waited)
 	g.metrics.stage(stageUpstream, c.Service, ran)
@@ -77,7 +80,7 @@
 	if a.Outcome.Reason == outcome.ReasonConnectionLost {
 		go g.crashes.lose(lostRunOf(c, life))
 	}
-	g.tellRun(c, a, err, waited, running)
+	g.tellRun(c, a, err, waited, ran, running)
 	return a
 }
 
@@ -99,14 +102,13 @@
 	return lostRun{id: c.ID, print: f, request: r, upstream: life}
 }
 
-// mine reports whether a response belongs to a call.
-func (g *guard) mine(c *Call, r *http.Response) bool {
-	reading := g.opts.Edge.Read(r.StatusCode, r.Header)
-	return reading.ID == c.ID || reading.ID == "" && (reading.NotRun || reading.Mistaken)
+// isOf reports whether a response belongs to a call.
+func (r *Reading) isOf(c *Call) bool {
+	return r.ID == c.ID || r.ID == "" && (r.NotRun || r.Mistaken)
 }
 
-// read turns what came back into an answer.
-func (g *guard) read(ctx context.Context, c *Call, reply *hop.Reply, err error) *Answer {
+// read turns what came back into an answer. Reading is of the response, if there is one.
+func (g *guard) read(ctx context.Context, c *Call, reading Reading, reply *hop.Reply, err error) *Answer {
 	var lost *hop.LostError
 	if errors.As(err, &lost) {
 		switch {
@@ -118,18 +120,16 @@
 			return unknown(outcome.ReasonConnectionLost)
 		}
 	}
-	r := g.opts.Edge.Read(reply.Status, reply.Header)
-	g.learn(r.Load)
+	g.learn(reading.Load)
 	switch {
-	case r.Mistaken:
-		g.mistaken(c, r.Instance)
-		a := notRun(outcome.ReasonNoUpstream)
-		return a
-	case r.NotRun:
+	case reading.Mistaken:
+		g.mistaken(c, reading.Instance)
+		return notRun(outcome.ReasonNoUpstream)
+	case reading.NotRun:
 		a := notRun(outcome.ReasonUpstreamRefused)
 		a.Arrived = true
 		return a
-	case !r.Whole:
+	case !reading.Whole:
 		return unknown(outcome.ReasonTruncated)
 	}
 	return &Answer{Outcome: outcome.Done(), Status: reply.Status, Header: endToEnd(reply.Header), Body: reply.Body, Arrived: true}
@@ -197,8 +197,8 @@
 	g.opts.Decisions.Write(k, "", slog.String("upstream", string(g.tracker.Current().ID)), slog.Float64("failing", share))
 }
 
-func (g *guard) tellRun(c *Call, a *Answer, err error, waited time.Duration, running int) {
-	attrs := []slog.Attr{slog.String("upstream", string(c.Upstream.ID)), slog.Int("status", a.Status), slog.Int64("ran_ms", a.Ran.Milliseconds())}
+func (g *guard) tellRun(c *Call, a *Answer, err error, waited, ran time.Duration, running int) {
+	attrs := []slog.Attr{slog.String("upstream", string(c.Upstream.ID)), slog.Int("status", a.Status), slog.Int64("ran_ms", ran.Milliseconds())}
 	if a.Outcome.Kind == outcome.Answered && a.Status < http.StatusInternalServerError {
 		if g.opts.Decisions.Keeps(c.ID) {
 			g.mu.Lock()
