Read the calls of a run under their lock

Cause (read again): answers write a service's calls per run under its lock, and the counting of re-sends read it without, several times in one decision, so that a refusal could give back another amount than it took. It is read once, under the lock.

--- a/sidecar/resends.go
+++ b/sidecar/resends.go
@@ -57,15 +57,15 @@
 // takeResend counts one more send of a request to a service, and with it the calls
 // that its run will make once more, if all budgets hold them.
 func (e *entry) takeResend(s *service, now model.Instant) bool {
-	daemons := e.d.peers.size()
+	daemons, calls := e.d.peers.size(), s.calls()
 	if !s.resends.take(now, 1, daemons) {
 		return false
 	}
 	others := e.others(s)
 	for i, o := range others {
-		if !o.resends.take(now, s.callsPerRun, daemons) {
+		if !o.resends.take(now, calls, daemons) {
 			for _, taken := range others[:i] {
-				taken.resends.charge(now, -s.callsPerRun)
+				taken.resends.charge(now, -calls)
 			}
 			s.resends.charge(now, -1)
 			return false
@@ -76,12 +76,20 @@
 
 // refundResend takes back a send that never reached an upstream.
 func (e *entry) refundResend(s *service, now model.Instant) {
+	calls := s.calls()
 	s.resends.charge(now, -1)
 	for _, o := range e.others(s) {
-		o.resends.charge(now, -s.callsPerRun)
+		o.resends.charge(now, -calls)
 	}
 }
 
+// calls returns how many calls to other services a run of this one makes.
+func (s *service) calls() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.callsPerRun
+}
+
 // others returns the other services that requests have been sent to.
 func (e *entry) others(s *service) []*service {
 	e.mu.Lock()
