The model of replay goes by the product's own figures

How many guards are asked, how old a figure may be, and how often a request may be given back stood in package sidecar and again in the model that holds the decisions to what they reach, which would have gone on with the old ones after a change. They are in core/placement now, which both use.

--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -29,16 +29,11 @@
 	// much.
 	coldTicks  = 3000
 	coldFactor = 2.0
-	// The entry's figures, as in package sidecar.
-	askNear, askFar  = 4, 3
-	askAge           = 15 * time.Millisecond
-	maxGivenBack     = 2
-	maxFull          = 2
-	surelyFull       = 30 * time.Millisecond
+	// nearTicks and farTicks are the ways to a guard, farAskTicks the time to ask
+	// guards of other zones.
 	nearTicks        = 1
 	farTicks         = 2
 	farAskTicks      = 3
-	slowKnownFor     = 80 * time.Millisecond
 	meshWork         = 160 * time.Millisecond
 	meshTarget       = 500 * time.Millisecond
 	meshDeadline     = 1200 * time.Millisecond
@@ -212,7 +207,7 @@
 
 // place sends a request to an upstream or turns it away.
 func (m *mesh) place(j *job) {
-	if j.full >= maxFull || m.now.Sub(j.began) >= meshDeadline {
+	if j.full >= placement.MaxFull || m.now.Sub(j.began) >= meshDeadline {
 		m.turned++
 		return
 	}
@@ -252,20 +247,20 @@
 		Exclude: func(u placement.Upstream) bool { return j.tried[u.Key] },
 	}
 	p := j.entry.placer
-	m.inquire(p, ask, j.rank, true, askNear)
+	m.inquire(p, ask, j.rank, true, placement.AskNear)
 	if !p.Comfortable(m.now, ask) {
-		m.inquire(p, ask, j.rank, false, askFar)
+		m.inquire(p, ask, j.rank, false, placement.AskFar)
 		ticks = farAskTicks
 	}
 	c, ok := p.Choose(m.now, ask)
 	if !ok {
 		return nil, 0, 0, false
 	}
-	if c.Age < surelyFull && c.Expected > meshDeadline-m.now.Sub(j.began) {
+	if c.Age < placement.SurelyFull && c.Expected > meshDeadline-m.now.Sub(j.began) {
 		p.Done(m.now, c.Upstream.Key, nil)
 		return nil, 0, 0, false
 	}
-	if j.givenBack < maxGivenBack {
+	if j.givenBack < placement.MaxGivenBack {
 		alternative = c.Alternative
 	}
 	return m.node(c.Upstream.Key), alternative, ticks, true
@@ -289,7 +284,7 @@
 }
 
 func (m *mesh) inquire(p *placement.Placer, ask placement.Ask, rank int, near bool, most int) {
-	for _, up := range p.ToAsk(m.now, ask, near, askAge, most) {
+	for _, up := range p.ToAsk(m.now, ask, near, placement.AskAge, most) {
 		n := m.node(up.Key)
 		l := m.load(n)
 		l.Waiting = max(n.queue.Ahead(rank)-l.Running, 0)
@@ -300,7 +295,7 @@
 func (m *mesh) load(n *meshNode) placement.Load {
 	if m.untold {
 		n.slowAt = m.now
-	} else if m.now.Sub(n.slowAt) >= slowKnownFor {
+	} else if m.now.Sub(n.slowAt) >= placement.FreshFor {
 		n.slow, n.slowAt = 1/n.speeds[m.ticks], m.now
 	}
 	return placement.Load{
--- a/sidecar/capacity_test.go
+++ b/sidecar/capacity_test.go
@@ -70,7 +70,7 @@
 			ask := placement.Ask{Work: firstWork, Target: 4 * firstWork}
 			b.ReportAllocs()
 			for b.Loop() {
-				p.ToAsk(0, ask, true, askAge, askNear)
+				p.ToAsk(0, ask, true, placement.AskAge, placement.AskNear)
 				c, _ := p.Choose(0, ask)
 				p.Done(0, c.Upstream.Key, nil)
 			}
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -17,12 +17,6 @@
 	// lateFactor is the same for a request that can no longer make its target: its
 	// upstream may have stopped answering.
 	lateFactor = 4
-	// askNear and askFar are how many guards of the own zone, and of others where
-	// that does not do, are asked for their loads before a request is sent.
-	askNear = 4
-	askFar  = 3
-	// askAge is how old the knowledge of a load may be to do without asking.
-	askAge = 15 * time.Millisecond
 )
 
 // choose picks the upstream for the next attempt.
@@ -36,9 +30,9 @@
 	defer r.s.mu.Unlock()
 	r.e.refresh(r.s, r.req.service)
 	r.req.candidates = r.s.placer.Len()
-	r.inquire(ask, true, askNear, nearWait)
+	r.inquire(ask, true, placement.AskNear, nearWait)
 	if now = r.e.d.now(); !r.s.placer.Comfortable(now, ask) {
-		r.inquire(ask, false, askFar, farWait)
+		r.inquire(ask, false, placement.AskFar, farWait)
 		now = r.e.d.now()
 	}
 	c, ok := r.s.placer.Choose(now, ask)
@@ -54,7 +48,7 @@
 // far away to answer in time. r.s.mu is held on entry and return, not between.
 func (r *race) inquire(ask placement.Ask, near bool, most int, wait time.Duration) {
 	now := r.e.d.now()
-	ups := r.s.placer.ToAsk(now, ask, near, askAge, most)
+	ups := r.s.placer.ToAsk(now, ask, near, placement.AskAge, most)
 	if len(ups) == 0 || len(ups) == 1 && r.s.placer.Len() == 1 {
 		return
 	}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -16,18 +16,9 @@
 )
 
 const (
-	// maxGivenBack is how often a request may be given back before a guard must
-	// keep it: each time costs a round trip.
-	maxGivenBack = 2
-	// maxFull is how many guards without room make a request be refused.
-	maxFull = 2
 	// maxMisses is how many attempts may reach no upstream before a request is
 	// refused.
 	maxMisses = 6
-	// surelyFull is how old the knowledge may be by which a request is refused
-	// without asking any guard. Older, and nobody would learn that there is room
-	// again.
-	surelyFull = 30 * time.Millisecond
 	// refusedRetry is the advice after upstreams refused a request although their
 	// guards held them below what they take: such refusals come and go.
 	refusedRetry = 50 * time.Millisecond
@@ -95,7 +86,7 @@
 	if req.service != e.d.service() {
 		e.d.guard.called()
 	}
-	most := req.route.MaxAttempts + maxMisses + maxGivenBack + 1
+	most := req.route.MaxAttempts + maxMisses + placement.MaxGivenBack + 1
 	r := &race{
 		e: e, req: req, s: s, work: e.workOf(req.route.Name),
 		done: make(chan ended, most), mute: make(chan *try, most), tried: make(map[string]bool),
@@ -262,7 +253,7 @@
 		}
 		return r.final()
 	}
-	if r.arrived >= r.req.route.MaxAttempts || r.misses > maxMisses || r.full >= maxFull {
+	if r.arrived >= r.req.route.MaxAttempts || r.misses > maxMisses || r.full >= placement.MaxFull {
 		return r.final()
 	}
 	now := r.e.d.now()
@@ -285,7 +276,7 @@
 		}
 		return r.final()
 	}
-	if r.launch == 0 && t.choice.Age < surelyFull && t.choice.Expected > r.req.deadline.Sub(now) {
+	if r.launch == 0 && t.choice.Age < placement.SurelyFull && t.choice.Expected > r.req.deadline.Sub(now) {
 		r.release(t)
 		return refuse(outcome.ReasonQueueFull, spread(max(t.choice.Expected/2, busyRetry)))
 	}
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -16,10 +16,6 @@
 )
 
 const (
-	// freshFor is how old a figure of slowness may be when a call is taken that
-	// could go elsewhere. Shared VMs change their speed every few hundred
-	// milliseconds, so an older figure is wrong one time in four.
-	freshFor = 80 * time.Millisecond
 	// probeTimeout bounds the wait for a health answer, which comes at once from
 	// an upstream that is well.
 	probeTimeout = 50 * time.Millisecond
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -17,9 +17,10 @@
 
 // The paths between daemons besides calls, which carry callHeader.
 const (
-	pathSync   = "/sync"
-	pathSettle = "/settle"
-	pathConfig = "/config"
+	pathSync     = "/sync"
+	pathSettle   = "/settle"
+	pathConfig   = "/config"
+	pathSuspects = "/suspects"
 )
 
 // syncMessage exchanges records between two daemons, as question and answer.
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/hop"
 )
 
@@ -13,7 +14,7 @@
 // Callers that come meanwhile wait for the same answer.
 func (g *guard) refresh(ctx context.Context) {
 	g.mu.Lock()
-	if g.tracker.Current().State != lifecycle.Ready || g.silent() || g.told && g.now().Sub(g.slowAt) < freshFor {
+	if g.tracker.Current().State != lifecycle.Ready || g.silent() || g.told && g.now().Sub(g.slowAt) < placement.FreshFor {
 		g.mu.Unlock()
 		return
 	}
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -28,8 +28,6 @@
 	// maxExchange bounds what one daemon tells another of suspects, in bytes: some
 	// hundred of them.
 	maxExchange = 64 << 10
-	// pathSuspects is where daemons exchange suspects.
-	pathSuspects = "/suspects"
 )
 
 // suspects keeps requests that crash upstreams from reaching more of them, together
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/hop"
 )
@@ -44,7 +45,7 @@
 	if r.req.target != 0 {
 		c.Within = r.req.target.Sub(now)
 	}
-	if r.req.givenBack < maxGivenBack && t.choice.Alternative > 0 {
+	if r.req.givenBack < placement.MaxGivenBack && t.choice.Alternative > 0 {
 		c.Alternative = t.choice.Alternative
 	}
 	go func() {
