--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -189,13 +189,17 @@
 	require.LessOrEqual(t, float64(sent-requests), 0.2*requests+50/3.0, "three daemons share the slack")
 }
 
-// TestTimeout ends a request at its route's timeout, and its run with it.
-func TestTimeout(t *testing.T) {
-	doc := documentOf(1, "b")
+// withTimeout sets the timeout of all routes of a document.
+func withTimeout(doc route.Document, d time.Duration) route.Document {
 	for i := range doc.Routes {
-		doc.Routes[i].Timeout = 100 * time.Millisecond
+		doc.Routes[i].Timeout = d
 	}
-	s := newStore(doc)
+	return doc
+}
+
+// TestTimeout ends a request at its route's timeout, and its run with it.
+func TestTimeout(t *testing.T) {
+	s := newStore(withTimeout(documentOf(1, "b"), 100*time.Millisecond))
 	b := join(t, s, "b", "b1")
 	gone := make(chan struct{}, 4)
 	b.up.set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); gone <- struct{}{} })
@@ -332,11 +336,7 @@
 // TestEndedRequestsLeaveNoTrace holds what entries count at upstreams to what is
 // there: a request that timed out, or was answered by a second upstream, is not.
 func TestEndedRequestsLeaveNoTrace(t *testing.T) {
-	doc := documentOf(1, "b")
-	for i := range doc.Routes {
-		doc.Routes[i].Timeout = 300 * time.Millisecond
-	}
-	s := newStore(doc)
+	s := newStore(withTimeout(documentOf(1, "b"), 300*time.Millisecond))
 	a := join(t, s, "a", "a1")
 	b1, b2 := join(t, s, "b", "b1"), join(t, s, "b", "b2")
 	a.knows(t, "b", 2)
