--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -49,7 +49,7 @@
 	"answers that belong to nobody are taken": {
 		edits: []edit{
 			{"hop/pool.go", "|| l.strayed || l.reader.Buffered() > 0", ""},
-			{"sidecar/run.go", "return reading.ID == c.ID || reading.ID == \"\" && (reading.NotRun || reading.Mistaken)", "return reading.ID != \"\" || c.ID != \"\""},
+			{"sidecar/run.go", "return r.ID == c.ID || r.ID == \"\" && (r.NotRun || r.Mistaken)", "return r.ID != \"\" || c.ID != \"\""},
 		},
 		plan: doubles, want: "mixed",
 	},
@@ -62,7 +62,7 @@
 		plan:  allLose, want: "twice",
 	},
 	"re-sends know no budget": {
-		edits: []edit{{"sidecar/resends.go", "	daemons := e.d.peers.size()\n	if !s.resends.take(now, 1, daemons) {\n		return false\n	}\n", "	daemons := e.d.peers.size()\n	if daemons > 0 {\n		return true\n	}\n"}},
+		edits: []edit{{"sidecar/resends.go", "	if !s.resends.take(now, 1, daemons) {\n		return false\n	}\n", "	if daemons > 0 {\n		return true\n	}\n"}},
 		plan:  failures, want: "budget",
 	},
 	"a stop cuts what runs": {
