Run tests in virtual time on one processor

The race detector of Go 1.26 keeps one context for all timers of a synctest bubble, and a channel timer that comes due while nobody blocks on it fires in the goroutine that receives from it next (runtime.timer.maybeRunChan). Two of these at once corrupt the context.

Shown: 400 goroutines of one bubble with overdue timers or tickers crash the detector each time (9 of 9 runs, three variants: fresh with 0, overdue, ticker); timers that fire from the heap never (3 of 3); the same variants on one processor never (3 of 3). Ruled out: the product's code (no cgo, no unsafe in the package), exit of the process (the stack pointer's frame is a lock of a slot, and the crash came after 5.5 s of 26 s). The crash itself was not seen again in 43 whole runs of the package and 8 minutes of its first test in ten copies: the window is narrow there, as two overdue timers have to meet.

Change: bubble.Run, used by all tests in virtual time. Its test crashed the process 3 of 3 times without the change.

--- /dev/null
+++ b/bubble/bubble_test.go
@@ -0,0 +1,40 @@
+package bubble_test
+
+import (
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/bubble"
+)
+
+// Timers that come due while their goroutines wait for something else fire in
+// the receivers. Under the race detector with more processors this ends the
+// process: "ThreadSanitizer: CHECK failed", or a segmentation fault in SlotLock.
+func TestOverdueTimersFireInManyGoroutines(t *testing.T) {
+	bubble.Run(t, func(*testing.T) {
+		var wg sync.WaitGroup
+		for range 300 {
+			wg.Go(func() {
+				ticker := time.NewTicker(time.Millisecond)
+				defer ticker.Stop()
+				for range 100 {
+					time.Sleep(2 * time.Millisecond)
+					<-ticker.C
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
+func TestProcessorsAreGivenBack(t *testing.T) {
+	before := runtime.GOMAXPROCS(0)
+	bubble.Run(t, func(t *testing.T) {
+		require.Equal(t, 1, runtime.GOMAXPROCS(0))
+	})
+	require.Equal(t, before, runtime.GOMAXPROCS(0))
+}
