replay: upstreams that reset connections when full

The model of noisy upstreams lacked those that reset a connection once slots and queue are full, which leaves unknown whether a request has run.

--- a/replay/mesh_guard_test.go
+++ b/replay/mesh_guard_test.go
@@ -10,6 +10,10 @@
 // reach has a guard take a request.
 func (m *mesh) reach(j *job, alternative time.Duration) {
 	n := j.at
+	if m.policy == fewestStraight {
+		m.start(n, j)
+		return
+	}
 	m.load(n)
 	took := m.now.Sub(j.began)
 	it, admission, _ := n.queue.Admit(m.now, slots.Arrival{
@@ -58,7 +62,7 @@
 		delete(n.waiting, d.ID)
 		switch d.Exit {
 		case slots.Start:
-			n.runs = append(n.runs, j)
+			m.start(n, j)
 		case slots.Hopeless:
 			m.done(j, n, nil)
 			m.turned++
@@ -68,6 +72,16 @@
 	}
 }
 
+// start hands a request to an upstream, which resets the connection of one too many.
+func (m *mesh) start(n *meshNode, j *job) {
+	if len(n.runs) >= n.slots+m.queue {
+		m.resets++
+		m.done(j, n, nil)
+		return
+	}
+	n.runs = append(n.runs, j)
+}
+
 // work lets an upstream work for a tick.
 func (m *mesh) work(n *meshNode) {
 	speed := n.speeds[m.ticks]
@@ -78,7 +92,11 @@
 		speed /= kneeFactor
 	}
 	kept := n.runs[:0]
-	for _, j := range n.runs {
+	for i, j := range n.runs {
+		if i >= n.slots {
+			kept = append(kept, j)
+			continue
+		}
 		if j.left -= speed * tick.Seconds(); j.left > 0 {
 			kept = append(kept, j)
 			continue
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -53,6 +53,9 @@
 	restarted int
 	// untold upstreams do not say how slow they are.
 	untold bool
+	// queue is how many requests wait at an upstream itself. One that comes when
+	// all slots and the queue are taken has its connection reset.
+	queue int
 }
 
 // policy chooses where a request goes. The zero value is the product's.
@@ -62,6 +65,8 @@
 	byPlacement policy = iota
 	byChance
 	byFewest
+	// fewestStraight sends to the upstream itself, without a guard.
+	fewestStraight
 )
 
 type meshNode struct {
@@ -103,6 +108,7 @@
 	inTime int
 	late   int
 	turned int
+	resets int
 }
 
 func newMesh(p pattern, how policy, seed uint64) *mesh {
@@ -232,7 +238,7 @@
 	switch m.policy {
 	case byChance:
 		return m.nodes[m.rng.IntN(len(m.nodes))], 0, 0, true
-	case byFewest:
+	case byFewest, fewestStraight:
 		to = m.nodes[m.rng.IntN(len(m.nodes))]
 		for _, n := range m.nodes {
 			if j.entry.mine[n] < j.entry.mine[to] {
--- a/replay/noisy_test.go
+++ b/replay/noisy_test.go
@@ -86,3 +86,30 @@
 		})
 	}
 }
+
+// TestNoResetsWhenFull answers upstreams that reset connections once their slots and
+// queue are full, which leaves unknown whether a request has run: guards keep their
+// upstreams from it under any load, where choosing the fewest outstanding alone does
+// not, and more is in time.
+func TestNoResetsWhenFull(t *testing.T) {
+	for name, c := range map[string]struct {
+		pattern
+		// straightResets is the least share that is reset without guards.
+		straightResets float64
+	}{
+		"all that there is room for": {pattern{rate: 250, slots: 6, noise: 0.25, queue: 12}, 0.15},
+		"half as much again":         {pattern{rate: 375, slots: 6, noise: 0.25, queue: 12}, 0.4},
+		"twice as much":              {pattern{rate: 500, slots: 6, noise: 0.25, queue: 12}, 0.55},
+		"short queue":                {pattern{rate: 375, slots: 6, noise: 0.25, queue: 2}, 0.4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			product, straight := newMesh(c.pattern, byPlacement, 1), newMesh(c.pattern, fewestStraight, 1)
+			ours, theirs := product.play(), straight.play()
+			resets := float64(straight.resets) / float64(straight.sent)
+			t.Logf("within target: %.3f, without guards %.3f and %.3f reset", ours, theirs, resets)
+			require.Zero(t, product.resets)
+			require.Greater(t, resets, c.straightResets)
+			require.Greater(t, ours, theirs)
+		})
+	}
+}
