Kinds of requests of one rank take turns

Cause: within a rank the newest went first whatever it was, so a burst of one kind of requests took all the room of an upstream from the others of its rank, and the wait that a guard told a quiet kind was that of the whole flood.

Change: start-time fair queueing by work between the kinds (routes) of a rank, in core/slots; the wait told to a request counts of other kinds only as many as have their turn before it. Calls and questions between daemons carry the kind, two more bytes in a question. All kinds weigh the same, as no configuration names weights; ranks and the turn of the last rank stay as they were.

Tests that fail first: TestKindsTakeTurns, TestNoCreditForIdleKinds (a flood of 30 beside 3: turns 1, 3 and 5 instead of the last three). Encoding of calls had no test of its own: TestCallsArriveAsSent.

--- a/core/slots/admit.go
+++ b/core/slots/admit.go
@@ -25,6 +25,7 @@
 // Arrival is a request that comes to an upstream.
 type Arrival struct {
 	Rank int
+	Kind Kind
 	// Urgent tells that its rank comes before the last one.
 	Urgent bool
 	// Work is the time it usually runs where nothing slows it.
@@ -62,7 +63,7 @@
 // Admit decides whether an arrival may wait. It returns the item to add if so, and
 // the time until it is expected to end.
 func (q *Queue) Admit(now model.Instant, a Arrival, s Speed) (Item, Admission, time.Duration) {
-	expected := placement.Expected(a.Work, s.Slow, q.Ahead(a.Rank), q.limit, s.Failing)
+	expected := placement.Expected(a.Work, s.Slow, q.Ahead(a.Rank, a.Kind), q.limit, s.Failing)
 	if a.Alternative > 0 && expected > time.Duration(worseFactor*float64(a.Alternative))+worseBy {
 		return Item{}, SlowerHere, expected
 	}
@@ -74,7 +75,7 @@
 	if q.running >= q.limit && expected > useful {
 		return Item{}, Full, expected
 	}
-	i := Item{Rank: a.Rank, Work: a.Work, Arrived: now, Deadline: now.Add(a.Deadline), Useful: now.Add(useful)}
+	i := Item{Rank: a.Rank, Kind: a.Kind, Work: a.Work, Arrived: now, Deadline: now.Add(a.Deadline), Useful: now.Add(useful)}
 	if a.Within != 0 {
 		i.Target = now.Add(a.Within)
 	}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -1,8 +1,9 @@
 // Package slots decides which of the requests that wait for an upstream runs
 // next, and which need not wait any longer.
 //
-// A lower rank goes first. Within a rank the newest goes first of those that can
-// still make their target latency. While there is room the order does not matter, as
+// A lower rank goes first. Within a rank those go first that can still make their
+// target latency, the kinds of requests by turns of equal work, so that a flood of one
+// does not starve the others, and the newest of a kind. While there is room the order does not matter, as
 // all of them do. When there is not, most of what waits will be late whatever is done,
 // and the oldest first would serve each just after its target; the newest first serves
 // those that it does serve in time, and lets the others know soon. Those that have
@@ -24,6 +25,8 @@
 	ID uint64
 	// Rank orders requests; 0 comes first.
 	Rank int
+	// Kind tells requests apart that share their rank's part.
+	Kind Kind
 	// Work is the time it usually runs where nothing slows it.
 	Work time.Duration
 	// Arrived, Target and Deadline are instants. A zero Target means none.
@@ -73,10 +76,11 @@
 	running int
 	starts  int
 	items   []Item
+	shares  map[int]*shares
 }
 
 // New returns a Queue that lets limit requests run at once.
-func New(limit int) *Queue { return &Queue{limit: max(limit, 1)} }
+func New(limit int) *Queue { return &Queue{limit: max(limit, 1), shares: map[int]*shares{}} }
 
 // Running returns the number of requests that run.
 func (q *Queue) Running() int { return q.running }
@@ -90,14 +94,23 @@
 // SetLimit changes how many may run at once.
 func (q *Queue) SetLimit(n int) { q.limit = max(n, 1) }
 
-// Ahead returns how many requests would run or start before a new one of a rank.
-func (q *Queue) Ahead(rank int) int {
+// Ahead returns how many requests would run or start before a new one of a rank and a
+// kind: of its own rank all of its kind, and as many of each other one, as they take
+// turns.
+func (q *Queue) Ahead(rank int, kind Kind) int {
 	n := q.running
+	same := map[Kind]int{}
 	for i := range q.items {
-		if q.items[i].Rank <= rank {
+		switch it := &q.items[i]; {
+		case it.Rank < rank:
 			n++
+		case it.Rank == rank:
+			same[it.Kind]++
 		}
 	}
+	for _, waiting := range same {
+		n += min(waiting, same[kind]+1)
+	}
 	return n
 }
 
@@ -139,6 +152,7 @@
 	best := q.first(now, slow)
 	q.running++
 	q.starts++
+	q.share(q.items[best].Rank).charge(q.items[best].Kind, q.items[best].Work)
 	return q.leave(best, Start), true
 }
 
@@ -162,6 +176,15 @@
 	return at
 }
 
+func (q *Queue) share(rank int) *shares {
+	s, ok := q.shares[rank]
+	if !ok {
+		s = &shares{}
+		q.shares[rank] = s
+	}
+	return s
+}
+
 func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 // first returns the index of the request to start.
@@ -175,7 +198,7 @@
 			if a.Rank > b.Rank == lastRank {
 				best = i
 			}
-		case before(a, b, now, slow):
+		case q.before(a, b, now, slow):
 			best = i
 		}
 	}
@@ -183,12 +206,15 @@
 }
 
 // before reports whether a starts ahead of b of the same rank.
-func before(a, b *Item, now model.Instant, slow float64) bool {
+func (q *Queue) before(a, b *Item, now model.Instant, slow float64) bool {
 	aStart, bStart := a.startBy(slow), b.startBy(slow)
 	aLate, bLate := aStart < now, bStart < now
+	aTurn, bTurn := q.share(a.Rank).of(a.Kind), q.share(b.Rank).of(b.Kind)
 	switch {
 	case aLate != bLate:
 		return bLate
+	case aTurn != bTurn:
+		return aTurn < bTurn
 	case !aLate && a.Arrived != b.Arrived:
 		return a.Arrived > b.Arrived
 	default:
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -74,6 +74,64 @@
 	}
 }
 
+// TestKindsTakeTurns answers a flood of one kind of requests beside a few of another of
+// the same rank: the other has half of the work for as long as it has any, whichever
+// is newer, and a kind that has more work in a request has fewer turns.
+func TestKindsTakeTurns(t *testing.T) {
+	const flood, quiet = 1, 2
+	for name, c := range map[string]struct {
+		work  int
+		turns []int
+	}{
+		"equal work":                        {10, []int{1, 3, 5}},
+		"three times the work of the flood": {30, []int{1, 5, 9}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := New(1)
+			for i := range uint64(30) {
+				it := item(100+i, 1, 10, 900)
+				it.Kind, it.Arrived = flood, at(1)
+				q.Add(it)
+			}
+			for i := range uint64(3) {
+				it := item(i, 1, c.work, 900)
+				it.Kind = quiet
+				q.Add(it)
+			}
+			require.Equal(t, 2, q.Ahead(1, 9), "one of each kind, for a third that has none waiting")
+			var got []int
+			for turn, id := range starts(t, q, at(2)) {
+				if id < 100 {
+					got = append(got, turn)
+				}
+			}
+			require.Equal(t, c.turns, got)
+		})
+	}
+}
+
+// TestNoCreditForIdleKinds answers a kind that comes after a long time: it does not
+// hold all slots until it has made up for that.
+func TestNoCreditForIdleKinds(t *testing.T) {
+	q := New(1)
+	for i := range uint64(50) {
+		it := item(i, 1, 10, 900)
+		it.Kind = 1
+		q.Add(it)
+		starts(t, q, at(0))
+	}
+	for i := range uint64(8) {
+		it := item(100+i, 1, 10, 900)
+		it.Kind = Kind(1 + i%2)
+		q.Add(it)
+	}
+	order := starts(t, q, at(0))
+	for turn := 0; turn < len(order); turn += 2 {
+		require.NotEqual(t, order[turn]%2, order[turn+1]%2, "turns alternate: %v", order)
+	}
+	require.LessOrEqual(t, len(q.share(1).ends), 2, "only kinds that are ahead are kept")
+}
+
 // TestNewestFirst answers more requests than there is room for: each that is served
 // makes its target, where the oldest first would serve each just after it.
 func TestNewestFirst(t *testing.T) {
@@ -123,8 +181,8 @@
 	_, ok := q.Next(at(0), 1)
 	require.False(t, ok)
 	require.Equal(t, 2, q.Running())
-	require.Equal(t, 3, q.Ahead(0))
-	require.Equal(t, 2, q.Ahead(-1))
+	require.Equal(t, 3, q.Ahead(0, 0))
+	require.Equal(t, 2, q.Ahead(-1, 0))
 	q.Finish()
 	_, ok = q.Next(at(0), 1)
 	require.True(t, ok)
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -293,7 +293,7 @@
 	for _, up := range p.ToAsk(m.now, ask, near, placement.AskAge, most) {
 		n := m.node(up.Key)
 		l := m.load(n)
-		l.Waiting = max(n.queue.Ahead(rank)-l.Running, 0)
+		l.Waiting = max(n.queue.Ahead(rank, 0)-l.Running, 0)
 		p.Learn(m.now, up.Key, l)
 	}
 }
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -7,10 +7,14 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/core/slots"
 )
 
 // Call is one attempt on its way from an entry to a guard.
@@ -32,6 +36,8 @@
 	Upstream   lifecycle.Incarnation
 	Idempotent bool
 	Rank       int
+	// Kind is that of the route.
+	Kind slots.Kind
 	// Work is how long such requests usually run where nothing slows them.
 	Work time.Duration
 	// Within is the time left to the target latency, zero where there is none;
@@ -43,6 +49,10 @@
 	Alternative time.Duration
 }
 
+// kindOf returns the kind of the requests of a route, the same at all daemons. Routes
+// whose names fall on the same number share a part.
+func kindOf(r *route.Route) slots.Kind { return slots.Kind(xxhash.Sum64String(r.Name)) }
+
 // Key names the attempt.
 func (c *Call) Key() string { return c.ID + "/" + strconv.Itoa(c.Send) }
 
@@ -80,13 +90,13 @@
 const callHeader = "Dt"
 
 // callFields is the number of fields of an encoded call.
-const callFields = 12
+const callFields = 13
 
 // encode returns the fields that an HTTP request does not hold by itself.
 func (c *Call) encode() string {
-	return fmt.Sprintf("%s %d %s %s %s %d %t %d %d %d %d %d",
+	return fmt.Sprintf("%s %d %s %s %s %d %t %d %d %d %d %d %d",
 		c.ID, c.Send, c.Service, c.Caller, c.Upstream.ID, c.Upstream.Born, c.Idempotent, c.Rank,
-		c.Work.Microseconds(), c.Within.Milliseconds(), c.Deadline.Milliseconds(), c.Alternative.Milliseconds())
+		c.Work.Microseconds(), c.Within.Milliseconds(), c.Deadline.Milliseconds(), c.Alternative.Milliseconds(), c.Kind)
 }
 
 // FieldError is a field between daemons that cannot be read.
@@ -104,7 +114,7 @@
 	if len(f) != callFields {
 		return nil, &FieldError{What: "call", Value: s}
 	}
-	n, err := numbers(f[1], f[5], f[7], f[8], f[9], f[10], f[11])
+	n, err := numbers(f[1], f[5], f[7], f[8], f[9], f[10], f[11], f[12])
 	if err != nil {
 		return nil, err
 	}
@@ -120,6 +130,7 @@
 		Upstream:    lifecycle.Incarnation{ID: model.UpstreamID(f[4]), Born: n[1]},
 		Idempotent:  idempotent,
 		Rank:        int(n[2]),
+		Kind:        slots.Kind(n[7]),
 		Work:        time.Duration(n[3]) * time.Microsecond,
 		Within:      time.Duration(n[4]) * time.Millisecond,
 		Deadline:    time.Duration(n[5]) * time.Millisecond,
--- /dev/null
+++ b/sidecar/call_test.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/core/slots"
+)
+
+// TestCallsArriveAsSent encodes calls of any fields, times in the units of the wire.
+func TestCallsArriveAsSent(t *testing.T) {
+	name := rapid.StringMatching(`[!-~]{1,20}`)
+	millis := rapid.Map(rapid.Int64Range(0, 100_000), func(n int64) time.Duration { return time.Duration(n) * time.Millisecond })
+	rapid.Check(t, func(t *rapid.T) {
+		want := &Call{
+			ID: name.Draw(t, "id"), Send: rapid.IntRange(0, 9).Draw(t, "send"),
+			Service: model.ServiceName(name.Draw(t, "service")), Caller: model.ServiceName(name.Draw(t, "caller")),
+			Upstream: lifecycle.Incarnation{
+				ID: model.UpstreamID(name.Draw(t, "upstream")), Born: rapid.Int64Min(0).Draw(t, "born"),
+			},
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), Rank: rapid.IntRange(0, 9).Draw(t, "rank"),
+			Kind: slots.Kind(rapid.Uint16().Draw(t, "kind")),
+			Work: millis.Draw(t, "work"), Within: millis.Draw(t, "within"),
+			Deadline: millis.Draw(t, "deadline"), Alternative: millis.Draw(t, "alternative"),
+		}
+		got, err := decodeCall(want.encode())
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	})
+}
+
+func TestCallsThatCannotBeRead(t *testing.T) {
+	good := (&Call{ID: "r1", Service: "a", Upstream: lifecycle.Incarnation{ID: "i-1"}}).encode()
+	fields := func(change func(f []string)) string {
+		f := strings.Split(good, " ")
+		change(f)
+		return strings.Join(f, " ")
+	}
+	for name, s := range map[string]string{
+		"empty":           "",
+		"a field missing": good[:strings.LastIndex(good, " ")],
+		"one too many":    good + " 1",
+		"no id":           fields(func(f []string) { f[0] = "" }),
+		"no number":       fields(func(f []string) { f[7] = "first" }),
+		"no truth value":  fields(func(f []string) { f[6] = "maybe" }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := decodeCall(s)
+			var field *FieldError
+			require.ErrorAs(t, err, &field)
+		})
+	}
+}
+
+// TestRoutesAreKinds tells requests of different routes apart, alike at all daemons.
+func TestRoutesAreKinds(t *testing.T) {
+	lookup, book := &route.Route{Name: "lookup", Rank: 1}, &route.Route{Name: "book", Rank: 1}
+	require.NotEqual(t, kindOf(lookup), kindOf(book))
+	require.Equal(t, kindOf(lookup), kindOf(&route.Route{Name: "lookup"}))
+}
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -53,7 +53,7 @@
 		return
 	}
 	r.s.mu.Unlock()
-	loads := r.e.d.datagrams.ask(ups, r.req.route.Rank, wait)
+	loads := r.e.d.datagrams.ask(ups, r.req.route.Rank, kindOf(r.req.route), wait)
 	r.s.mu.Lock()
 	now = r.e.d.now()
 	for _, up := range ups {
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -15,6 +15,7 @@
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/slots"
 )
 
 // datagrams speaks to other daemons by datagram. One asks a guard how loaded its
@@ -23,10 +24,9 @@
 //
 // All begin with their kind, an id that the answer repeats, and the version of the
 // configuration in force, so that a daemon that cannot hear of a newer one from the
-// store learns of it. kindAsk is followed by the rank of the request, kindLoad by
-// the load as a request of that rank would find it, kindRecord by the record in
-// JSON, kindNoted by nothing, kindNews by the address where a new version can be
-// had.
+// store learns of it. kindAsk is followed by the rank and the kind of the
+// request, kindLoad by the load as it would find it, kindRecord by the record in JSON,
+// kindNoted by nothing, kindNews by the address where a new version can be had.
 type datagrams struct {
 	d    *Daemon
 	conn *net.UDPConn
@@ -58,7 +58,7 @@
 	// headBytes is the length of what all begin with; askBytes and loadBytes are
 	// the lengths of whole datagrams.
 	headBytes = 13
-	askBytes  = headBytes + 1
+	askBytes  = headBytes + 3
 	loadBytes = headBytes + 13
 	// maxDatagram bounds a datagram, so that it fits an Ethernet frame. A longer
 	// record is sent by connection.
@@ -112,7 +112,7 @@
 	kind, id, version := b[0], binary.BigEndian.Uint32(b[1:]), model.Version(binary.BigEndian.Uint64(b[5:]))
 	switch {
 	case kind == kindAsk && len(b) == askBytes:
-		go a.answer(id, int(b[headBytes]), from)
+		go a.answer(id, int(b[headBytes]), slots.Kind(binary.BigEndian.Uint16(b[headBytes+1:])), from)
 	case kind == kindLoad && len(b) == loadBytes:
 		a.hear(id, decodeLoad(b), version)
 	case kind == kindRecord:
@@ -160,17 +160,17 @@
 
 // answer tells the load of the own upstream. One that takes no requests says
 // nothing, as if it were not there.
-func (a *datagrams) answer(id uint32, rank int, to netip.AddrPort) {
-	load, ok := a.d.guard.loadFor(rank)
+func (a *datagrams) answer(id uint32, rank int, kind slots.Kind, to netip.AddrPort) {
+	load, ok := a.d.guard.loadFor(rank, kind)
 	if !ok {
 		return
 	}
 	_, _ = a.conn.WriteToUDPAddrPort(appendLoad(a.head(kindLoad, id), load), to)
 }
 
-// loadFor returns the load as a request of a rank would find it, and whether
+// loadFor returns the load as a request of a rank and a kind would find it, and whether
 // requests are taken at all.
-func (g *guard) loadFor(rank int) (placement.Load, bool) {
+func (g *guard) loadFor(rank int, kind slots.Kind) (placement.Load, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), askRefresh)
 	defer cancel()
 	g.refresh(ctx)
@@ -180,7 +180,7 @@
 		return placement.Load{}, false
 	}
 	l := g.load()
-	l.Waiting = max(g.queue.Ahead(rank)-l.Running, 0)
+	l.Waiting = max(g.queue.Ahead(rank, kind)-l.Running, 0)
 	return l, true
 }
 
@@ -222,24 +222,24 @@
 
 // ask asks the guards of the upstreams, and returns the loads by key once all
 // have answered or the wait is over.
-func (a *datagrams) ask(ups []placement.Upstream, rank int, wait time.Duration) map[string]placement.Load {
+func (a *datagrams) ask(ups []placement.Upstream, rank int, kind slots.Kind, wait time.Duration) map[string]placement.Load {
 	loads := make(map[string]placement.Load, len(ups))
 	answers := make(chan heard, len(ups))
 	var ids []uint32
 	for _, up := range ups {
 		if string(up.Daemon) == a.d.opts.Addresses.Peers {
-			if l, ok := a.d.guard.loadFor(rank); ok {
+			if l, ok := a.d.guard.loadFor(rank, kind); ok {
 				loads[up.Key] = l
 			}
 			continue
 		}
-		a.send(up, rank, answers, &ids)
+		a.send(up, rank, kind, answers, &ids)
 	}
 	a.collect(answers, ids, loads, wait)
 	return loads
 }
 
-func (a *datagrams) send(up placement.Upstream, rank int, answers chan<- heard, ids *[]uint32) {
+func (a *datagrams) send(up placement.Upstream, rank int, kind slots.Kind, answers chan<- heard, ids *[]uint32) {
 	to, err := netip.ParseAddrPort(string(up.Daemon))
 	if err != nil {
 		return
@@ -247,7 +247,7 @@
 	id := a.expect(question{key: up.Key, address: string(up.Daemon), to: answers})
 	*ids = append(*ids, id)
 	b := append(a.head(kindAsk, id), uint8(min(max(rank, 0), maxUint8)))
-	_, _ = a.conn.WriteToUDPAddrPort(b, to)
+	_, _ = a.conn.WriteToUDPAddrPort(binary.BigEndian.AppendUint16(b, uint16(kind)), to)
 }
 
 // expect notes a question and returns its id.
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -243,7 +243,7 @@
 		return 0, nil, notRun(reason)
 	}
 	it, admission, expected := g.queue.Admit(g.now(), slots.Arrival{
-		Rank: c.Rank, Urgent: g.urgent(c.Rank), Work: c.Work,
+		Rank: c.Rank, Kind: c.Kind, Urgent: g.urgent(c.Rank), Work: c.Work,
 		Within: c.Within, Deadline: c.Deadline, Alternative: c.Alternative,
 	}, slots.Speed{Slow: g.slow, Failing: g.failing.Share(g.now())})
 	if admission != slots.Admitted {
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -39,7 +39,7 @@
 		Method: r.req.http.Method, Target: r.req.http.RequestURI, Host: r.req.http.Host,
 		Header: r.req.http.Header, Body: r.req.body,
 		Service: r.req.service, Caller: r.e.d.service(), Upstream: t.target.upstream,
-		Idempotent: r.req.route.Idempotent, Rank: r.req.route.Rank, Work: r.work,
+		Idempotent: r.req.route.Idempotent, Rank: r.req.route.Rank, Kind: kindOf(r.req.route), Work: r.work,
 		Deadline: r.req.deadline.Sub(now),
 	}
 	if r.req.target != 0 {
