Tell cancelled runs from those that missed their deadline

Ruled out: a deadline that was passed on too short (why shows the sibling's answer at that instant).

Test that fails first: TestLostRunsSayWhy. Nobody reads the reason but the log: the entry has given up by then, and judge leaves cancelled runs out already.

--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -114,6 +114,8 @@
 		switch {
 		case !lost.Sent:
 			return notRun(outcome.ReasonConnect)
+		case errors.Is(ctx.Err(), context.Canceled):
+			return unknown(outcome.ReasonCancelled)
 		case ctx.Err() != nil:
 			return unknown(outcome.ReasonDeadline)
 		default:
--- /dev/null
+++ b/sidecar/run_test.go
@@ -0,0 +1,39 @@
+package sidecar
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/hop"
+)
+
+// TestLostRunsSayWhy tells a run that was cancelled, such as that of a hedge whose
+// sibling answered first, from one that was still running at its deadline.
+func TestLostRunsSayWhy(t *testing.T) {
+	running := context.Background()
+	cancelled, cancel := context.WithCancel(running)
+	cancel()
+	expired, cancel := context.WithDeadline(running, time.Time{})
+	defer cancel()
+	for name, c := range map[string]struct {
+		ctx  context.Context
+		sent bool
+		want outcome.Outcome
+	}{
+		"never sent":             {running, false, outcome.NotRunBecause(outcome.ReasonConnect)},
+		"never sent, cancelled":  {cancelled, false, outcome.NotRunBecause(outcome.ReasonConnect)},
+		"connection lost":        {running, true, outcome.UnknownBecause(outcome.ReasonConnectionLost)},
+		"cancelled by its entry": {cancelled, true, outcome.UnknownBecause(outcome.ReasonCancelled)},
+		"deadline passed":        {expired, true, outcome.UnknownBecause(outcome.ReasonDeadline)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &guard{}
+			a := g.read(c.ctx, &Call{ID: "r1"}, Reading{}, nil, &hop.LostError{Sent: c.sent})
+			require.Equal(t, c.want, a.Outcome)
+		})
+	}
+}
