Learn loads that are told late

Cause: questions to guards of other zones wait 12 ms, and answers that came later were dropped. Between regions every answer is later, so choices there went by the loads that answers to calls carry.

Change: an answer that comes within 300 ms serves the next choices. Requests wait no longer than before.

--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -53,7 +53,7 @@
 		return
 	}
 	r.s.mu.Unlock()
-	loads := r.e.d.datagrams.ask(ups, r.req.route.Rank, kindOf(r.req.route), wait)
+	loads := r.e.d.datagrams.ask(ups, r.req.route.Rank, kindOf(r.req.route), wait, r.s.learnLate(r.e.d.now))
 	r.s.mu.Lock()
 	now = r.e.d.now()
 	for _, up := range ups {
@@ -67,6 +67,16 @@
 	}
 }
 
+// learnLate returns what takes in a load that was told too late for the choice that it
+// was asked for. It serves the next ones.
+func (s *service) learnLate(now func() model.Instant) func(key string, l placement.Load) {
+	return func(key string, l placement.Load) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.placer.Learn(now(), key, l)
+	}
+}
+
 // hedge sends an idempotent request to a second upstream if that is expected to
 // help.
 func (r *race) hedge() {
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -41,6 +41,8 @@
 	key     string
 	address string
 	to      chan<- heard
+	// late takes the answer once nobody waits for it any more. May be nil.
+	late func(key string, l placement.Load)
 }
 
 // heard is an answer.
@@ -67,6 +69,9 @@
 	// others: a few round trips, and a pause of a busy processor.
 	nearWait = 5 * time.Millisecond
 	farWait  = 12 * time.Millisecond
+	// lateFor is how long an answer is still taken that nobody waits for: several
+	// times the way to another region and back.
+	lateFor = 300 * time.Millisecond
 	// askRefresh bounds the wait of a guard that must ask its upstream first.
 	askRefresh = 3 * time.Millisecond
 )
@@ -215,14 +220,19 @@
 	if !ok {
 		return
 	}
-	// The channel has room for every answer.
-	q.to <- heard{key: q.key, load: l}
+	if q.late != nil {
+		q.late(q.key, l)
+	} else {
+		// The channel has room for every answer.
+		q.to <- heard{key: q.key, load: l}
+	}
 	a.d.behind(q.address, v)
 }
 
 // ask asks the guards of the upstreams, and returns the loads by key once all
-// have answered or the wait is over.
-func (a *datagrams) ask(ups []placement.Upstream, rank int, kind slots.Kind, wait time.Duration) map[string]placement.Load {
+// have answered or the wait is over. Answers that come later, such as those from
+// another region, go to late.
+func (a *datagrams) ask(ups []placement.Upstream, rank int, kind slots.Kind, wait time.Duration, late func(key string, l placement.Load)) map[string]placement.Load {
 	loads := make(map[string]placement.Load, len(ups))
 	answers := make(chan heard, len(ups))
 	var ids []uint32
@@ -235,7 +245,7 @@
 		}
 		a.send(up, rank, kind, answers, &ids)
 	}
-	a.collect(answers, ids, loads, wait)
+	a.collect(answers, ids, loads, wait, late)
 	return loads
 }
 
@@ -293,7 +303,7 @@
 	return false
 }
 
-func (a *datagrams) collect(answers <-chan heard, ids []uint32, loads map[string]placement.Load, wait time.Duration) {
+func (a *datagrams) collect(answers <-chan heard, ids []uint32, loads map[string]placement.Load, wait time.Duration, late func(key string, l placement.Load)) {
 	if len(ids) == 0 {
 		return
 	}
@@ -304,12 +314,26 @@
 		case h := <-answers:
 			loads[h.key] = h.load
 		case <-timer.C:
-			a.forget(ids)
+			a.leave(ids, late)
 			return
 		}
 	}
 }
 
+// leave has answers that come late go elsewhere, and ends the wait for them after a
+// while.
+func (a *datagrams) leave(ids []uint32, late func(key string, l placement.Load)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, id := range ids {
+		if q, ok := a.waiting[id]; ok {
+			q.late = late
+			a.waiting[id] = q
+		}
+	}
+	time.AfterFunc(lateFor, func() { a.forget(ids) })
+}
+
 // forget ends the wait for answers that did not come.
 func (a *datagrams) forget(ids []uint32) {
 	a.mu.Lock()
