Count the way to a zone in the expected time

Cause: a request was expected to end at a guard abroad as soon as at one next door; the price of a crossing, 40 ms, was the same for a zone 3 ms away and for a region 40 ms away, and a guard gave back requests as going elsewhere looked as near.

Change: the shortest round trips of questions to the guards of each zone are part of the time that a request is expected to take there, in choices, hedges and what is told to guards.

Tests that fail first: TestWayThereCounts, TestShortestTripCounts.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -109,6 +109,49 @@
 	require.Equal(t, "a", c.Upstream.Key, "20 ms do not pay for a crossing")
 }
 
+// TestWayThereCounts answers deployments over regions: of two zones that would do, the
+// one in the own region gets the request, though its upstream is a little slower, and a
+// guard hears how long going elsewhere takes with the way there.
+func TestWayThereCounts(t *testing.T) {
+	const near, far = 3 * time.Millisecond, 45 * time.Millisecond
+	p := newPlacer("own", "region", "abroad")
+	p.Learn(at(0), "a", Load{Running: 4, Waiting: 30, Limit: 4, Slow: 1})
+	p.Learn(at(0), "b", idle(1.25))
+	p.Learn(at(0), "c", idle(1))
+	require.Equal(t, "c", choose(t, p, at(0)).Upstream.Key, "before the ways are known")
+	p.Done(at(0), "c", nil)
+	p.Trip("b", near)
+	p.Trip("c", far)
+	c := choose(t, p, at(0))
+	require.Equal(t, "b", c.Upstream.Key)
+	require.Equal(t, time.Duration(1.25*float64(work))+near, c.Expected)
+	require.Equal(t, work+far, c.Alternative)
+}
+
+// TestShortestTripCounts keeps out the answers that waited for a processor, and still
+// learns of a way that has become longer.
+func TestShortestTripCounts(t *testing.T) {
+	p := newPlacer("own")
+	p.Learn(at(0), "a", idle(1))
+	for _, took := range []time.Duration{40, 20, 30} {
+		p.Trip("a", took*time.Millisecond)
+	}
+	require.InDelta(t, 20, trip(t, p), 0.5)
+	for range 500 {
+		p.Trip("a", 40*time.Millisecond)
+	}
+	require.InDelta(t, 40, trip(t, p), 0.5)
+	p.Trip("gone", time.Second)
+	require.InDelta(t, 40, trip(t, p), 0.5)
+}
+
+// trip returns the milliseconds of the way to the only upstream, which is idle.
+func trip(t *testing.T, p *Placer) float64 {
+	c := choose(t, p, at(0))
+	p.Done(at(0), "a", nil)
+	return float64(c.Expected-work) / float64(time.Millisecond)
+}
+
 // TestFailingFastDoesNotLookIdle answers an upstream that fails every request at
 // once and so never has any.
 func TestFailingFastDoesNotLookIdle(t *testing.T) {
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -47,6 +47,9 @@
 	avoidance = 300 * time.Millisecond
 	// askJitter spreads whom entries ask that know the same.
 	askJitter = 0.5
+	// tripForgets makes a way that has become longer known within a few hundred
+	// questions, less than a second of a loaded entry.
+	tripForgets = 64
 	// othersWeight makes the mean load by others cover about 8 answers.
 	othersWeight = 1.0 / 8
 )
@@ -79,6 +82,8 @@
 	views map[string]*view
 	order []*view
 	mean  float64
+	// trips are the times to the guards of each zone and back.
+	trips map[model.AvailabilityZone]time.Duration
 }
 
 // New returns a Placer without upstreams.
@@ -89,7 +94,7 @@
 	if opts.Rand == nil {
 		opts.Rand = rand.Float64
 	}
-	return &Placer{opts: opts, views: make(map[string]*view), mean: usualSlow}
+	return &Placer{opts: opts, views: make(map[string]*view), mean: usualSlow, trips: make(map[model.AvailabilityZone]time.Duration)}
 }
 
 // Set replaces the candidates. What is known of those that stay is kept.
@@ -135,7 +140,7 @@
 		if ask.Exclude != nil && ask.Exclude(v.up) || v.known && now.Sub(v.loadAt) < maxAge {
 			continue
 		}
-		t := Expected(ask.Work, v.slow(now, p.mean), v.ahead(now), v.limit(), v.failing(now))
+		t := p.expected(now, ask, v)
 		stale = append(stale, rated{view: v, time: t, score: time.Duration(float64(t) * (1 + askJitter*p.opts.Rand()))})
 	}
 	slices.SortFunc(stale, func(a, b rated) int { return cmp.Compare(a.score, b.score) })
@@ -206,7 +211,7 @@
 		if ask.Exclude != nil && ask.Exclude(v.up) {
 			continue
 		}
-		t := Expected(ask.Work, v.slow(now, p.mean), v.ahead(now), v.limit(), v.failing(now))
+		t := p.expected(now, ask, v)
 		r := rated{view: v, time: t, score: time.Duration(float64(t) * (1 + jitter*p.opts.Rand()))}
 		local := v.up.Zone == p.opts.Zone
 		if !local {
@@ -225,6 +230,26 @@
 	return best, second, near
 }
 
+// expected returns the time until the request would end at an upstream, with the way
+// there and back.
+func (p *Placer) expected(now model.Instant, ask Ask, v *view) time.Duration {
+	return p.trips[v.up.Zone] + Expected(ask.Work, v.slow(now, p.mean), v.ahead(now), v.limit(), v.failing(now))
+}
+
+// Trip takes in how long a question to the guard of an upstream and its answer took.
+// The shortest counts, as others waited for a processor somewhere.
+func (p *Placer) Trip(key string, took time.Duration) {
+	v := p.views[key]
+	if v == nil {
+		return
+	}
+	trip, known := p.trips[v.up.Zone]
+	if known && took > trip {
+		took = trip + (took-trip)/tripForgets
+	}
+	p.trips[v.up.Zone] = took
+}
+
 // Done ends what Choose began. Load is nil where the guard told none.
 func (p *Placer) Done(now model.Instant, key string, load *Load) {
 	v := p.views[key]
--- a/replay/mesh_guard_test.go
+++ b/replay/mesh_guard_test.go
@@ -10,6 +10,10 @@
 // reach has a guard take a request.
 func (m *mesh) reach(j *job, alternative time.Duration) {
 	n := j.at
+	if n.away {
+		m.giveBack(j, false)
+		return
+	}
 	if m.policy == fewestStraight {
 		m.start(n, j)
 		return
@@ -17,8 +21,8 @@
 	m.load(n)
 	took := m.now.Sub(j.began)
 	it, admission, _ := n.queue.Admit(m.now, slots.Arrival{
-		Rank: j.rank, Urgent: j.rank == 0, Work: m.usual(), Alternative: alternative,
-		Within: max(meshTarget-took, 0), Deadline: meshDeadline - took,
+		Rank: j.rank, Urgent: j.rank == 0, Work: m.usual(j), Alternative: alternative,
+		Within: max(j.target-took, 0), Deadline: j.deadline - took,
 	}, slots.Speed{Slow: n.slow})
 	if admission != slots.Admitted {
 		m.giveBack(j, admission == slots.Full)
@@ -115,7 +119,7 @@
 	l := m.load(j.at)
 	m.done(j, j.at, &l)
 	switch took := m.now.Sub(j.began); {
-	case took <= meshTarget:
+	case took <= j.target:
 		m.inTime++
 	default:
 		m.late++
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -56,6 +57,24 @@
 	// queue is how many requests wait at an upstream itself. One that comes when
 	// all slots and the queue are taken has its connection reset.
 	queue int
+	// recorded replaces the rate, the upstreams and the kinds of requests by those
+	// of a day.
+	recorded *recordedService
+}
+
+// requestKind is a kind of requests. Share is its part of all.
+type requestKind struct {
+	share                  float64
+	work, target, deadline time.Duration
+	rank                   int
+}
+
+// usualKinds are requests of one kind, of which three in ten are more urgent.
+func usualKinds() []requestKind {
+	return []requestKind{
+		{share: 0.3, work: meshWork, target: meshTarget, deadline: meshDeadline, rank: 0},
+		{share: 0.7, work: meshWork, target: meshTarget, deadline: meshDeadline, rank: 1},
+	}
 }
 
 // policy chooses where a request goes. The zero value is the product's.
@@ -80,16 +99,18 @@
 	slowAt    model.Instant
 	slots     int
 	coldUntil model.Instant
-	mine      map[*meshNode]int
-	runs      []*job
-	waiting   map[uint64]*job
+	// away is set while the upstream is not there.
+	away    bool
+	mine    map[*meshNode]int
+	runs    []*job
+	waiting map[uint64]*job
 }
 
 type job struct {
+	requestKind
 	entry, at *meshNode
 	began     model.Instant
 	left      float64
-	rank      int
 	givenBack int
 	full      int
 	tried     map[string]bool
@@ -99,8 +120,10 @@
 	pattern
 	policy policy
 	rng    *rand.Rand
+	kinds  []requestKind
 	now    model.Instant
 	ticks  int
+	length int
 	nodes  []*meshNode
 	due    map[int][]func()
 	nextID uint64
@@ -112,37 +135,58 @@
 }
 
 func newMesh(p pattern, how policy, seed uint64) *mesh {
-	m := &mesh{pattern: p, policy: how, rng: rand.New(rand.NewPCG(seed, 0)), due: map[int][]func(){}}
+	m := &mesh{
+		pattern: p, policy: how, rng: rand.New(rand.NewPCG(seed, 0)), due: map[int][]func(){},
+		kinds: usualKinds(), length: meshTicks,
+	}
 	noise := rand.New(rand.NewPCG(seed, 1))
-	for z := range meshZones {
-		for i := range upstreamsPerZone {
-			n := &meshNode{
-				key: string(rune('a'+z)) + string(rune('0'+i)), zone: model.AvailabilityZone(rune('a' + z)),
-				slots: p.slots, queue: slots.New(placement.LimitOf(p.slots)), slow: 1,
-				mine: map[*meshNode]int{}, waiting: map[uint64]*job{},
+	if p.recorded != nil {
+		m.kinds, m.length = p.recorded.kinds(), p.recorded.ticks()
+		for _, u := range p.recorded.Upstreams {
+			m.add(u.Zone, u.limit(speeds(noise, p.noise, m.length)))
+		}
+	} else {
+		for z := range meshZones {
+			for range upstreamsPerZone {
+				m.add(model.AvailabilityZone(rune('a'+z)), speeds(noise, p.noise, m.length))
 			}
-			n.speeds = speeds(noise, p.noise)
-			n.placer = placement.New(placement.Options{Zone: n.zone, Rand: m.rng.Float64})
-			m.nodes = append(m.nodes, n)
 		}
 	}
+	m.inform()
+	return m
+}
+
+func (m *mesh) add(zone model.AvailabilityZone, speeds []float64) {
+	n := &meshNode{
+		key: fmt.Sprint(zone, len(m.nodes)), zone: zone, speeds: speeds,
+		slots: m.slots, queue: slots.New(placement.LimitOf(m.slots)), slow: 1,
+		mine: map[*meshNode]int{}, waiting: map[uint64]*job{},
+	}
+	n.placer = placement.New(placement.Options{Zone: zone, Rand: m.rng.Float64})
+	m.nodes = append(m.nodes, n)
+}
+
+// inform tells all entries which upstreams there are.
+func (m *mesh) inform() {
 	for _, n := range m.nodes {
 		n.placer.Set(m.candidates())
 	}
-	return m
 }
 
 func (m *mesh) candidates() []placement.Upstream {
 	var ups []placement.Upstream
 	for _, n := range m.nodes {
+		if n.away {
+			continue
+		}
 		ups = append(ups, placement.Upstream{Key: n.key, Zone: n.zone, Slots: n.slots, ColdUntil: n.coldUntil})
 	}
 	return ups
 }
 
 // speeds draws how fast an upstream is at each tick, 1 being as usual.
-func speeds(rng *rand.Rand, share float64) []float64 {
-	out := make([]float64, 2*meshTicks)
+func speeds(rng *rand.Rand, share float64, ticks int) []float64 {
+	out := make([]float64, 2*ticks)
 	phase, speed := rng.IntN(noiseEvery), 1.0
 	for i := range out {
 		if (i+phase)%noiseEvery == 0 {
@@ -159,7 +203,7 @@
 // play runs the pattern and returns the share of requests served within their target.
 func (m *mesh) play() float64 {
 	const restartAt = 5000
-	for m.ticks = 0; m.ticks < meshTicks+int(meshDeadline/tick); m.ticks++ {
+	for m.ticks = 0; m.ticks < m.length+int(meshDeadline/tick); m.ticks++ {
 		m.now = model.Instant(0).Add(time.Duration(m.ticks) * tick)
 		if m.ticks == restartAt {
 			m.restart()
@@ -168,10 +212,11 @@
 			f()
 		}
 		delete(m.due, m.ticks)
+		m.comeAndGo()
 		for _, n := range m.nodes {
 			m.work(n)
 		}
-		if m.ticks >= meshTicks {
+		if m.ticks >= m.length {
 			continue
 		}
 		for range m.arrivals() {
@@ -183,7 +228,11 @@
 
 // arrivals draws how many requests come in this tick.
 func (m *mesh) arrivals() int {
-	n, left := 0, math.Exp(-m.rate*tick.Seconds())
+	rate := m.rate
+	if m.recorded != nil {
+		rate = m.recorded.rateAt(m.ticks)
+	}
+	n, left := 0, math.Exp(-rate*tick.Seconds())
 	for p := m.rng.Float64(); p > left; p *= m.rng.Float64() {
 		n++
 	}
@@ -194,26 +243,67 @@
 	for _, n := range m.nodes[:m.restarted] {
 		n.coldUntil = m.now.Add(coldTicks * tick)
 	}
+	m.inform()
+}
+
+// comeAndGo takes away the upstreams that are gone at this tick, with what they
+// run, and brings back those that are there.
+func (m *mesh) comeAndGo() {
+	changed := false
 	for _, n := range m.nodes {
-		n.placer.Set(m.candidates())
+		if away := n.speeds[m.ticks] == 0; away != n.away {
+			n.away, changed = away, true
+			m.abandon(n)
+		}
+	}
+	if changed {
+		m.inform()
+	}
+}
+
+// abandon gives up what an upstream runs and hands back what waits for it.
+func (m *mesh) abandon(n *meshNode) {
+	for _, j := range n.runs {
+		n.queue.Finish()
+		m.done(j, n, nil)
+		m.turned++
+	}
+	n.runs = nil
+	for id, j := range n.waiting {
+		n.queue.Remove(id)
+		delete(n.waiting, id)
+		m.giveBack(j, false)
 	}
 }
 
 func (m *mesh) after(ticks int, f func()) { m.due[m.ticks+ticks] = append(m.due[m.ticks+ticks], f) }
 
 func (m *mesh) arrive() {
-	j := &job{entry: m.nodes[m.rng.IntN(len(m.nodes))], began: m.now, tried: map[string]bool{}, rank: 1}
-	if m.rng.Float64() < 0.3 {
-		j.rank = 0
-	}
-	j.left = meshWork.Seconds() * math.Exp(0.3*m.rng.NormFloat64())
+	j := &job{entry: m.nodes[m.rng.IntN(len(m.nodes))], began: m.now, tried: map[string]bool{}}
+	j.requestKind, j.left = m.draw()
 	m.sent++
 	m.place(j)
 }
 
+// draw draws the kind of a request and the seconds of work that it needs.
+func (m *mesh) draw() (requestKind, float64) {
+	all := 0.0
+	for _, k := range m.kinds {
+		all += k.share
+	}
+	at, kind := m.rng.Float64()*all, m.kinds[len(m.kinds)-1]
+	for _, k := range m.kinds {
+		if at -= k.share; at < 0 {
+			kind = k
+			break
+		}
+	}
+	return kind, kind.work.Seconds() * math.Exp(0.3*m.rng.NormFloat64())
+}
+
 // place sends a request to an upstream or turns it away.
 func (m *mesh) place(j *job) {
-	if j.full >= placement.MaxFull || m.now.Sub(j.began) >= meshDeadline {
+	if j.full >= placement.MaxFull || m.now.Sub(j.began) >= j.deadline {
 		m.turned++
 		return
 	}
@@ -249,7 +339,7 @@
 		return to, 0, 0, true
 	}
 	ask := placement.Ask{
-		Work: m.usual(), Target: meshTarget - m.now.Sub(j.began),
+		Work: m.usual(j), Target: j.target - m.now.Sub(j.began),
 		Exclude: func(u placement.Upstream) bool { return j.tried[u.Key] },
 	}
 	p := j.entry.placer
@@ -262,7 +352,7 @@
 	if !ok {
 		return nil, 0, 0, false
 	}
-	if c.Age < placement.SurelyFull && c.Expected > meshDeadline-m.now.Sub(j.began) {
+	if c.Age < placement.SurelyFull && c.Expected > j.deadline-m.now.Sub(j.began) {
 		p.Done(m.now, c.Upstream.Key, nil)
 		return nil, 0, 0, false
 	}
@@ -272,12 +362,12 @@
 	return m.node(c.Upstream.Key), alternative, ticks, true
 }
 
-// usual returns how long requests usually run, as far as entries know.
-func (m *mesh) usual() time.Duration {
+// usual returns how long such requests usually run, as far as entries know.
+func (m *mesh) usual(j *job) time.Duration {
 	if m.untold {
 		return noisyRun
 	}
-	return meshWork
+	return j.work
 }
 
 func (m *mesh) node(key string) *meshNode {
--- a/replay/noisy_test.go
+++ b/replay/noisy_test.go
@@ -1,7 +1,6 @@
 package replay_test
 
 import (
-	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -20,11 +19,11 @@
 		free[i] = make([]int, placement.LimitOf(p.slots))
 	}
 	inTime, sent := 0, 0
-	for m.ticks = 0; m.ticks < meshTicks; m.ticks++ {
+	for m.ticks = 0; m.ticks < m.length; m.ticks++ {
 		for range m.arrivals() {
 			sent++
-			work := meshWork.Seconds() * math.Exp(0.3*m.rng.NormFloat64())
-			node, slot, end := -1, -1, m.ticks+int(meshTarget/tick)+1
+			kind, work := m.draw()
+			node, slot, end := -1, -1, m.ticks+int(kind.target/tick)+1
 			for i := range m.nodes {
 				for s := range free[i] {
 					if e := m.nodes[i].endOf(max(free[i][s], m.ticks), end, work); e < end {
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -53,12 +53,12 @@
 		return
 	}
 	r.s.mu.Unlock()
-	loads := r.e.d.datagrams.ask(ups, r.req.route.Rank, kindOf(r.req.route), wait, r.s.learnLate(r.e.d.now))
+	got := r.e.d.datagrams.ask(ups, r.req.route.Rank, kindOf(r.req.route), wait, r.s.learnLate(r.e.d.now))
 	r.s.mu.Lock()
 	now = r.e.d.now()
 	for _, up := range ups {
-		if l, ok := loads[up.Key]; ok {
-			r.s.placer.Learn(now, up.Key, l)
+		if h, ok := got[up.Key]; ok {
+			r.s.learn(now, h)
 			r.s.answered[up.Key] = true
 		} else if near || r.s.answered[up.Key] {
 			r.s.placer.Unreachable(now, up.Key)
@@ -67,13 +67,19 @@
 	}
 }
 
+// learn takes in what a guard answered. s.mu is held.
+func (s *service) learn(now model.Instant, h heard) {
+	s.placer.Learn(now, h.key, h.load)
+	s.placer.Trip(h.key, h.took)
+}
+
 // learnLate returns what takes in a load that was told too late for the choice that it
 // was asked for. It serves the next ones.
-func (s *service) learnLate(now func() model.Instant) func(key string, l placement.Load) {
-	return func(key string, l placement.Load) {
+func (s *service) learnLate(now func() model.Instant) func(heard) {
+	return func(h heard) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.placer.Learn(now(), key, l)
+		s.learn(now(), h)
 	}
 }
 
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -40,15 +40,17 @@
 type question struct {
 	key     string
 	address string
+	sent    model.Instant
 	to      chan<- heard
 	// late takes the answer once nobody waits for it any more. May be nil.
-	late func(key string, l placement.Load)
+	late func(heard)
 }
 
-// heard is an answer.
+// heard is an answer, and how long it took.
 type heard struct {
 	key  string
 	load placement.Load
+	took time.Duration
 }
 
 const (
@@ -220,33 +222,34 @@
 	if !ok {
 		return
 	}
+	h := heard{key: q.key, load: l, took: a.d.now().Sub(q.sent)}
 	if q.late != nil {
-		q.late(q.key, l)
+		q.late(h)
 	} else {
 		// The channel has room for every answer.
-		q.to <- heard{key: q.key, load: l}
+		q.to <- h
 	}
 	a.d.behind(q.address, v)
 }
 
-// ask asks the guards of the upstreams, and returns the loads by key once all
+// ask asks the guards of the upstreams, and returns the answers by key once all
 // have answered or the wait is over. Answers that come later, such as those from
 // another region, go to late.
-func (a *datagrams) ask(ups []placement.Upstream, rank int, kind slots.Kind, wait time.Duration, late func(key string, l placement.Load)) map[string]placement.Load {
-	loads := make(map[string]placement.Load, len(ups))
+func (a *datagrams) ask(ups []placement.Upstream, rank int, kind slots.Kind, wait time.Duration, late func(heard)) map[string]heard {
+	got := make(map[string]heard, len(ups))
 	answers := make(chan heard, len(ups))
 	var ids []uint32
 	for _, up := range ups {
 		if string(up.Daemon) == a.d.opts.Addresses.Peers {
 			if l, ok := a.d.guard.loadFor(rank, kind); ok {
-				loads[up.Key] = l
+				got[up.Key] = heard{key: up.Key, load: l}
 			}
 			continue
 		}
 		a.send(up, rank, kind, answers, &ids)
 	}
-	a.collect(answers, ids, loads, wait, late)
-	return loads
+	a.collect(answers, ids, got, wait, late)
+	return got
 }
 
 func (a *datagrams) send(up placement.Upstream, rank int, kind slots.Kind, answers chan<- heard, ids *[]uint32) {
@@ -265,6 +268,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.nextID++
+	q.sent = a.d.now()
 	a.waiting[a.nextID] = q
 	return a.nextID
 }
@@ -303,7 +307,7 @@
 	return false
 }
 
-func (a *datagrams) collect(answers <-chan heard, ids []uint32, loads map[string]placement.Load, wait time.Duration, late func(key string, l placement.Load)) {
+func (a *datagrams) collect(answers <-chan heard, ids []uint32, got map[string]heard, wait time.Duration, late func(heard)) {
 	if len(ids) == 0 {
 		return
 	}
@@ -312,7 +316,7 @@
 	for range ids {
 		select {
 		case h := <-answers:
-			loads[h.key] = h.load
+			got[h.key] = h
 		case <-timer.C:
 			a.leave(ids, late)
 			return
@@ -322,7 +326,7 @@
 
 // leave has answers that come late go elsewhere, and ends the wait for them after a
 // while.
-func (a *datagrams) leave(ids []uint32, late func(key string, l placement.Load)) {
+func (a *datagrams) leave(ids []uint32, late func(heard)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, id := range ids {
--- a/sidecar/datagrams_test.go
+++ b/sidecar/datagrams_test.go
@@ -22,9 +22,10 @@
 	defer func() { _ = far.Close() }()
 	up := placement.Upstream{Key: "far", Daemon: model.DaemonID(far.LocalAddr().String())}
 	late := make(chan placement.Load, 1)
-	got := d.datagrams.ask([]placement.Upstream{up}, 2, 7, time.Millisecond, func(key string, l placement.Load) {
-		require.Equal(t, "far", key)
-		late <- l
+	got := d.datagrams.ask([]placement.Upstream{up}, 2, 7, time.Millisecond, func(h heard) {
+		require.Equal(t, "far", h.key)
+		require.GreaterOrEqual(t, h.took, time.Millisecond, "at least the wait")
+		late <- h.load
 	})
 	require.Empty(t, got)
 
