Do not wait for answers from another region

Cause: where no upstream of the own zone would do, an entry waited 12 ms for guards that it knew to be 40 ms away, on every such request.

Change: guards beyond the wait are asked and not waited for; their answers serve the next choices.

Test that fails first: TestLateAnswersServeTheNextChoice, 'known to be too far to wait' (a wait of an hour).

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -250,6 +250,15 @@
 	p.trips[v.up.Zone] = took
 }
 
+// Beyond returns the zones whose guards are known to answer only after a wait.
+func (p *Placer) Beyond(wait time.Duration) map[model.AvailabilityZone]bool {
+	far := make(map[model.AvailabilityZone]bool)
+	for z, trip := range p.trips {
+		far[z] = trip > wait
+	}
+	return far
+}
+
 // Done ends what Choose began. Load is nil where the guard told none.
 func (p *Placer) Done(now model.Instant, key string, load *Load) {
 	v := p.views[key]
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -52,8 +52,12 @@
 	if len(ups) == 0 || len(ups) == 1 && r.s.placer.Len() == 1 {
 		return
 	}
+	far := r.s.placer.Beyond(wait)
 	r.s.mu.Unlock()
-	got := r.e.d.datagrams.ask(ups, r.req.route.Rank, kindOf(r.req.route), wait, r.s.learnLate(r.e.d.now))
+	got := r.e.d.datagrams.ask(inquiry{
+		ups: ups, rank: r.req.route.Rank, kind: kindOf(r.req.route),
+		wait: wait, late: r.s.learnLate(r.e.d.now), tooFar: func(u placement.Upstream) bool { return far[u.Zone] },
+	})
 	r.s.mu.Lock()
 	now = r.e.d.now()
 	for _, up := range ups {
