Refund re-sends as they were charged

Cause: a re-send that did not reach an upstream gave back today's calls per run to all services known by then, where other figures may have been charged. A service whose runs make fewer calls than before got too little back, one that became known in between too much.

Change: a re-send keeps what it took. Test: TestRefundsAreWhatWasTaken, which fails where the refund goes by the calls of that moment.

--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -104,11 +104,13 @@
 	if end == 0 || r.late {
 		end = r.req.deadline
 	}
-	if now.Add(t.choice.Expected) > end || !r.e.takeResend(r.s, now) {
+	if now.Add(t.choice.Expected) <= end {
+		t.taken = r.e.takeResend(r.s, now)
+	}
+	if t.taken == nil {
 		r.release(t)
 		return
 	}
-	t.charged = true
 	r.e.d.metrics.hedged.Inc(1)
 	r.tell(decision.Hedged, t, slog.String("instead_of", first.choice.Upstream.Key),
 		slog.Int64("waited_ms", now.Sub(first.sent).Milliseconds()), slog.Int64("expected_ms", t.choice.Expected.Milliseconds()))
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -36,8 +36,8 @@
 	send   int
 	sent   model.Instant
 	cancel context.CancelFunc
-	// charged tells that the budget was charged for it.
-	charged bool
+	// taken is what it took from the budgets for re-sends.
+	taken *resend
 	// acknowledged is closed once the daemon beside the upstream has shown that
 	// it got the call.
 	acknowledged chan struct{}
@@ -218,8 +218,8 @@
 	case a.Arrived:
 		r.arrived++
 		r.req.sends = r.arrived
-	case t.charged:
-		r.e.refundResend(r.s, now)
+	default:
+		t.taken.refund(now)
 	}
 	if !a.Arrived {
 		r.misses++
@@ -257,9 +257,9 @@
 		return r.final()
 	}
 	now := r.e.d.now()
-	charged := false
+	var taken *resend
 	if r.arrived > 0 {
-		if charged = r.e.takeResend(r.s, now); !charged {
+		if taken = r.e.takeResend(r.s, now); taken == nil {
 			r.e.d.metrics.denied.Inc(1)
 			return r.final()
 		}
@@ -271,16 +271,14 @@
 		t, ok = r.choose(now)
 	}
 	if !ok {
-		if charged {
-			r.e.refundResend(r.s, now)
-		}
+		taken.refund(now)
 		return r.final()
 	}
 	if r.launch == 0 && t.choice.Age < placement.SurelyFull && t.choice.Expected > r.req.deadline.Sub(now) {
 		r.release(t)
 		return refuse(outcome.ReasonQueueFull, spread(max(t.choice.Expected/2, busyRetry)))
 	}
-	t.charged = charged
+	t.taken = taken
 	if r.arrived > 0 {
 		r.e.d.metrics.resent.Inc(1)
 		r.tell(decision.Resent, t, slog.String("reason", string(why)))
--- a/sidecar/resends.go
+++ b/sidecar/resends.go
@@ -54,32 +54,41 @@
 	return r.window.Take(now, n)
 }
 
+// resend is what one more send of a request took from the budgets. Nil took nothing.
+type resend struct {
+	service *service
+	// others are the services that its run calls once more, calls how often each.
+	others []*service
+	calls  float64
+}
+
 // takeResend counts one more send of a request to a service, and with it the calls
-// that its run will make once more, if all budgets hold them.
-func (e *entry) takeResend(s *service, now model.Instant) bool {
+// that its run will make once more, if all budgets hold them. It returns nil if they
+// do not.
+func (e *entry) takeResend(s *service, now model.Instant) *resend {
 	daemons, calls := e.d.peers.size(), s.calls()
 	if !s.resends.take(now, 1, daemons) {
-		return false
+		return nil
 	}
-	others := e.others(s)
-	for i, o := range others {
+	taken := &resend{service: s, calls: calls}
+	for _, o := range e.others(s) {
 		if !o.resends.take(now, calls, daemons) {
-			for _, taken := range others[:i] {
-				taken.resends.charge(now, -calls)
-			}
-			s.resends.charge(now, -1)
-			return false
+			taken.refund(now)
+			return nil
 		}
+		taken.others = append(taken.others, o)
 	}
-	return true
+	return taken
 }
 
-// refundResend takes back a send that never reached an upstream.
-func (e *entry) refundResend(s *service, now model.Instant) {
-	calls := s.calls()
-	s.resends.charge(now, -1)
-	for _, o := range e.others(s) {
-		o.resends.charge(now, -calls)
+// refund gives back what a send took that never reached an upstream.
+func (r *resend) refund(now model.Instant) {
+	if r == nil {
+		return
+	}
+	r.service.resends.charge(now, -1)
+	for _, o := range r.others {
+		o.resends.charge(now, -r.calls)
 	}
 }
 
--- a/sidecar/resends_test.go
+++ b/sidecar/resends_test.go
@@ -15,15 +15,40 @@
 	caller.callsPerRun = 4
 	now := a.now()
 	taken := 0
-	for a.entry.takeResend(caller, now) {
+	var last *resend
+	for r := a.entry.takeResend(caller, now); r != nil; r = a.entry.takeResend(caller, now) {
+		last = r
 		taken++
 	}
 	slack := 50 * resendMargin
 	require.Equal(t, int(slack/caller.callsPerRun), taken)
 	require.InDelta(t, slack-float64(taken), caller.resends.left(now), 1e-6, "a refusal takes nothing")
-	a.entry.refundResend(caller, now)
-	require.True(t, a.entry.takeResend(caller, now))
-	require.True(t, a.entry.takeResend(callee, now) || callee.resends.left(now) < 1)
+	last.refund(now)
+	require.NotNil(t, a.entry.takeResend(caller, now))
+	require.True(t, a.entry.takeResend(callee, now) != nil || callee.resends.left(now) < 1)
+}
+
+// TestRefundsAreWhatWasTaken has runs make fewer calls, and the entry know of a further
+// service, between a re-send and its refund.
+func TestRefundsAreWhatWasTaken(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a := join(t, s, "a", "a1")
+	caller, callee := a.entry.service("caller"), a.entry.service("callee")
+	now := a.now()
+	require.True(t, callee.resends.take(now, 0, 1))
+	before := callee.resends.left(now)
+	caller.callsPerRun = 4
+	taken := a.entry.takeResend(caller, now)
+	require.NotNil(t, taken)
+	require.InDelta(t, before-4, callee.resends.left(now), 1e-6)
+	caller.callsPerRun = 1
+	later := a.entry.service("later")
+	require.True(t, later.resends.take(now, 0, 1))
+	whole := later.resends.left(now)
+	taken.refund(now)
+	require.InDelta(t, before, callee.resends.left(now), 1e-6)
+	require.InDelta(t, whole, later.resends.left(now), 1e-6)
+	(*resend)(nil).refund(now)
 }
 
 // TestResendsBesideAnswers counts re-sends while answers tell how many calls a run
