--- a/replay/recorded_test.go
+++ b/replay/recorded_test.go
@@ -106,7 +106,7 @@
 func TestRecordedDays(t *testing.T) {
 	// ofCentral is the least part of what the central queue serves; the days
 	// recorded here reach a little more.
-	const ofCentral, noMore = 0.75, 0.005
+	const ofCentral, noMore = 0.88, 0.005
 	dir := os.Getenv("RECORDED_DAYS")
 	if dir == "" {
 		dir = filepath.Join("testdata", "days")
