Do not pass over guards for being far away

Change: guards that are known to be too far away are not expected to answer in time. Test that fails first: TestFarGuardsAreNotSilent. Found while reading the change.

--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -3,11 +3,11 @@
 //
 // A lower rank goes first. Within a rank those go first that can still make their
 // target latency, the kinds of requests by turns of equal work, so that a flood of one
-// does not starve the others, and the newest of a kind. While there is room the order does not matter, as
-// all of them do. When there is not, most of what waits will be late whatever is done,
-// and the oldest first would serve each just after its target; the newest first serves
-// those that it does serve in time, and lets the others know soon. Those that have
-// missed their target come last, the most urgent first.
+// does not starve the others, and the newest of a kind. While there is room the order
+// does not matter, as all of them do. When there is not, most of what waits will be
+// late whatever is done, and the oldest first would serve each just after its target;
+// the newest first serves those that it does serve in time, and lets the others know
+// soon. Those that have missed their target come last, the most urgent first.
 //
 // So that no rank starves, every so often the last one has its turn. A request that
 // can no longer end before its deadline is refused at once: running it would help
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -44,8 +44,8 @@
 }
 
 // inquire asks guards for their loads, near or far. A guard that answered before
-// and now stays silent is passed over for a while; one that never did may be too
-// far away to answer in time. r.s.mu is held on entry and return, not between.
+// and now stays silent is passed over for a while; one that never did, or is known to
+// be far, may be too far away to answer in time. r.s.mu is held on entry and return, not between.
 func (r *race) inquire(ask placement.Ask, near bool, most int, wait time.Duration) {
 	now := r.e.d.now()
 	ups := r.s.placer.ToAsk(now, ask, near, placement.AskAge, most)
@@ -64,7 +64,7 @@
 		if h, ok := got[up.Key]; ok {
 			r.s.learn(now, h)
 			r.s.answered[up.Key] = true
-		} else if near || r.s.answered[up.Key] {
+		} else if !far[up.Zone] && (near || r.s.answered[up.Key]) {
 			r.s.placer.Unreachable(now, up.Key)
 			r.e.d.peers.verify(string(up.Daemon))
 		}
--- a/sidecar/datagrams_test.go
+++ b/sidecar/datagrams_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/route"
 )
 
 // TestLateAnswersServeTheNextChoice asks a guard that is further away than the wait, as
@@ -60,3 +61,36 @@
 	require.Equal(t, want, <-late)
 	require.Empty(t, late, "an answer is taken once")
 }
+
+// TestFarGuardsAreNotSilent asks a guard that is known to be too far away to answer in
+// time: nobody passes it over for that.
+func TestFarGuardsAreNotSilent(t *testing.T) {
+	for name, c := range map[string]struct {
+		trip time.Duration
+		want []string
+	}{
+		"known to be far":               {4 * farWait, []string{"far", "other"}},
+		"near enough, and silent today": {farWait / 4, []string{"other"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := join(t, newStore(documentOf(1, "a")), "a", "a1")
+			s := d.entry.service("elsewhere")
+			s.placer.Set([]placement.Upstream{
+				{Key: "far", Zone: "abroad", Daemon: model.DaemonID(freePort(t))},
+				{Key: "other", Zone: "third", Daemon: model.DaemonID(freePort(t))},
+			})
+			s.placer.Trip("far", c.trip)
+			s.answered["far"] = true
+			r := &race{e: d.entry, s: s, req: &request{route: &route.Route{}}}
+			ask := placement.Ask{Work: time.Millisecond}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			r.inquire(ask, false, 2, farWait)
+			var got []string
+			for _, up := range s.placer.ToAsk(d.now(), ask, false, 0, 2) {
+				got = append(got, up.Key)
+			}
+			require.ElementsMatch(t, c.want, got)
+		})
+	}
+}
