Start with a part of the re-send budget

From 30 s on all upstreams refused half of their requests, about 160 re-sends to the smaller service in 1.5 s with 60 calls of repeated runs; at 31.5 s all daemons were killed, and from 32.6 s on they sent 132 times again within 4 s: each process had forgotten what the one before had used.

Change: a daemon knows from the records of all when they started. While more than a third has started within the span of the budget, only the part is used that is left when all had used three quarters just before: a third if all have started.

Test that fails first: TestBudgetWhenDaemonsForget (6 and 9 of 9 daemons killed).

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -18,6 +18,7 @@
 type Window struct {
 	ratio    float64
 	slack    float64
+	share    float64
 	part     time.Duration
 	at       int64
 	requests [windowParts + 1]float64
@@ -26,12 +27,15 @@
 
 // NewWindow returns a Window over a span.
 func NewWindow(span time.Duration, ratio, slack float64) *Window {
-	return &Window{ratio: ratio, slack: slack, part: max(span/windowParts, time.Millisecond)}
+	return &Window{ratio: ratio, slack: slack, share: 1, part: max(span/windowParts, time.Millisecond)}
 }
 
 // SetSlack changes the slack.
 func (w *Window) SetSlack(slack float64) { w.slack = slack }
 
+// SetShare changes the share of the budget that may be used. It is 1 at first.
+func (w *Window) SetShare(share float64) { w.share = share }
+
 // Request counts a first send.
 func (w *Window) Request(now model.Instant) {
 	w.turn(now)
@@ -48,7 +52,7 @@
 	}
 	// The oldest part has partly left the span; its requests no longer count.
 	requests -= w.requests[(w.slot()+1)%(windowParts+1)]
-	return w.ratio*requests + w.slack - resends
+	return w.share*(w.ratio*requests+w.slack) - resends
 }
 
 // Take counts n re-sends if the budget holds them.
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -330,6 +330,26 @@
 	return len(p.all) + 1
 }
 
+// startedWithin returns the number of daemons known, this one included, and the part
+// of them that has started within a span, by their own clocks.
+func (p *peers) startedWithin(span time.Duration) (daemons int, part float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := time.Now().Add(-span).UnixMilli()
+	started := 0
+	count := func(r *Record) {
+		if r.Incarnation > since && r.Incarnation <= since+2*span.Milliseconds() {
+			started++
+		}
+	}
+	count(&p.own)
+	for _, q := range p.all {
+		count(&q.record)
+	}
+	daemons = len(p.all) + 1
+	return daemons, float64(started) / float64(daemons)
+}
+
 // someReachable draws up to n of the daemons that are not lost.
 func (p *peers) someReachable(n int) []string {
 	out := p.reachable()
--- a/sidecar/resends.go
+++ b/sidecar/resends.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/retry"
@@ -46,14 +47,24 @@
 	r.window.Request(now)
 }
 
-// take counts n more sends if the budget, shared by so many daemons, holds them.
-func (r *resends) take(now model.Instant, n float64, daemons int) bool {
+// take counts n more sends if the budget, shared by so many daemons of which a part
+// has started within its span, holds them.
+func (r *resends) take(now model.Instant, n float64, daemons int, started float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.window.SetSlack(r.slack / float64(max(daemons, 1)))
+	r.window.SetShare(shareAfterStarts(started))
 	return r.window.Take(now, n)
 }
 
+// shareAfterStarts returns the share of the budget that may be used while a part of
+// the daemons has started of late. All may have used resendMargin of the budget just
+// before, and those that started have forgotten it: what they use once more must fit
+// into the rest. Up to a third may start without any difference.
+func shareAfterStarts(started float64) float64 {
+	return min(1, (1/resendMargin-1)/started)
+}
+
 // resend is what one more send of a request took from the budgets. Nil took nothing.
 type resend struct {
 	service *service
@@ -66,13 +77,14 @@
 // that its run will make once more, if all budgets hold them. It returns nil if they
 // do not.
 func (e *entry) takeResend(s *service, now model.Instant) *resend {
-	daemons, calls := e.d.peers.size(), s.calls()
-	if !s.resends.take(now, 1, daemons) {
+	daemons, started := e.d.peers.startedWithin(s.resends.span())
+	calls := s.calls()
+	if !s.resends.take(now, 1, daemons, started) {
 		return nil
 	}
 	taken := &resend{service: s, calls: calls}
 	for _, o := range e.others(s) {
-		if !o.resends.take(now, calls, daemons) {
+		if !o.resends.take(now, calls, daemons, started) {
 			taken.refund(now)
 			return nil
 		}
@@ -119,6 +131,13 @@
 	r.window.Charge(now, n)
 }
 
+// span returns the time over which the budget holds.
+func (r *resends) span() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Span
+}
+
 // left returns what the budget holds.
 func (r *resends) left(now model.Instant) float64 {
 	r.mu.Lock()
--- a/sidecar/resends_test.go
+++ b/sidecar/resends_test.go
@@ -1,9 +1,13 @@
 package sidecar
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
 )
 
 // TestResendsCountTheCallsTheyCause has a budget at the called service hold back
@@ -13,6 +17,7 @@
 	a := join(t, s, "a", "a1")
 	caller, callee := a.entry.service("caller"), a.entry.service("callee")
 	caller.callsPerRun = 4
+	a.peers.own.Incarnation -= time.Hour.Milliseconds()
 	now := a.now()
 	taken := 0
 	var last *resend
@@ -35,7 +40,8 @@
 	a := join(t, s, "a", "a1")
 	caller, callee := a.entry.service("caller"), a.entry.service("callee")
 	now := a.now()
-	require.True(t, callee.resends.take(now, 0, 1))
+	a.peers.own.Incarnation -= time.Hour.Milliseconds()
+	require.True(t, callee.resends.take(now, 0, 1, 0))
 	before := callee.resends.left(now)
 	caller.callsPerRun = 4
 	taken := a.entry.takeResend(caller, now)
@@ -43,7 +49,7 @@
 	require.InDelta(t, before-4, callee.resends.left(now), 1e-6)
 	caller.callsPerRun = 1
 	later := a.entry.service("later")
-	require.True(t, later.resends.take(now, 0, 1))
+	require.True(t, later.resends.take(now, 0, 1, 0))
 	whole := later.resends.left(now)
 	taken.refund(now)
 	require.InDelta(t, before, callee.resends.left(now), 1e-6)
@@ -57,7 +63,7 @@
 	s := newStore(documentOf(1, "b"))
 	a := join(t, s, "a", "a1")
 	caller, callee := a.entry.service("caller"), a.entry.service("callee")
-	require.True(t, callee.resends.take(a.now(), 0, 1))
+	require.True(t, callee.resends.take(a.now(), 0, 1, 0))
 	before := callee.resends.left(a.now())
 	done := make(chan struct{})
 	go func() {
@@ -74,3 +80,50 @@
 	<-done
 	require.LessOrEqual(t, callee.resends.left(a.now()), before, "a refusal gives back what it took")
 }
+
+// TestBudgetWhenDaemonsForget kills daemons that have just used their budget in one
+// burst. All that are there afterwards send again whatever they may, and yet the whole
+// budget holds in the span after the burst. A tenth of a second is a turn.
+func TestBudgetWhenDaemonsForget(t *testing.T) {
+	const daemons, turns, perTurn = 9, 100, 10
+	budget := ResendBudget{Ratio: 0.2, Slack: 50, Span: 10 * time.Second}
+	for killed, want := range map[int]float64{0: 1, 3: 1, 6: 1.0 / 2, 9: 1.0 / 3} {
+		t.Run(fmt.Sprint(killed), func(t *testing.T) {
+			require.InDelta(t, want, shareAfterStarts(float64(killed)/daemons), 1e-9)
+			var all [daemons]*resends
+			now := model.Instant(0).Add(time.Minute)
+			for i := range all {
+				all[i] = newResends(budget)
+			}
+			turn := func() {
+				for _, r := range all {
+					for range perTurn {
+						r.request(now)
+					}
+				}
+				now = now.Add(budget.Span / turns)
+			}
+			burst := func(started float64) (sent int) {
+				for _, r := range all {
+					for r.take(now, 1, daemons, started) {
+						sent++
+					}
+				}
+				return sent
+			}
+			for range turns {
+				turn()
+			}
+			sent := burst(0)
+			require.Positive(t, sent)
+			for i := range killed {
+				all[i] = newResends(budget)
+			}
+			for range turns - 1 {
+				turn()
+				sent += burst(float64(killed) / daemons)
+			}
+			require.LessOrEqual(t, float64(sent), budget.Slack+budget.Ratio*daemons*perTurn*(turns-1))
+		})
+	}
+}
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -62,7 +62,7 @@
 		plan:  allLose, want: "twice",
 	},
 	"re-sends know no budget": {
-		edits: []edit{{"sidecar/resends.go", "	if !s.resends.take(now, 1, daemons) {\n		return nil\n	}\n", "	if daemons > 0 {\n		return &resend{service: s}\n	}\n"}},
+		edits: []edit{{"sidecar/resends.go", "	if !s.resends.take(now, 1, daemons, started) {\n		return nil\n	}\n", "	if daemons > 0 {\n		return &resend{service: s}\n	}\n"}},
 		plan:  failures, want: "budget",
 	},
 	"a stop cuts what runs": {
