--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
@@ -254,11 +256,11 @@
 		m.turned++
 	}
 	n.runs = nil
-	for id, j := range n.waiting {
+	for _, id := range slices.Sorted(maps.Keys(n.waiting)) {
 		n.queue.Remove(id)
-		delete(n.waiting, id)
-		m.giveBack(j, false)
+		m.giveBack(n.waiting[id], false)
 	}
+	clear(n.waiting)
 }
 
 func (m *mesh) after(ticks int, f func()) { m.due[m.ticks+ticks] = append(m.due[m.ticks+ticks], f) }
