Simpler questions to far guards, one lookup of turns

A question knows from its start where a late answer goes, so leave needs no second copy of that; zones beyond the wait cost an allocation only where there are any; the turns of a rank are looked up once for a comparison. startedWithin gets a test of its own.

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -250,11 +250,18 @@
 	p.trips[v.up.Zone] = took
 }
 
-// Beyond returns the zones whose guards are known to answer only after a wait.
+// Beyond returns the zones whose guards are known to answer only after a wait. Usually
+// there is none, and the result is nil.
 func (p *Placer) Beyond(wait time.Duration) map[model.AvailabilityZone]bool {
-	far := make(map[model.AvailabilityZone]bool)
+	var far map[model.AvailabilityZone]bool
 	for z, trip := range p.trips {
-		far[z] = trip > wait
+		if trip <= wait {
+			continue
+		}
+		if far == nil {
+			far = make(map[model.AvailabilityZone]bool)
+		}
+		far[z] = true
 	}
 	return far
 }
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -209,7 +209,8 @@
 func (q *Queue) before(a, b *Item, now model.Instant, slow float64) bool {
 	aStart, bStart := a.startBy(slow), b.startBy(slow)
 	aLate, bLate := aStart < now, bStart < now
-	aTurn, bTurn := q.share(a.Rank).of(a.Kind), q.share(b.Rank).of(b.Kind)
+	rank := q.share(a.Rank)
+	aTurn, bTurn := rank.of(a.Kind), rank.of(b.Kind)
 	switch {
 	case aLate != bLate:
 		return bLate
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -45,7 +45,8 @@
 
 // inquire asks guards for their loads, near or far. A guard that answered before
 // and now stays silent is passed over for a while; one that never did, or is known to
-// be far, may be too far away to answer in time. r.s.mu is held on entry and return, not between.
+// be far, may be too far away to answer in time. r.s.mu is held on entry and return,
+// not between.
 func (r *race) inquire(ask placement.Ask, near bool, most int, wait time.Duration) {
 	now := r.e.d.now()
 	ups := r.s.placer.ToAsk(now, ask, near, placement.AskAge, most)
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -40,8 +40,8 @@
 	key     string
 	address string
 	sent    model.Instant
-	to      chan<- heard
-	// late takes the answer once nobody waits for it any more. May be nil.
+	// to is who waits for the answer. Where it is nil, late takes the answer.
+	to   chan<- heard
 	late func(heard)
 }
 
@@ -199,7 +199,7 @@
 		return
 	}
 	h := heard{key: q.key, load: l, took: a.d.now().Sub(q.sent)}
-	if q.late != nil {
+	if q.to == nil {
 		q.late(h)
 	} else {
 		// The channel has room for every answer.
--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -56,7 +56,7 @@
 		}
 	}
 	if len(far) > 0 {
-		a.leave(far, i.late)
+		a.leave(far)
 	}
 	a.collect(answers, ids, got, i)
 	return got
@@ -67,11 +67,7 @@
 	if err != nil {
 		return
 	}
-	q := question{key: up.Key, address: string(up.Daemon), to: answers}
-	if answers == nil {
-		q.late = i.late
-	}
-	id := a.expect(q)
+	id := a.expect(question{key: up.Key, address: string(up.Daemon), to: answers, late: i.late})
 	*ids = append(*ids, id)
 	b := append(a.head(kindAsk, id), uint8(min(max(i.rank, 0), maxUint8)))
 	_, _ = a.conn.WriteToUDPAddrPort(binary.BigEndian.AppendUint16(b, uint16(i.kind)), to)
@@ -88,20 +84,20 @@
 		case h := <-answers:
 			got[h.key] = h
 		case <-timer.C:
-			a.leave(ids, i.late)
+			a.leave(ids)
 			return
 		}
 	}
 }
 
-// leave has answers that come late go elsewhere, and ends the wait for them after a
-// while.
-func (a *datagrams) leave(ids []uint32, late func(heard)) {
+// leave has answers that come late go where they serve the next choices, and forgets
+// them after a while.
+func (a *datagrams) leave(ids []uint32) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, id := range ids {
 		if q, ok := a.waiting[id]; ok {
-			q.late = late
+			q.to = nil
 			a.waiting[id] = q
 		}
 	}
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -331,7 +331,8 @@
 }
 
 // startedWithin returns the number of daemons known, this one included, and the part
-// of them that has started within a span, by their own clocks.
+// of them that has started within a span, by their own clocks. One whose clock is ahead
+// by more than the span counts as started long ago.
 func (p *peers) startedWithin(span time.Duration) (daemons int, part float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/sidecar/peers_test.go
+++ b/sidecar/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -159,3 +160,34 @@
 	require.EqualValues(t, 1, again.config.version())
 	a.knows(t, "b", 1)
 }
+
+// TestStartedWithin counts the daemons that have started of late, by their clocks.
+func TestStartedWithin(t *testing.T) {
+	const span = 10 * time.Second
+	for name, c := range map[string]struct {
+		ages []time.Duration
+		want float64
+	}{
+		"all of late":              {[]time.Duration{0, time.Second, 5 * time.Second}, 1},
+		"one of three":             {[]time.Duration{time.Minute, time.Second, time.Hour}, 1.0 / 3},
+		"a clock a little ahead":   {[]time.Duration{time.Minute, -5 * time.Second}, 0.5},
+		"a clock an hour ahead":    {[]time.Duration{time.Minute, -time.Hour}, 0},
+		"alone, started long ago":  {[]time.Duration{time.Hour}, 0},
+		"alone, started right now": {[]time.Duration{0}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &peers{all: map[string]*peer{}}
+			for i, age := range c.ages {
+				r := Record{Incarnation: time.Now().Add(-age).UnixMilli()}
+				if i == 0 {
+					p.own = r
+				} else {
+					p.all[strconv.Itoa(i)] = &peer{record: r}
+				}
+			}
+			daemons, part := p.startedWithin(span)
+			require.Equal(t, len(c.ages), daemons)
+			require.InDelta(t, c.want, part, 1e-9)
+		})
+	}
+}
