Ask what became of a call of the daemon that got it, not of its address

Cause: a guard's VM was replaced, another daemon started under its address, and the entry asked the address what became of a call that must not run twice.

The question now names the incarnation of the daemon that was sent the call, and any other answers that it is not known. Found beside it, of the same kind: - memory of attempts was 10 s whatever their deadline: it is now the deadline and 10 s, never shorter than the attempt waits or runs; what is dropped early is unknown; - a sender whose VM was suspended asks long after the guard has forgotten: a guard's word counts by the clock that goes on while suspended; - a question about load went to the address: it names the upstream, and a guard that refuses because another upstream was meant tells no load, which was taken for the other's. Messages that go by content (records, suspects, news of versions) were looked at and need no name: they are judged by what they say, not by who sits at the address.

TestForgottenAttemptsAreUnknown held that what runs may be forgotten early; now it never is, and the test says so.

--- a/sidecar/attempts.go
+++ b/sidecar/attempts.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"container/heap"
 	"context"
 	"sync"
 	"time"
@@ -10,11 +11,11 @@
 )
 
 const (
-	// remembered is how long a guard knows what became of an attempt. A sender
-	// that was cut off asks within the deadline of its request.
-	remembered = 10 * time.Second
-	// maxRemembered bounds the attempts known. Beyond it the oldest is forgotten,
-	// and whoever asks for it is told that it is not known whether it ran.
+	// rememberedPast is how long past its deadline a guard knows what became of an
+	// attempt: longer than a call or a question is under way, and than a sender that
+	// was suspended is awake before it finds its deadline over.
+	rememberedPast = 10 * time.Second
+	// maxRemembered bounds the attempts that are known though they have ended.
 	maxRemembered = 1 << 14
 	// maxKeptBody bounds the bodies of remembered answers, in bytes: with
 	// maxRemembered it would be too much, but few answers are remembered whole, as
@@ -22,24 +23,31 @@
 	maxKeptBody = 64 << 10
 )
 
-// attempts remembers what became of each attempt at a guard, so that a sender
-// whose connection broke learns the truth over another. It is safe for concurrent
-// use.
+// provenFor is how long after a call was sent its guard's word counts that it has not
+// run: past that the guard may have forgotten it.
+func provenFor(deadline time.Duration) time.Duration { return deadline + rememberedPast }
+
+// attempts remembers what became of each attempt at a guard that must not run twice, so
+// that a sender whose connection broke learns the truth over another. An attempt is
+// known while it waits or runs, and until rememberedPast after its deadline. Where there
+// are too many, those that would be forgotten next are forgotten early; until their time
+// is over, an attempt that is not known may have run. It is safe for concurrent use.
 type attempts struct {
 	now func() model.Instant
 
 	mu    sync.Mutex
 	byKey map[string]*attempt
-	order []*attempt
-	// forgot is set once an attempt was forgotten early: from then on an attempt
-	// that is not known may have run.
+	// byTime holds the same, the next to be forgotten first.
+	byTime attemptsByTime
+	// forgotUntil is until when an attempt that is not known may have run.
 	forgotUntil model.Instant
 }
 
 // attempt is one call at the guard.
 type attempt struct {
-	key   string
-	since model.Instant
+	key string
+	// until is when it may be forgotten if it has ended.
+	until model.Instant
 	// withdrawn is closed when the attempt must not start.
 	withdrawn chan struct{}
 	done      chan struct{}
@@ -54,51 +62,68 @@
 	return &attempts{now: now, byKey: make(map[string]*attempt)}
 }
 
-// begin notes a new attempt. It reports true when the attempt is known already:
-// it was withdrawn before it came, or came twice.
-func (t *attempts) begin(key string) (*attempt, bool) {
+func newAttempt(key string) *attempt {
+	return &attempt{key: key, withdrawn: make(chan struct{}), done: make(chan struct{})}
+}
+
+// begin notes a new attempt and how much time it has. It reports true when the attempt
+// is known already: it was withdrawn before it came, or came twice.
+func (t *attempts) begin(key string, deadline time.Duration) (*attempt, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if a := t.byKey[key]; a != nil {
 		return a, true
 	}
-	return t.add(key), false
+	return t.add(key, deadline), false
 }
 
 // add notes an attempt. t.mu is held.
-func (t *attempts) add(key string) *attempt {
+func (t *attempts) add(key string, deadline time.Duration) *attempt {
 	t.forget()
-	a := &attempt{key: key, since: t.now(), withdrawn: make(chan struct{}), done: make(chan struct{})}
+	a := newAttempt(key)
+	a.until = t.now().Add(deadline + rememberedPast)
 	t.byKey[key] = a
-	t.order = append(t.order, a)
+	heap.Push(&t.byTime, a)
 	return a
 }
 
-// forget drops attempts that are old, or too many. t.mu is held.
+// forget drops attempts whose time is over, or that are too many. t.mu is held.
 func (t *attempts) forget() {
 	now := t.now()
-	n := 0
-	for n < len(t.order) && (now.Sub(t.order[n].since) > remembered || len(t.order)-n >= maxRemembered) {
-		if now.Sub(t.order[n].since) <= remembered {
-			t.forgotUntil = t.order[n].since.Add(remembered)
+	for len(t.byTime) > 0 {
+		next := t.byTime[0]
+		early := next.until > now
+		if early && len(t.byTime) < maxRemembered {
+			return
+		}
+		if !next.mayBeForgotten(early) {
+			next.until = max(next.until, now).Add(rememberedPast)
+			heap.Fix(&t.byTime, 0)
+			if early {
+				return
+			}
+			continue
+		}
+		if early {
+			t.forgotUntil = max(t.forgotUntil, next.until)
 		}
-		delete(t.byKey, t.order[n].key)
-		n++
+		heap.Pop(&t.byTime)
+		delete(t.byKey, next.key)
 	}
-	t.order = t.order[n:]
 }
 
 // settle bars the attempt from starting, unless it has started, and returns what
-// came of it once that is known or the context ends.
-func (t *attempts) settle(ctx context.Context, key string) *Answer {
+// came of it once that is known or the context ends. The attempt has so much time left.
+func (t *attempts) settle(ctx context.Context, key string, left time.Duration) *Answer {
 	t.mu.Lock()
 	a := t.byKey[key]
 	if a == nil {
-		if t.now() < t.forgotUntil {
+		t.forget()
+		if t.now() < t.forgotUntil || len(t.byTime) >= maxRemembered {
 			t.mu.Unlock()
 			return unknown(outcome.ReasonConnectionLost)
 		}
-		a = t.add(key)
+		a = t.add(key, left)
 	}
 	t.mu.Unlock()
 	if a.bar() {
@@ -107,6 +132,14 @@
 	return a.wait(ctx)
 }
 
+// mayBeForgotten reports whether the attempt neither waits nor runs, and cannot come
+// any more: one that was barred before it came may be on its way until its time is over.
+func (a *attempt) mayBeForgotten(early bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.answer != nil || a.barred && !early
+}
+
 // bar keeps the attempt from starting and reports whether it did.
 func (a *attempt) bar() bool {
 	a.mu.Lock()
@@ -168,10 +201,29 @@
 func (a *attempt) wait(ctx context.Context) *Answer {
 	select {
 	case <-a.done:
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		return a.answer
 	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.answer == nil {
 		return unknown(outcome.ReasonCancelled)
 	}
+	return a.answer
+}
+
+// attemptsByTime is a heap of attempts by the time until which they are known.
+type attemptsByTime []*attempt
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (h attemptsByTime) Len() int           { return len(h) }
+func (h attemptsByTime) Less(i, j int) bool { return h[i].until < h[j].until }
+func (h attemptsByTime) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *attemptsByTime) Push(a any)        { *h = append(*h, a.(*attempt)) }
+
+func (h *attemptsByTime) Pop() any {
+	old := *h
+	a := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return a
 }
--- a/sidecar/attempts_test.go
+++ b/sidecar/attempts_test.go
@@ -27,23 +27,23 @@
 		starts bool
 	}{
 		"never came: it is withdrawn and will not start": {func(*testing.T, *attempts) {}, outcome.NotRun, false},
-		"waits: it is withdrawn":                         {func(_ *testing.T, a *attempts) { a.begin("k") }, outcome.NotRun, false},
+		"waits: it is withdrawn":                         {func(_ *testing.T, a *attempts) { a.begin("k", time.Second) }, outcome.NotRun, false},
 		"ended": {func(t *testing.T, a *attempts) {
-			at, _ := a.begin("k")
+			at, _ := a.begin("k", time.Second)
 			require.True(t, at.start())
 			at.end(done)
 		}, outcome.Answered, true},
 		"refused": {func(_ *testing.T, a *attempts) {
-			at, _ := a.begin("k")
+			at, _ := a.begin("k", time.Second)
 			at.end(notRun(outcome.ReasonQueueFull))
 		}, outcome.NotRun, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, _ := newTestAttempts()
 			c.before(t, a)
-			require.Equal(t, c.want, a.settle(t.Context(), "k").Outcome.Kind)
+			require.Equal(t, c.want, a.settle(t.Context(), "k", time.Second).Outcome.Kind)
 			if !c.starts {
-				at, known := a.begin("k")
+				at, known := a.begin("k", time.Second)
 				require.True(t, known)
 				require.Equal(t, outcome.NotRun, at.again().Outcome.Kind)
 			}
@@ -53,44 +53,124 @@
 
 func TestSettleWaitsForARun(t *testing.T) {
 	a, _ := newTestAttempts()
-	at, _ := a.begin("k")
+	at, _ := a.begin("k", time.Second)
 	require.True(t, at.start())
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	require.Equal(t, outcome.Unknown, a.settle(ctx, "k").Outcome.Kind, "it runs: nothing is promised")
+	require.Equal(t, outcome.Unknown, a.settle(ctx, "k", time.Second).Outcome.Kind, "it runs: nothing is promised")
 	got := make(chan *Answer)
-	go func() { got <- a.settle(t.Context(), "k") }()
+	go func() { got <- a.settle(t.Context(), "k", time.Second) }()
 	at.end(&Answer{Outcome: outcome.Done()})
 	require.Equal(t, outcome.Answered, (<-got).Outcome.Kind)
 }
 
 // TestForgottenAttemptsAreUnknown floods a guard: what it had to forget early it
-// no longer promises anything of.
+// no longer promises anything of. What runs or waits is never forgotten.
 func TestForgottenAttemptsAreUnknown(t *testing.T) {
 	a, now := newTestAttempts()
-	at, _ := a.begin("first")
-	at.start()
-	for i := range maxRemembered + 1 {
-		a.begin(fmt.Sprint(i))
+	first, _ := a.begin("first", time.Second)
+	first.start()
+	first.end(&Answer{Outcome: outcome.Done()})
+	runs, _ := a.begin("runs", time.Second)
+	runs.start()
+	waits, _ := a.begin("waits", time.Second)
+	for i := range 2 * maxRemembered {
+		*now = now.Add(time.Microsecond)
+		at, _ := a.begin(fmt.Sprint(i), time.Second)
+		at.end(&Answer{Outcome: outcome.Done()})
+	}
+	require.LessOrEqual(t, len(a.byTime), maxRemembered+2, "bounded")
+	require.Len(t, a.byKey, len(a.byTime))
+	require.Equal(t, outcome.Unknown, a.settle(t.Context(), "first", time.Second).Outcome.Kind)
+	require.Equal(t, outcome.Unknown, a.settle(t.Context(), "never came", time.Second).Outcome.Kind)
+	require.False(t, runs.bar(), "still known")
+	require.Same(t, waits, a.byKey["waits"])
+	runs.end(&Answer{Outcome: outcome.Done()})
+	waits.end(notRun(outcome.ReasonQueueFull))
+
+	*now = now.Add(3 * provenFor(time.Second))
+	require.Equal(t, outcome.NotRun, a.settle(t.Context(), "later", time.Second).Outcome.Kind)
+	require.Len(t, a.byTime, 1, "old attempts are forgotten")
+}
+
+// TestAttemptsAreKnownPastTheirDeadlines answers requests that may take long: nobody
+// who has one of them in hand may be told that it is not known, and so has not run.
+func TestAttemptsAreKnownPastTheirDeadlines(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadline time.Duration
+		// ends is when the attempt ends, if it does, asked when it is asked for.
+		ends, asked time.Duration
+		want        outcome.Kind
+	}{
+		"short":                          {time.Second, time.Second / 2, 10 * time.Second, outcome.Answered},
+		"long":                           {time.Minute, time.Second, 59 * time.Second, outcome.Answered},
+		"long, and its sender is late":   {time.Minute, time.Second, 69 * time.Second, outcome.Answered},
+		"runs for longer than it should": {time.Second, 0, time.Hour, outcome.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, now := newTestAttempts()
+			at, _ := a.begin("k", c.deadline)
+			require.True(t, at.start())
+			for end := now.Add(c.asked); *now < end; *now = now.Add(500 * time.Millisecond) {
+				if c.ends > 0 && *now >= model.Instant(c.ends) {
+					at.end(&Answer{Outcome: outcome.Done()})
+				}
+				// Others come all the while.
+				other, _ := a.begin(fmt.Sprint(*now), time.Second)
+				other.end(&Answer{Outcome: outcome.Done()})
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Nanosecond)
+			defer cancel()
+			require.Equal(t, c.want, a.settle(ctx, "k", c.deadline).Outcome.Kind)
+		})
+	}
+}
+
+// TestBarredAttemptsStayBarred has a call come after its guard has said that it never
+// came, late but within its time.
+func TestBarredAttemptsStayBarred(t *testing.T) {
+	a, now := newTestAttempts()
+	require.Equal(t, outcome.NotRun, a.settle(t.Context(), "k", time.Minute).Outcome.Kind)
+	for i := range 2 * maxRemembered {
+		at, _ := a.begin(fmt.Sprint(i), time.Second)
+		at.end(&Answer{Outcome: outcome.Done()})
+	}
+	*now = now.Add(time.Minute)
+	at, known := a.begin("k", time.Minute)
+	require.True(t, known)
+	require.False(t, at.start())
+}
+
+// TestSuspendedSendersTakeNothingAsProof suspends the VM of a sender: by its own clock
+// hardly any time has passed, while the guard has long forgotten the call.
+func TestSuspendedSendersTakeNothingAsProof(t *testing.T) {
+	for name, c := range map[string]struct {
+		past time.Duration
+		want outcome.Kind
+	}{
+		"within the guard's memory": {provenFor(time.Second), outcome.NotRun},
+		"past it":                   {provenFor(time.Second) + 1, outcome.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &entry{bootClock: func() time.Duration { return time.Hour + c.past }}
+			got := e.proven(notRun(outcome.ReasonWithdrawn), time.Hour, &Call{Deadline: time.Second})
+			require.Equal(t, c.want, got.Outcome.Kind)
+		})
 	}
-	require.Equal(t, outcome.Unknown, a.settle(t.Context(), "first").Outcome.Kind)
-	*now = now.Add(2 * remembered)
-	require.Equal(t, outcome.NotRun, a.settle(t.Context(), "later").Outcome.Kind)
-	require.Len(t, a.order, 1, "old attempts are forgotten")
 }
 
 // TestWithdrawnNeverStarts draws any order of a start and a withdrawal.
 func TestWithdrawnNeverStarts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, _ := newTestAttempts()
-		at, _ := a.begin("k")
+		at, _ := a.begin("k", time.Second)
 		started, withdrawn := false, false
 		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 1), 1, 6).Draw(t, "steps") {
 			if step == 0 && !started {
 				started = at.start()
 			} else if step == 1 {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Nanosecond)
-				withdrawn = a.settle(ctx, "k").Outcome.Kind == outcome.NotRun || withdrawn
+				withdrawn = a.settle(ctx, "k", time.Second).Outcome.Kind == outcome.NotRun || withdrawn
 				cancel()
 			}
 			require.False(t, started && withdrawn)
@@ -111,11 +191,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, _ := newTestAttempts()
-			at, _ := a.begin("k")
+			at, _ := a.begin("k", time.Second)
 			at.start()
 			at.end(&Answer{Outcome: outcome.Done(), Body: make([]byte, c.size)})
 			at.trim(c.keep)
-			require.Equal(t, c.want, a.settle(t.Context(), "k").Outcome.Kind)
+			require.Equal(t, c.want, a.settle(t.Context(), "k", time.Second).Outcome.Kind)
 		})
 	}
 }
--- a/sidecar/candidates.go
+++ b/sidecar/candidates.go
@@ -21,11 +21,11 @@
 			return
 		}
 		up := placement.Upstream{
-			Key: r.Address + " " + string(r.Upstream.ID), Daemon: model.DaemonID(r.Address),
+			Key: keyOf(r.Address, r.Upstream.ID), Daemon: model.DaemonID(r.Address),
 			Zone: r.Zone, Slots: r.Slots, ColdUntil: cold,
 		}
 		ups = append(ups, up)
-		targets[up.Key] = target{address: r.Address, upstream: r.Upstream}
+		targets[up.Key] = target{address: r.Address, life: r.Incarnation, upstream: r.Upstream}
 	}
 	add(&p.own, 0)
 	for _, q := range p.all {
@@ -44,8 +44,13 @@
 	return p.generation
 }
 
+// keyOf names an upstream among the candidates.
+func keyOf(address string, id model.UpstreamID) string { return address + " " + string(id) }
+
 // target is where the calls to a candidate go.
 type target struct {
-	address  string
+	address string
+	// life is the incarnation of the daemon there.
+	life     int64
 	upstream lifecycle.Incarnation
 }
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -14,7 +14,6 @@
 
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
-	"github.com/dottereltiller/dottereltiller/core/slots"
 )
 
 // datagrams speaks to other daemons by datagram. One asks a guard how loaded its
@@ -24,7 +23,7 @@
 // All begin with their kind, an id that the answer repeats, and the version of the
 // configuration in force, so that a daemon that cannot hear of a newer one from the
 // store learns of it. kindAsk is followed by the rank and the kind of the
-// request, kindLoad by the load as it would find it, kindRecord by the record in JSON,
+// request and a number that stands for the upstream, kindLoad by the load as it would find it, kindRecord by the record in JSON,
 // kindNoted by nothing, kindNews by the address where a new version can be had.
 type datagrams struct {
 	d    *Daemon
@@ -61,7 +60,7 @@
 	// headBytes is the length of what all begin with; askBytes and loadBytes are
 	// the lengths of whole datagrams.
 	headBytes = 13
-	askBytes  = headBytes + 3
+	askBytes  = headBytes + 5
 	loadBytes = headBytes + 13
 	// maxDatagram bounds a datagram, so that it fits an Ethernet frame. A longer
 	// record is sent by connection.
@@ -109,7 +108,7 @@
 	kind, id, version := b[0], binary.BigEndian.Uint32(b[1:]), model.Version(binary.BigEndian.Uint64(b[5:]))
 	switch {
 	case kind == kindAsk && len(b) == askBytes:
-		go a.answer(id, int(b[headBytes]), slots.Kind(binary.BigEndian.Uint16(b[headBytes+1:])), from)
+		go a.answer(id, decodeAsk(b), from)
 	case kind == kindLoad && len(b) == loadBytes:
 		a.hear(id, decodeLoad(b), version)
 	case kind == kindRecord:
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -60,6 +60,8 @@
 // entry takes callers' requests. It is safe for concurrent use.
 type entry struct {
 	d *Daemon
+	// bootClock tells the time since the VM started, suspensions included.
+	bootClock func() time.Duration
 
 	mu       sync.Mutex
 	splitter route.Splitter
@@ -69,7 +71,9 @@
 }
 
 func newEntry(d *Daemon) *entry {
-	return &entry{d: d, services: make(map[model.ServiceName]*service), works: make(map[string]time.Duration)}
+	return &entry{
+		d: d, bootClock: bootTime, services: make(map[model.ServiceName]*service), works: make(map[string]time.Duration),
+	}
 }
 
 // ServeHTTP answers one request.
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -168,9 +168,13 @@
 // the context ends, a call that waits is withdrawn and an idempotent one that
 // runs is cancelled.
 func (g *guard) Do(ctx context.Context, c *Call) *Answer {
-	at, known := g.attempts.begin(c.Key())
-	if known {
-		return g.finish(at.again())
+	at := newAttempt(c.Key())
+	if !c.Idempotent {
+		// Nobody asks what became of one that may run again.
+		known := false
+		if at, known = g.attempts.begin(c.Key(), c.Deadline); known {
+			return g.finish(at.again())
+		}
 	}
 	if c.Alternative > 0 {
 		g.refresh(ctx)
@@ -198,10 +202,14 @@
 	return g.finish(a)
 }
 
-// finish puts the load and the version on an answer.
+// finish puts the load and the version on an answer. The load is left out where the
+// caller meant another upstream.
 func (g *guard) finish(a *Answer) *Answer {
 	out := *a
 	out.Version = g.version()
+	if a.Outcome.Reason == outcome.ReasonNoUpstream {
+		return &out
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.load()
--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/core/slots"
@@ -36,6 +38,35 @@
 	tooFar func(placement.Upstream) bool
 }
 
+// loadQuestion asks how an upstream would find a request.
+type loadQuestion struct {
+	rank int
+	kind slots.Kind
+	// tag stands for the upstream: another one may have its address by now.
+	tag uint16
+}
+
+func (i *inquiry) of(up placement.Upstream) loadQuestion {
+	return loadQuestion{rank: i.rank, kind: i.kind, tag: tagOf(up.Key)}
+}
+
+// tagOf returns a number for the key of an upstream that few others have.
+func tagOf(key string) uint16 { return uint16(xxhash.Sum64String(key)) }
+
+func (q loadQuestion) appendTo(b []byte) []byte {
+	b = append(b, uint8(min(max(q.rank, 0), maxUint8)))
+	b = binary.BigEndian.AppendUint16(b, uint16(q.kind))
+	return binary.BigEndian.AppendUint16(b, q.tag)
+}
+
+// decodeAsk reads the question of a datagram of askBytes.
+func decodeAsk(b []byte) loadQuestion {
+	b = b[headBytes:]
+	return loadQuestion{
+		rank: int(b[0]), kind: slots.Kind(binary.BigEndian.Uint16(b[1:])), tag: binary.BigEndian.Uint16(b[3:]),
+	}
+}
+
 // ask returns the answers by key once all that can answer in time have done so, or the
 // wait is over.
 func (a *datagrams) ask(i inquiry) map[string]heard {
@@ -44,7 +75,7 @@
 	var ids, far []uint32
 	for _, up := range i.ups {
 		if string(up.Daemon) == a.d.opts.Addresses.Peers {
-			if l, ok := a.d.guard.loadFor(i.rank, i.kind); ok {
+			if l, ok := a.d.guard.loadFor(i.of(up)); ok {
 				got[up.Key] = heard{key: up.Key, load: l}
 			}
 			continue
@@ -69,8 +100,7 @@
 	}
 	id := a.expect(question{key: up.Key, address: string(up.Daemon), to: answers, late: i.late})
 	*ids = append(*ids, id)
-	b := append(a.head(kindAsk, id), uint8(min(max(i.rank, 0), maxUint8)))
-	_, _ = a.conn.WriteToUDPAddrPort(binary.BigEndian.AppendUint16(b, uint16(i.kind)), to)
+	_, _ = a.conn.WriteToUDPAddrPort(i.of(up).appendTo(a.head(kindAsk, id)), to)
 }
 
 func (a *datagrams) collect(answers <-chan heard, ids []uint32, got map[string]heard, i inquiry) {
@@ -104,29 +134,30 @@
 	time.AfterFunc(lateFor, func() { a.forget(ids) })
 }
 
-// answer tells the load of the own upstream. One that takes no requests says
-// nothing, as if it were not there.
-func (a *datagrams) answer(id uint32, rank int, kind slots.Kind, to netip.AddrPort) {
-	load, ok := a.d.guard.loadFor(rank, kind)
+// answer tells the load of the own upstream. One that takes no requests, or is not the
+// one that is asked about, says nothing, as if it were not there.
+func (a *datagrams) answer(id uint32, q loadQuestion, to netip.AddrPort) {
+	load, ok := a.d.guard.loadFor(q)
 	if !ok {
 		return
 	}
 	_, _ = a.conn.WriteToUDPAddrPort(appendLoad(a.head(kindLoad, id), load), to)
 }
 
-// loadFor returns the load as a request of a rank and a kind would find it, and whether
-// requests are taken at all.
-func (g *guard) loadFor(rank int, kind slots.Kind) (placement.Load, bool) {
+// loadFor returns the load as a request would find it, and whether the upstream is the
+// one that is asked about and takes requests.
+func (g *guard) loadFor(q loadQuestion) (placement.Load, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), askRefresh)
 	defer cancel()
 	g.refresh(ctx)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed || g.tracker.Current().State != lifecycle.Ready {
+	cur := g.tracker.Current()
+	if g.closed || cur.State != lifecycle.Ready || q.tag != tagOf(keyOf(g.opts.Addresses.Peers, cur.ID)) {
 		return placement.Load{}, false
 	}
 	l := g.load()
-	l.Waiting = max(g.queue.Ahead(rank, kind)-l.Running, 0)
+	l.Waiting = max(g.queue.Ahead(q.rank, q.kind)-l.Running, 0)
 	return l, true
 }
 
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
@@ -107,11 +108,43 @@
 	return askPeer(ctx, pool, http.MethodGet, pathConfig, nil)
 }
 
+// settleQuestion asks a guard what became of an attempt.
+type settleQuestion struct {
+	key string
+	// life is the incarnation of the daemon that the attempt was sent to.
+	life int64
+	// left is the time that the attempt had when it was sent.
+	left time.Duration
+}
+
+// The parameters of a settleQuestion.
+const (
+	settleKey  = "key"
+	settleLife = "life"
+	settleLeft = "left-ms"
+)
+
+func (q settleQuestion) encode() string {
+	v := url.Values{}
+	v.Set(settleKey, q.key)
+	v.Set(settleLife, strconv.FormatInt(q.life, 10))
+	v.Set(settleLeft, strconv.FormatInt(q.left.Milliseconds(), 10))
+	return v.Encode()
+}
+
+func decodeSettle(v url.Values) (settleQuestion, error) {
+	n, err := numbers(v.Get(settleLife), v.Get(settleLeft))
+	if err != nil {
+		return settleQuestion{}, err
+	}
+	return settleQuestion{key: v.Get(settleKey), life: n[0], left: time.Duration(n[1]) * time.Millisecond}, nil
+}
+
 // askSettle asks a guard over a new connection what became of an attempt, and
 // withdraws it if it has not started.
-func askSettle(ctx context.Context, pool *hop.Pool, key string) *Answer {
+func askSettle(ctx context.Context, pool *hop.Pool, q settleQuestion) *Answer {
 	r, err := pool.Do(ctx, hop.Exchange{
-		Method: http.MethodPost, Target: pathSettle + "?key=" + url.QueryEscape(key), Host: peerHost,
+		Method: http.MethodPost, Target: pathSettle + "?" + q.encode(), Host: peerHost,
 		Header: http.Header{}, MaxIdle: -1,
 	})
 	if err != nil {
@@ -184,7 +217,7 @@
 	case pathSync:
 		p.sync(w, r)
 	case pathSettle:
-		writePeerAnswer(w, r.Method, p.d.guard.finish(p.d.guard.attempts.settle(r.Context(), r.URL.Query().Get("key"))))
+		p.settle(w, r)
 	case pathConfig:
 		p.config(w)
 	case pathSuspects:
@@ -194,6 +227,21 @@
 	}
 }
 
+// settle tells what became of an attempt. A daemon that started later at the address of
+// the one that was sent the attempt knows nothing of it.
+func (p peerHandler) settle(w http.ResponseWriter, r *http.Request) {
+	q, err := decodeSettle(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if q.life != p.d.peers.self().Incarnation {
+		writePeerAnswer(w, r.Method, unknown(outcome.ReasonConnectionLost))
+		return
+	}
+	writePeerAnswer(w, r.Method, p.d.guard.finish(p.d.guard.attempts.settle(r.Context(), q.key, q.left)))
+}
+
 func (p peerHandler) call(w http.ResponseWriter, r *http.Request, line string) {
 	c, err := decodeCall(line)
 	if err != nil {
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -120,6 +120,7 @@
 		a, whole := e.sendOnce(ctx, pool, t, c)
 		first <- result{a, whole}
 	}()
+	sent := e.bootClock()
 	timer := time.NewTimer(time.Duration(settleFactor*float64(t.choice.Expected)) + settleBy)
 	defer timer.Stop()
 	silent := time.NewTimer(ackWait)
@@ -129,7 +130,7 @@
 	ask := func() {
 		if !asked && ctx.Err() == nil {
 			asked = true
-			go func() { settled <- e.settle(ctx, pool, t, c) }()
+			go func() { settled <- e.proven(e.settle(ctx, pool, t, c), sent, c) }()
 		}
 	}
 	for broken := false; ; {
@@ -162,9 +163,19 @@
 	}
 }
 
+// proven returns what a guard said of a call that was sent at a time of bootClock. Its
+// word that the call has not run counts while the guard surely remembers the call. The
+// deadline alone does not tell: its clock stands still while this VM is suspended.
+func (e *entry) proven(a *Answer, sent time.Duration, c *Call) *Answer {
+	if a.Outcome.Kind == outcome.NotRun && e.bootClock()-sent > provenFor(c.Deadline) {
+		return unknown(outcome.ReasonConnectionLost)
+	}
+	return a
+}
+
 func (e *entry) settle(ctx context.Context, pool *hop.Pool, t *try, c *Call) *Answer {
 	e.d.metrics.settled.Inc(1)
-	a := askSettle(ctx, pool, c.Key())
+	a := askSettle(ctx, pool, settleQuestion{key: c.Key(), life: t.target.life, left: c.Deadline})
 	e.d.opts.Decisions.Write(decision.Withdrawn, c.ID, slog.String("upstream", t.choice.Upstream.Key),
 		slog.String("result", a.Outcome.Kind.String()))
 	return a
