Give every belief that has requests refused a way back

Cause: a daemon that starts beside a running upstream that tells no load took one slot for its slots, and kept one when the upstream reported more: only the first report of an incarnation set the limit.

Now slots that change are taken over and told, and until the upstream reports, the slots that others hold of it or of its service are used. Looked for others of the kind: - the slowness that an upstream told last had its guard refuse for ever where no answer came: it fades after a second; - work that was learned of cold upstreams, above every deadline: without an answer for a second it alone has no request refused, and the next answer corrects it; - a daemon out of reach for a minute was forgotten by both sides, so two regions that lost each other for minutes never met again: it is looked for for an hour. Share of failures, avoidance and budget in use had a way back already, by time. A quarantined request is refused for ten minutes, which is meant.

--- a/core/lifecycle/lifecycle.go
+++ b/core/lifecycle/lifecycle.go
@@ -58,7 +58,8 @@
 	Service  model.ServiceName
 	Zone     model.AvailabilityZone
 	Address  string
-	// Slots is the number of requests that it runs at once, at least 1.
+	// Slots is the number of requests that it runs at once. Zero means that it was not
+	// told.
 	Slots int
 	// ColdFor is how much longer it is slow after its start.
 	ColdFor time.Duration
@@ -73,7 +74,7 @@
 	Stale Verdict = iota
 	// Same reports change nothing but the sequence.
 	Same
-	// Changed reports change the state of the incarnation.
+	// Changed reports change the state of the incarnation or its slots.
 	Changed
 	// Started reports are the first of a newer incarnation.
 	Started
@@ -149,7 +150,7 @@
 		return Stale
 	}
 	state := max(r.State, t.current.State)
-	changed := state != t.current.State
+	changed := state != t.current.State || r.Slots != t.current.Slots
 	t.current = r
 	t.current.State = state
 	if state > Ready {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -76,6 +76,7 @@
 	d.peers.version = d.config.version
 	d.peers.behind = d.behind
 	d.peers.restore = d.guard.restore
+	d.guard.slots = d.peers.slotsOf
 	d.suspects = newSuspects(d)
 	d.bodies = newBodies(o.BodyBytes)
 	d.guard.crashes.crashed = d.suspects.crashed
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -66,13 +66,13 @@
 	mu       sync.Mutex
 	splitter route.Splitter
 	services map[model.ServiceName]*service
-	// works holds the usual time of each route's requests where nothing slows them.
-	works map[string]time.Duration
+	// works holds what is known of each route's work.
+	works map[string]routeWork
 }
 
 func newEntry(d *Daemon) *entry {
 	return &entry{
-		d: d, bootClock: bootTime, services: make(map[model.ServiceName]*service), works: make(map[string]time.Duration),
+		d: d, bootClock: bootTime, services: make(map[model.ServiceName]*service), works: make(map[string]routeWork),
 	}
 }
 
@@ -300,6 +300,13 @@
 	}
 }
 
+// routeWork is the usual time of a route's requests where nothing slows them, as last
+// taken in.
+type routeWork struct {
+	mean time.Duration
+	at   model.Instant
+}
+
 const (
 	// firstWork is assumed of a route that nothing is known of.
 	firstWork = 50 * time.Millisecond
@@ -307,28 +314,48 @@
 	workWeight = 1.0 / 16
 	// maxWorks bounds the routes whose work is known.
 	maxWorks = 4096
+	// workTrusted is how long after the last answer the work alone may have a request
+	// refused as too long for its deadline. Work that was learned of upstreams that
+	// were slow would have every later request refused, and none would correct it.
+	workTrusted = time.Second
+	// trialShare is the share of a request's time that its work takes at most after
+	// that.
+	trialShare = 1.0 / 3
+	// staleFactor is how far above the next answer what was known before may be then.
+	staleFactor = 2
 )
 
-// workOf returns the usual work of a route.
-func (e *entry) workOf(name string) time.Duration {
+// workOf returns the usual work of a route, for a request that has so much time.
+func (e *entry) workOf(name string, left time.Duration) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if mean, ok := e.works[name]; ok {
-		return mean
+	w, ok := e.works[name]
+	switch {
+	case !ok:
+		return firstWork
+	case e.d.now().Sub(w.at) > workTrusted:
+		return min(w.mean, time.Duration(trialShare*float64(left)))
+	default:
+		return w.mean
 	}
-	return firstWork
 }
 
 // worked takes in the work of a request of a route.
 func (e *entry) worked(name string, usual time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	mean, ok := e.works[name]
+	w, ok := e.works[name]
 	if !ok {
 		if len(e.works) >= maxWorks {
 			clear(e.works)
 		}
-		mean = usual
+		w.mean = usual
+	}
+	now := e.d.now()
+	if now.Sub(w.at) > workTrusted {
+		w.mean = min(w.mean, staleFactor*usual)
 	}
-	e.works[name] = mean + time.Duration(float64(usual-mean)*workWeight)
+	w.mean += time.Duration(float64(usual-w.mean) * workWeight)
+	w.at = now
+	e.works[name] = w
 }
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -88,7 +88,7 @@
 	}
 	most := req.route.MaxAttempts + maxMisses + placement.MaxGivenBack + 1
 	r := &race{
-		e: e, req: req, s: s, work: e.workOf(req.route.Name),
+		e: e, req: req, s: s, work: e.workOf(req.route.Name, req.deadline.Sub(req.began)),
 		done: make(chan ended, most), mute: make(chan *try, most), tried: make(map[string]bool),
 	}
 	defer r.cancelAll()
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 	now     func() model.Instant
 	version func() model.Version
 	health  func() string
+	// slots returns how many slots an upstream has that does not tell, as far as others
+	// know. Zero means that nobody does.
+	slots   func(lifecycle.Incarnation) int
 	urgent  func(rank int) bool
 	service model.ServiceName
 	metrics *metrics
@@ -124,14 +128,18 @@
 		slog.String("state", r.State.String()), slog.String("cause", cause))
 }
 
-// follow starts afresh with a new incarnation. g.mu is held.
+// follow takes over the slots that were told, and starts afresh with a new
+// incarnation. g.mu is held.
 func (g *guard) follow(v lifecycle.Verdict) {
+	if v != lifecycle.Started && v != lifecycle.Changed {
+		return
+	}
+	g.queue.SetLimit(placement.LimitOf(g.tracker.Current().Slots))
 	if v != lifecycle.Started {
 		return
 	}
 	g.pool.Close()
 	g.pool = g.newPool()
-	g.queue.SetLimit(placement.LimitOf(g.tracker.Current().Slots))
 	g.told, g.failing, g.suspected = false, placement.Failing{}, false
 }
 
@@ -225,11 +233,28 @@
 	return g.load()
 }
 
+const (
+	// slowTrusted is how long the slowness that an upstream told is taken as it is,
+	// and slowHalf the time in which it loses half of its meaning after that. Where
+	// it has every call refused, no answer would ever tell another one.
+	slowTrusted = time.Second
+	slowHalf    = 500 * time.Millisecond
+)
+
+// slowNow returns how long work takes, 1 being as usual. g.mu is held.
+func (g *guard) slowNow() float64 {
+	old := g.now().Sub(g.slowAt) - slowTrusted
+	if old <= 0 {
+		return g.slow
+	}
+	return 1 + (g.slow-1)*math.Exp2(-float64(old)/float64(slowHalf))
+}
+
 // load returns the load of the upstream. g.mu is held.
 func (g *guard) load() placement.Load {
 	l := placement.Load{
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
-		Slow: g.slow, SlowAge: g.now().Sub(g.slowAt), Failing: g.failing.Share(g.now()),
+		Slow: g.slowNow(), SlowAge: g.now().Sub(g.slowAt), Failing: g.failing.Share(g.now()),
 	}
 	switch {
 	case g.told:
@@ -253,7 +278,7 @@
 	it, admission, expected := g.queue.Admit(g.now(), slots.Arrival{
 		Rank: c.Rank, Kind: c.Kind, Urgent: g.urgent(c.Rank), Work: c.Work,
 		Within: c.Within, Deadline: c.Deadline, Alternative: c.Alternative,
-	}, slots.Speed{Slow: g.slow, Failing: g.failing.Share(g.now())})
+	}, slots.Speed{Slow: g.slowNow(), Failing: g.failing.Share(g.now())})
 	if admission != slots.Admitted {
 		g.mu.Unlock()
 		return 0, nil, g.turnAway(c, admission, expected)
@@ -301,7 +326,7 @@
 func (g *guard) tellGivenBack(c *Call, reason string, expected time.Duration) {
 	g.metrics.givenBack.Inc(1)
 	g.mu.Lock()
-	slow, age := g.slow, g.now().Sub(g.slowAt)
+	slow, age := g.slowNow(), g.now().Sub(g.slowAt)
 	running, waiting, limit := g.queue.Running(), g.queue.Waiting(), g.queue.Limit()
 	g.mu.Unlock()
 	g.opts.Decisions.Write(decision.GivenBack, c.ID,
@@ -359,15 +384,16 @@
 		g.giveAllBack()
 		return
 	}
+	slow := g.slowNow()
 	for {
-		d, ok := g.queue.Next(now, g.slow)
+		d, ok := g.queue.Next(now, slow)
 		if !ok {
 			break
 		}
 		g.waiting[d.ID] <- d.Exit
 		delete(g.waiting, d.ID)
 	}
-	if at := g.queue.Wake(g.slow); at != 0 {
+	if at := g.queue.Wake(slow); at != 0 {
 		g.wake.Reset(max(at.Sub(now), time.Millisecond))
 	}
 }
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -72,9 +72,14 @@
 	// daemon that restarts is back within one or two seconds.
 	minPause = 100 * time.Millisecond
 	maxPause = 2 * time.Second
-	// forgetAfter is how long a daemon is looked for. One that comes back later
-	// announces itself.
-	forgetAfter = time.Minute
+	// lookClosely is how long a lost daemon is looked for with pauses of at most
+	// maxPause, and lookPause bounds them after that. Two regions that lose each other
+	// for minutes must find each other again: neither starts anew, and so neither
+	// would announce itself.
+	lookClosely = time.Minute
+	lookPause   = 15 * time.Second
+	// forgetAfter is how long a daemon is looked for in all.
+	forgetAfter = time.Hour
 	// lookers is how many daemons look for one that has stopped as planned, and
 	// lookAfter when they begin: it may be back while the store is away, and then
 	// it knows nobody.
@@ -105,8 +110,10 @@
 	// draw draws from 0 to 1.
 	draw func() float64
 
-	mu         sync.Mutex
-	own        Record
+	mu  sync.Mutex
+	own Record
+	// before is what others hold of the daemon that had this address before.
+	before     Record
 	all        map[string]*peer
 	generation uint64
 	asked      int
@@ -249,6 +256,9 @@
 		p.own.Incarnation = r.Incarnation + 1
 		p.tellAll()
 	}
+	if r.newer(&p.before) && r.Incarnation != p.own.Incarnation {
+		p.before = *r
+	}
 	departed := r.Departed
 	if len(departed) > 0 && p.restore != nil {
 		go p.restore(slices.Clone(departed))
@@ -289,6 +299,24 @@
 	}
 }
 
+// slotsOf returns the slots of an upstream of this VM that does not tell them itself: as
+// it told the daemon before, else as those of its service tell. Zero means that nobody
+// knows.
+func (p *peers) slotsOf(i lifecycle.Incarnation) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.before.Upstream.ID == i.ID && p.before.Slots > 0 {
+		return p.before.Slots
+	}
+	most := 0
+	for _, q := range p.all {
+		if q.record.Service == p.own.Service {
+			most = max(most, q.record.Slots)
+		}
+	}
+	return most
+}
+
 // known returns every record held, the own first.
 func (p *peers) known() []Record {
 	p.mu.Lock()
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -73,10 +73,11 @@
 		State:       lifecycle.Ready,
 		Zone:        g.opts.Zone,
 		Address:     g.opts.Addresses.Upstream,
-		Slots:       1,
 	}
 	if r.Load != nil && r.Load.Slots > 0 {
 		report.Slots = r.Load.Slots
+	} else {
+		report.Slots = g.slots(report.Incarnation)
 	}
 	g.mu.Lock()
 	report.Service = g.service
--- a/sidecar/silent_test.go
+++ b/sidecar/silent_test.go
@@ -36,6 +36,6 @@
 		require.LessOrEqual(t, m.scope.Snapshot().Counters()["probes+"].Value(), int64(2))
 		require.InDelta(t, 1, m.guard.snapshot().Slow, 0, "as usual")
 	}
-	require.Greater(t, a.entry.workOf("safe"), took*9/10)
-	require.Less(t, a.entry.workOf("safe"), firstWork/2)
+	require.Greater(t, a.entry.workOf("safe", time.Minute), took*9/10)
+	require.Less(t, a.entry.workOf("safe", time.Minute), firstWork/2)
 }
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"time"
+
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/pause"
 )
@@ -31,9 +33,11 @@
 			waits.Reset()
 			continue
 		}
-		if !p.unsynced(q, err) {
+		again, most := p.unsynced(q, err)
+		if !again {
 			return
 		}
+		waits.Max = most
 		// The loop looks at the context itself.
 		_ = waits.Wait(p.ctx)
 	}
@@ -56,8 +60,9 @@
 	p.greetedOnce.Do(func() { close(p.greeted) })
 }
 
-// unsynced notes a failed exchange and reports whether to try again.
-func (p *peers) unsynced(q *peer, err error) bool {
+// unsynced notes a failed exchange. It reports whether to try again, and how long to
+// wait at most before that.
+func (p *peers) unsynced(q *peer, err error) (again bool, most time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q.due = true
@@ -65,11 +70,16 @@
 		p.lose(q, err)
 	}
 	gone := q.record.Stopping && q.record.State == lifecycle.Gone
-	if p.now().Sub(q.lostAt) < forgetAfter && !gone {
-		return true
+	away := p.now().Sub(q.lostAt)
+	switch {
+	case gone || away >= forgetAfter:
+		delete(p.all, q.record.Address)
+		q.pool.Close()
+		q.syncing = false
+		return false, 0
+	case away >= lookClosely:
+		return true, lookPause
+	default:
+		return true, maxPause
 	}
-	delete(p.all, q.record.Address)
-	q.pool.Close()
-	q.syncing = false
-	return false
 }
