Serve through stopping daemons where no other can, and end in time

Cause: candidates left out a stopping daemon at once, though it serves for its whole grace time.

Stopping daemons are now taken where no other upstream can be reached. Such a daemon refuses what may not end before it does, hands back what waits shortly before its end, and does not wait ten seconds for a part that hangs (the supervisor's default). Beside it: a question about an attempt whose connection fell silent was never asked again, and its caller waited until the deadline; it is given up after half a second without a sign and asked again.

What can reach an upstream while its daemon is away: nothing, as only processes on its VM can.

Tests: sidecar/stopping_test.go and TestStoppingServeWhereNoOtherCan, which failed before.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -227,3 +227,23 @@
 	p.Learn(at(1), "a", idle(4))
 	require.False(t, p.Comfortable(at(2), Ask{Work: work, Target: target}))
 }
+
+// TestStoppingServeWhereNoOtherCan answers a service whose last upstream has a daemon that
+// is about to stop: refusing its requests meanwhile would help nobody.
+func TestStoppingServeWhereNoOtherCan(t *testing.T) {
+	p := New(Options{Zone: "own", Rand: fixed})
+	stopping := Upstream{Key: "a", Zone: "own", Slots: 6, Stopping: true}
+	busy := Upstream{Key: "b", Zone: "far", Slots: 6}
+	p.Set([]Upstream{stopping, busy})
+	p.Learn(at(0), "b", Load{Running: 4, Waiting: 20, Limit: 4, Slow: 5})
+	require.Equal(t, "b", choose(t, p, at(1)).Upstream.Key, "however busy")
+	for _, near := range []bool{true, false} {
+		for _, up := range p.ToAsk(at(100), Ask{Work: work}, near, 0, 4) {
+			require.NotEqual(t, "a", up.Key, "nobody is asked in vain")
+		}
+	}
+	p.Unreachable(at(2), "b")
+	require.Equal(t, "a", choose(t, p, at(3)).Upstream.Key, "the other cannot be reached")
+	p.Set([]Upstream{stopping})
+	require.Equal(t, "a", choose(t, p, at(4)).Upstream.Key, "there is no other")
+}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -20,6 +20,9 @@
 	Slots  int
 	// ColdUntil is when it stops being slow after its start.
 	ColdUntil model.Instant
+	// Stopping tells that its daemon is about to stop. It serves while it can, but
+	// is chosen only where no other can be.
+	Stopping bool
 }
 
 // Options configure a Placer.
@@ -134,7 +137,7 @@
 func (p *Placer) ToAsk(now model.Instant, ask Ask, near bool, maxAge time.Duration, most int) []Upstream {
 	var stale []rated
 	for _, v := range p.order {
-		if (v.up.Zone == p.opts.Zone) != near || v.avoidUntil > now {
+		if (v.up.Zone == p.opts.Zone) != near || !readily.takes(v, now) {
 			continue
 		}
 		if ask.Exclude != nil && ask.Exclude(v.up) || v.known && now.Sub(v.loadAt) < maxAge {
@@ -159,7 +162,7 @@
 // Comfortable reports whether an upstream of the own zone is expected to answer
 // well inside the target.
 func (p *Placer) Comfortable(now model.Instant, ask Ask) bool {
-	_, _, near := p.rank(now, ask, false)
+	_, _, near := p.rank(now, ask, readily)
 	if near.view == nil {
 		return false
 	}
@@ -176,9 +179,12 @@
 // Choose returns the upstream for a request and counts it as sent there; Done
 // must follow. It reports false when every candidate is excluded.
 func (p *Placer) Choose(now model.Instant, ask Ask) (Choice, bool) {
-	best, second, near := p.rank(now, ask, false)
+	best, second, near := p.rank(now, ask, readily)
 	if best.view == nil {
-		best, second, near = p.rank(now, ask, true)
+		best, second, near = p.rank(now, ask, evenStopping)
+	}
+	if best.view == nil {
+		best, second, near = p.rank(now, ask, evenAvoided)
 	}
 	if best.view == nil {
 		return Choice{}, false
@@ -202,10 +208,35 @@
 	time  time.Duration
 }
 
+// reluctance orders the candidates that are taken only where there is no better one.
+type reluctance uint8
+
+const (
+	// readily takes those that can be reached and are to stay.
+	readily reluctance = iota
+	// evenStopping takes those too whose daemons are about to stop: they serve until
+	// they refuse.
+	evenStopping
+	// evenAvoided takes all, also those that could not be reached of late.
+	evenAvoided
+)
+
+// takes reports whether a candidate is taken.
+func (r reluctance) takes(v *view, now model.Instant) bool {
+	switch r {
+	case readily:
+		return v.avoidUntil <= now && !v.up.Stopping
+	case evenStopping:
+		return v.avoidUntil <= now
+	default:
+		return true
+	}
+}
+
 // rank returns the best candidate, the second best, and the best of the own zone.
-func (p *Placer) rank(now model.Instant, ask Ask, all bool) (best, second, near rated) {
+func (p *Placer) rank(now model.Instant, ask Ask, r reluctance) (best, second, near rated) {
 	for _, v := range p.order {
-		if v.avoidUntil > now && !all {
+		if !r.takes(v, now) {
 			continue
 		}
 		if ask.Exclude != nil && ask.Exclude(v.up) {
--- a/sidecar/candidates.go
+++ b/sidecar/candidates.go
@@ -17,12 +17,12 @@
 	var ups []placement.Upstream
 	targets := make(map[string]target)
 	add := func(r *Record, cold model.Instant) {
-		if r.Service != s || r.State != lifecycle.Ready || r.Stopping {
+		if r.Service != s || r.State != lifecycle.Ready {
 			return
 		}
 		up := placement.Upstream{
 			Key: keyOf(r.Address, r.Upstream.ID), Daemon: model.DaemonID(r.Address),
-			Zone: r.Zone, Slots: r.Slots, ColdUntil: cold,
+			Zone: r.Zone, Slots: r.Slots, ColdUntil: cold, Stopping: r.Stopping,
 		}
 		ups = append(ups, up)
 		targets[up.Key] = target{address: r.Address, life: r.Incarnation, upstream: r.Upstream}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -216,6 +216,12 @@
 	graceMargin = 400 * time.Millisecond
 	// drainPoll is how often a stopping daemon looks whether it is done.
 	drainPoll = 25 * time.Millisecond
+	// lastStart is how long before the end a stopping daemon hands back what waits, so
+	// that those who sent it hear that it has not run.
+	lastStart = 300 * time.Millisecond
+	// partsWait bounds the wait for the parts to end, within graceMargin: one that
+	// hangs must not keep the process.
+	partsWait = 150 * time.Millisecond
 	// logWait bounds the wait for the last lines.
 	logWait = 100 * time.Millisecond
 )
@@ -226,7 +232,7 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	d.peers.ctx = run
-	tree := suture.New("sidecar", suture.Spec{FailureBackoff: serverBackoff, EventHook: d.event})
+	tree := suture.New("sidecar", suture.Spec{FailureBackoff: serverBackoff, EventHook: d.event, Timeout: partsWait})
 	for _, s := range d.servers {
 		tree.Add(s)
 	}
@@ -270,9 +276,14 @@
 			_ = d.opts.Directory.Remove(ctx, d.opts.Addresses.Peers)
 		}()
 	}
+	grace := d.tunables.Load().Grace - graceMargin
+	d.guard.endBy(d.now().Add(grace))
 	d.peers.update(func(r *Record) { r.Stopping = true })
-	end := began.Add(d.tunables.Load().Grace - graceMargin)
+	end := began.Add(grace)
 	for time.Now().Before(end) {
+		if time.Until(end) < lastStart {
+			d.guard.stop()
+		}
 		if time.Since(began) > lingering {
 			d.callers.refuseNew()
 			if d.inFlight.Load() == 0 && d.guard.idle() {
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -59,7 +59,9 @@
 	// have called at other services.
 	runs  float64
 	calls float64
-	// closed tells that the daemon stops and sends nothing new.
+	// until is when the daemon, which is stopping, ends at the latest. Zero means that
+	// it does not stop. closed tells that it sends nothing new.
+	until    model.Instant
 	closed   bool
 	attempts *attempts
 	crashes  *crashes
@@ -151,11 +153,29 @@
 	return g.tracker.Current(), append([]lifecycle.Incarnation(nil), departed...)
 }
 
-// stop lets no further call start.
+// endBy has calls refused that may not end in time.
+func (g *guard) endBy(until model.Instant) {
+	g.mu.Lock()
+	g.until = until
+	g.mu.Unlock()
+}
+
+// stopFactor is how many times longer than usual a call may run. A daemon that stops
+// does not start one that it might have to cut.
+const stopFactor = 6
+
+// fits reports whether a call surely ends before the daemon does. g.mu is held.
+func (g *guard) fits(c *Call) bool {
+	most := min(c.Deadline, time.Duration(stopFactor*g.slowNow()*float64(c.Work)))
+	return g.until == 0 || g.now().Add(most) <= g.until
+}
+
+// stop lets no further call start, and hands back those that wait.
 func (g *guard) stop() {
 	g.mu.Lock()
 	g.closed = true
 	g.mu.Unlock()
+	g.pump()
 }
 
 // setService changes the service that the upstream belongs to.
@@ -306,7 +326,7 @@
 // refusal returns why a call cannot run here. g.mu is held.
 func (g *guard) refusal(cur lifecycle.Report, c *Call) outcome.Reason {
 	switch {
-	case g.closed:
+	case g.closed, !g.fits(c):
 		return outcome.ReasonDraining
 	case cur.State == lifecycle.Unknown, cur.Service != c.Service, !sameLife(cur.Incarnation, c.Upstream):
 		return outcome.ReasonNoUpstream
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -140,17 +140,25 @@
 	return settleQuestion{key: v.Get(settleKey), life: n[0], left: time.Duration(n[1]) * time.Millisecond}, nil
 }
 
+// settleSilence is how long the question of a settlement may go without a sign that it
+// has arrived: it is given up then, as its connection may be silent for good.
+const settleSilence = 500 * time.Millisecond
+
 // askSettle asks a guard over a new connection what became of an attempt, and
-// withdraws it if it has not started.
-func askSettle(ctx context.Context, pool *hop.Pool, q settleQuestion) *Answer {
+// withdraws it if it has not started. It reports false when the guard was not reached.
+func askSettle(ctx context.Context, pool *hop.Pool, q settleQuestion) (*Answer, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(settleSilence, cancel)
+	defer silence.Stop()
 	r, err := pool.Do(ctx, hop.Exchange{
 		Method: http.MethodPost, Target: pathSettle + "?" + q.encode(), Host: peerHost,
-		Header: http.Header{}, MaxIdle: -1,
+		Header: http.Header{}, MaxIdle: -1, Informed: func() { silence.Stop() },
 	})
 	if err != nil {
-		return unknown(outcome.ReasonConnectionLost)
+		return unknown(outcome.ReasonConnectionLost), false
 	}
-	return answerOf(r)
+	return answerOf(r), true
 }
 
 // answerOf reads a call's answer from the response of another daemon.
@@ -239,7 +247,9 @@
 		writePeerAnswer(w, r.Method, unknown(outcome.ReasonConnectionLost))
 		return
 	}
-	writePeerAnswer(w, r.Method, p.d.guard.finish(p.d.guard.attempts.settle(r.Context(), q.key, q.left)))
+	writePeerAnswer(w, r.Method, p.acknowledged(w, func() *Answer {
+		return p.d.guard.finish(p.d.guard.attempts.settle(r.Context(), q.key, q.left))
+	}))
 }
 
 func (p peerHandler) call(w http.ResponseWriter, r *http.Request, line string) {
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -21,6 +21,8 @@
 	// twice is asked over a new connection what became of it.
 	settleFactor = 3
 	settleBy     = 250 * time.Millisecond
+	// settleAgain is the pause before a guard is asked again that was not reached.
+	settleAgain = 250 * time.Millisecond
 )
 
 // start sends an attempt.
@@ -113,7 +115,8 @@
 func (e *entry) sendSettled(ctx context.Context, pool *hop.Pool, t *try, c *Call) *Answer {
 	type result struct {
 		answer *Answer
-		whole  bool
+		// whole tells that the hop did not break, or that the guard was reached.
+		whole bool
 	}
 	first := make(chan result, 1)
 	go func() {
@@ -125,12 +128,15 @@
 	defer timer.Stop()
 	silent := time.NewTimer(ackWait)
 	defer silent.Stop()
-	settled := make(chan *Answer, 1)
+	settled := make(chan result, 1)
 	asked, answered := false, false
 	ask := func() {
 		if !asked && ctx.Err() == nil {
 			asked = true
-			go func() { settled <- e.proven(e.settle(ctx, pool, t, c), sent, c) }()
+			go func() {
+				a, reached := e.settle(ctx, pool, t, c)
+				settled <- result{e.proven(a, sent, c), reached}
+			}()
 		}
 	}
 	for broken := false; ; {
@@ -141,13 +147,16 @@
 			}
 			broken = true
 			ask()
-		case a := <-settled:
-			if a.Outcome.Kind != outcome.Unknown || broken {
-				return a
+		case got := <-settled:
+			if got.answer.Outcome.Kind != outcome.Unknown || broken {
+				return got.answer
+			}
+			// The first connection may still bring the answer. A guard that was not
+			// reached may be out of reach for a moment.
+			if answered = got.whole; !answered {
+				asked = false
+				timer.Reset(settleAgain)
 			}
-			// The guard may be out of reach for a moment; the first connection
-			// may still bring the answer.
-			answered = true
 		case <-ctx.Done():
 			// The sender has given up; what became of it nobody waits for.
 			return unknown(outcome.ReasonCancelled)
@@ -173,10 +182,11 @@
 	return a
 }
 
-func (e *entry) settle(ctx context.Context, pool *hop.Pool, t *try, c *Call) *Answer {
+// settle asks a guard what became of a call, and reports whether it was reached.
+func (e *entry) settle(ctx context.Context, pool *hop.Pool, t *try, c *Call) (*Answer, bool) {
 	e.d.metrics.settled.Inc(1)
-	a := askSettle(ctx, pool, settleQuestion{key: c.Key(), life: t.target.life, left: c.Deadline})
+	a, reached := askSettle(ctx, pool, settleQuestion{key: c.Key(), life: t.target.life, left: c.Deadline})
 	e.d.opts.Decisions.Write(decision.Withdrawn, c.ID, slog.String("upstream", t.choice.Upstream.Key),
 		slog.String("result", a.Outcome.Kind.String()))
-	return a
+	return a, reached
 }
--- /dev/null
+++ b/sidecar/stopping_test.go
@@ -0,0 +1,112 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+)
+
+// TestLastUpstreamServesWhileItsDaemonStops has the others of a service leave before: a
+// daemon that is about to stop is better than none.
+func TestLastUpstreamServesWhileItsDaemonStops(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a, b := join(t, s, "a", "a1"), join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	go b.stop()
+	eventually(t, "known to stop", func() bool { r, _ := a.peers.of(b.opts.Addresses.Peers); return r.Stopping })
+	status, text := a.get(t, "/safe/")
+	require.Equal(t, http.StatusOK, status, text)
+	status, text = a.post(t, "/unsafe/")
+	require.Equal(t, http.StatusOK, status, text)
+}
+
+// TestStoppingGuardsStartWhatEndsInTime also answers requests with long deadlines: a call
+// that might have to be cut goes elsewhere.
+func TestStoppingGuardsStartWhatEndsInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		until    time.Duration
+		deadline time.Duration
+		work     time.Duration
+		want     outcome.Reason
+	}{
+		"not stopping":                 {0, time.Hour, time.Hour, outcome.ReasonNone},
+		"its deadline is before":       {5 * time.Second, 4 * time.Second, 3 * time.Second, outcome.ReasonNone},
+		"long deadline, little work":   {5 * time.Second, time.Minute, 100 * time.Millisecond, outcome.ReasonNone},
+		"it may take longer than that": {5 * time.Second, time.Minute, time.Second, outcome.ReasonDraining},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := model.Instant(time.Hour)
+			g := newIdleGuard(&now)
+			g.report(ready("b1", 1, 1, "b"), "report")
+			if c.until > 0 {
+				g.endBy(now.Add(c.until))
+			}
+			call := ordinary()
+			call.Deadline, call.Work = c.deadline, c.work
+			require.Equal(t, c.want, g.refusal(g.tracker.Current(), call))
+		})
+	}
+}
+
+// TestStoppingGuardsHandBackWhatWaits tells those who sent it that it has not run.
+func TestStoppingGuardsHandBackWhatWaits(t *testing.T) {
+	now := model.Instant(time.Hour)
+	g := newIdleGuard(&now)
+	r := ready("b1", 1, 1, "b")
+	r.Slots = 1
+	g.report(r, "report")
+	_, running, refused := g.arrive(ordinary())
+	require.Nil(t, refused)
+	require.NotEmpty(t, running)
+	call := ordinary()
+	id, exits, refused := g.arrive(call)
+	require.Nil(t, refused)
+	require.Empty(t, exits)
+	g.stop()
+	got := g.wait(t.Context(), call, newAttempt("k"), id, exits)
+	require.Equal(t, outcome.NotRun, got.Outcome.Kind)
+}
+
+// TestPartThatHangsDoesNotKeepTheProcess has the source of the configuration ignore that
+// the daemon ends.
+func TestPartThatHangsDoesNotKeepTheProcess(t *testing.T) {
+	s := newStore(documentOf(1, "a"))
+	up := newUpstream(t, "a1")
+	o := optionsFor(t, s, up, "a")
+	o.Grace = 0
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	o.Source = &stubborn{source: &source{s: s}, release: release}
+	d, err := New(o)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- d.Serve(ctx) }()
+	eventually(t, "ready", d.ready.Load)
+	cancel()
+	// The supervisor alone would wait for ten seconds.
+	const most = 5 * time.Second
+	select {
+	case <-served:
+	case <-time.After(most):
+		t.Fatal("the daemon still runs")
+	}
+}
+
+// stubborn goes on until it is released.
+type stubborn struct {
+	*source
+	release chan struct{}
+}
+
+func (s *stubborn) Follow(ctx context.Context, f Follower) error {
+	_ = s.source.Follow(ctx, f)
+	<-s.release
+	return nil
+}
