--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"sync"
 	"time"
 
@@ -153,31 +152,6 @@
 	return g.tracker.Current(), append([]lifecycle.Incarnation(nil), departed...)
 }
 
-// endBy has calls refused that may not end in time.
-func (g *guard) endBy(until model.Instant) {
-	g.mu.Lock()
-	g.until = until
-	g.mu.Unlock()
-}
-
-// stopFactor is how many times longer than usual a call may run. A daemon that stops
-// does not start one that it might have to cut.
-const stopFactor = 6
-
-// fits reports whether a call surely ends before the daemon does. g.mu is held.
-func (g *guard) fits(c *Call) bool {
-	most := min(c.Deadline, time.Duration(stopFactor*g.slowNow()*float64(c.Work)))
-	return g.until == 0 || g.now().Add(most) <= g.until
-}
-
-// stop lets no further call start, and hands back those that wait.
-func (g *guard) stop() {
-	g.mu.Lock()
-	g.closed = true
-	g.mu.Unlock()
-	g.pump()
-}
-
 // setService changes the service that the upstream belongs to.
 func (g *guard) setService(s model.ServiceName) {
 	g.mu.Lock()
@@ -185,13 +159,6 @@
 	g.service = s
 }
 
-// idle reports whether nothing waits or runs.
-func (g *guard) idle() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.queue.Running() == 0 && g.queue.Waiting() == 0
-}
-
 // Do has the upstream run a call at most once and returns what came of it. When
 // the context ends, a call that waits is withdrawn and an idempotent one that
 // runs is cancelled.
@@ -230,63 +197,6 @@
 	return g.finish(a)
 }
 
-// finish puts the load and the version on an answer. The load is left out where the
-// caller meant another upstream.
-func (g *guard) finish(a *Answer) *Answer {
-	out := *a
-	out.Version = g.version()
-	if a.Outcome.Reason == outcome.ReasonNoUpstream {
-		return &out
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l := g.load()
-	out.Load = &l
-	out.CallsPerRun = g.callsPerRun()
-	return &out
-}
-
-// snapshot returns the load of the upstream.
-func (g *guard) snapshot() placement.Load {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.load()
-}
-
-const (
-	// slowTrusted is how long the slowness that an upstream told is taken as it is,
-	// and slowHalf the time in which it loses half of its meaning after that. Where
-	// it has every call refused, no answer would ever tell another one.
-	slowTrusted = time.Second
-	slowHalf    = 500 * time.Millisecond
-)
-
-// slowNow returns how long work takes, 1 being as usual. g.mu is held.
-func (g *guard) slowNow() float64 {
-	old := g.now().Sub(g.slowAt) - slowTrusted
-	if old <= 0 {
-		return g.slow
-	}
-	return 1 + (g.slow-1)*math.Exp2(-float64(old)/float64(slowHalf))
-}
-
-// load returns the load of the upstream. g.mu is held.
-func (g *guard) load() placement.Load {
-	l := placement.Load{
-		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
-		Slow: g.slowNow(), SlowAge: g.now().Sub(g.slowAt), Failing: g.failing.Share(g.now()),
-	}
-	switch {
-	case g.told:
-	case g.silent():
-		// Its slowness is part of the time that requests are known to take.
-		l.Slow, l.SlowAge = 1, 0
-	default:
-		l.Slow = 0
-	}
-	return l
-}
-
 // arrive lets a call wait for its start, unless it is refused at once.
 func (g *guard) arrive(c *Call) (uint64, <-chan slots.Exit, *Answer) {
 	g.mu.Lock()
@@ -417,13 +327,3 @@
 		g.wake.Reset(max(at.Sub(now), time.Millisecond))
 	}
 }
-
-// giveAllBack hands back every call that waits. g.mu is held.
-func (g *guard) giveAllBack() {
-	for id, exits := range g.waiting {
-		if g.queue.Remove(id) {
-			exits <- slots.Returned
-			delete(g.waiting, id)
-		}
-	}
-}
