soak: replaced VMs, long requests, untold loads and restarts of all

Wanted: the soak had found none of the faults of the new deployments. A VM goes, dark or not, and another one of another service has its address; one request in twenty runs for one to three seconds with 30 s to go; upstreams stop telling their load; all daemons are killed at once.

Deliberate faults for each, all found in one play: another daemon at the address proves what the one before did (twice), attempts are forgotten before their time (twice), slots that are not told at the start stay unknown (recovery). The second was not found at first: two edits of one file overwrote each other, which they no longer do, and a question that fell silent was never asked again.

--- a/soak/inflict.go
+++ b/soak/inflict.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os/exec"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -68,6 +69,12 @@
 		w.publish()
 	case kindPoison:
 		w.poison(f)
+	case kindHerd:
+		for _, x := range w.machines {
+			x.signal(syscall.SIGKILL)
+		}
+	case kindReplace:
+		w.replaceVM(m, f)
 	case kindForeign:
 		w.store.Put(platformtest.TopicOperator, platformtest.Record{Key: "config", Value: []byte("\xff{")})
 		w.store.Put(platformtest.TopicOperator, platformtest.Record{Key: "config", Value: []byte(`{"version":"r1","routes":7}`)})
@@ -138,6 +145,52 @@
 	_ = m.upstream.Start(w.id(f.VM))
 }
 
+// awaySoon is how long before a VM is replaced its callers send nothing more.
+const awaySoon = 200 * time.Millisecond
+
+// replaceVM ends a VM and starts another one of the group's other service under its
+// address. Connections to the old one break, or go silent if it falls dark.
+func (w *world) replaceVM(m *machine, f Fault) {
+	if !m.away.CompareAndSwap(false, true) {
+		return
+	}
+	defer m.away.Store(false)
+	time.Sleep(awaySoon)
+	if f.Mode == "dark" {
+		m.peers.set("silent")
+	}
+	m.move(w.otherService(m))
+	m.signal(syscall.SIGKILL)
+	m.upstream.Crash()
+	time.Sleep(f.For)
+	m.peers.set("")
+	_ = m.upstream.Start(w.id(f.VM))
+	time.Sleep(startMargin)
+}
+
+// otherService returns the service of the VM's group that it does not belong to, or its
+// own where too few would be left of that.
+func (w *world) otherService(m *machine) string {
+	group := (slices.Index(w.machines, m) + 1) % groups(w.plan.VMs)
+	own, left := m.service(), 0
+	for i, x := range w.machines {
+		if x != m && (i+1)%groups(w.plan.VMs) == group && x.service() == own {
+			left++
+		}
+	}
+	switch {
+	case left < leastOfService:
+		return own
+	case own == serviceOf(group, 0):
+		return serviceOf(group, 1)
+	default:
+		return serviceOf(group, 0)
+	}
+}
+
+// leastOfService VMs of a service are left when one goes to the other.
+const leastOfService = 2
+
 // poisonEvery is the time between two sends of a request that crashes upstreams.
 const poisonEvery = 300 * time.Millisecond
 
@@ -149,7 +202,7 @@
 	for n := 0; time.Since(w.began) < w.plan.Length; n++ {
 		m := w.machines[n%len(w.machines)]
 		attempt := fmt.Sprintf("%s%s-%d", poisonPrefix, key, n)
-		w.check.send(attempt, m.vm.Service, false)
+		w.check.send(attempt, m.service(), false)
 		w.check.sendPoison(attempt, key, m.calm)
 		if r, err := m.caller.Send(context.Background(), path, attempt, false, deadline); err == nil {
 			w.check.answer(attempt, r)
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -41,6 +41,13 @@
 	versions   = headOfPlan + "3000 store 0 silent 3000\n9000 config 0 - 300\n13000 config 0 - 300\n17000 config 0 - 300\n"
 )
 
+// Plans of the deliberate faults of daemons that start anew.
+const (
+	replaced = headOfPlan + "4000 replace 2 dark 300\n4000 replace 4 dark 300\n10000 replace 6 dark 300\n14000 replace 2 dark 300\n"
+	silences = headOfPlan + "4000 peers 2 silent 1000\n4000 peers 4 silent 1000\n8000 peers 6 silent 1000\n8000 peers 8 silent 1000\n12000 peers 2 silent 1000\n12000 peers 4 silent 1000\n"
+	untold   = headOfPlan + "500 upstream 0 untold 29000\n6000 herd 0 - 300\n"
+)
+
 var mutants = map[string]mutant{
 	"drained upstreams get requests": {
 		edits: []edit{{"platform/reports.go", `"draining": lifecycle.Draining}`, `"draining": lifecycle.Ready}`}},
@@ -66,7 +73,7 @@
 		plan:  failures, want: "budget",
 	},
 	"a stop cuts what runs": {
-		edits: []edit{{"sidecar/daemon.go", "end := began.Add(d.tunables.Load().Grace - graceMargin)", "end := began"}},
+		edits: []edit{{"sidecar/daemon.go", "end := began.Add(grace)", "end := began"}},
 		plan:  stops, want: "lost",
 	},
 	"answers that break off are delivered": {
@@ -89,6 +96,24 @@
 		edits: []edit{{"platform/source.go", "	s.next = next\n	take(records, f)\n", "	s.next = next\n	take(records[:0], f)\n"}},
 		plan:  versions, want: "late",
 	},
+	"another daemon at the address proves what the one before did": {
+		edits: []edit{{"sidecar/messages.go", "if q.life != p.d.peers.self().Incarnation {", "if q.life == 0 {"}},
+		plan:  replaced, want: "twice",
+	},
+	"attempts are forgotten before their time": {
+		edits: []edit{
+			{"sidecar/attempts.go", "a.until = t.now().Add(deadline + rememberedPast)", "a.until = t.now()"},
+			{"sidecar/attempts.go", "return a.answer != nil || a.barred && !early", "return true"},
+		},
+		plan: silences, want: "twice",
+	},
+	"slots that are not told at the start stay unknown": {
+		edits: []edit{
+			{"sidecar/guard.go", "if v != lifecycle.Started && v != lifecycle.Changed {", "if v != lifecycle.Started {"},
+			{"sidecar/probe.go", "report.Slots = g.slots(report.Incarnation)", "report.Slots = 1"},
+		},
+		plan: untold, want: "recovery",
+	},
 	"only the caller's daemon is named": {
 		edits: []edit{{"sidecar/run.go", "Caller: c.Caller, Upstream: c.Upstream.ID", "Caller: c.Service + \"x\", Upstream: c.Upstream.ID"}},
 		plan:  sheds, want: "caller",
@@ -117,7 +142,11 @@
 	for i, e := range m.edits {
 		original, err := filepath.Abs(filepath.Join(root, e.file))
 		require.NoError(t, err)
-		source, err := os.ReadFile(original)
+		from := original
+		if edited := replaced[original]; edited != "" {
+			from = edited
+		}
+		source, err := os.ReadFile(from)
 		require.NoError(t, err)
 		require.Equal(t, 1, strings.Count(string(source), e.old), "%s: %q", e.file, e.old)
 		edited := filepath.Join(dir, string(rune('a'+i))+".go")
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -51,6 +51,8 @@
 	kindConfig   = "config"
 	kindForeign  = "foreign" // records of another writer in the store
 	kindPoison   = "poison"  // a request that crashes upstreams, sent again and again
+	kindHerd     = "herd"    // all daemons are killed at once
+	kindReplace  = "replace" // a VM goes, and another of another service has its address
 )
 
 // modes lists the variants of each kind. A dash means that there are none.
@@ -60,13 +62,14 @@
 	kindApp:      {"delay", "reset", "silent"},
 	kindStoreVia: {"reset", "silent", "half"},
 	kindStore:    {"busy", "many", "silent", "slow", "lost", "late", "forget"},
-	kindUpstream: {"lose", "shed", "err", "hang", "cut", "double", "slow"},
-	kindCrash:    {"same-id", "new-id"}, kindDrain: {"-"}, kindConfig: {"-"}, kindForeign: {"-"}, kindPoison: {"-"},
+	kindUpstream: {"lose", "shed", "err", "hang", "cut", "double", "slow", "untold"},
+	kindCrash:    {"same-id", "new-id"}, kindDrain: {"-"}, kindConfig: {"-"}, kindForeign: {"-"}, kindPoison: {"-"}, kindHerd: {"-"},
+	kindReplace: {"gone", "dark"},
 }
 
 // general kinds may name no VM: they happen to none, or to all of them.
 var general = map[string]bool{
-	kindStore: true, kindConfig: true, kindForeign: true, kindPoison: true, kindUpstream: true,
+	kindStore: true, kindConfig: true, kindForeign: true, kindPoison: true, kindUpstream: true, kindHerd: true,
 }
 
 // weights tells how often each kind is drawn.
@@ -76,6 +79,7 @@
 }{
 	{kindKill, 4}, {kindTerm, 4}, {kindPause, 2}, {kindReload, 2}, {kindPeers, 5}, {kindApp, 2}, {kindStoreVia, 3},
 	{kindStore, 4}, {kindUpstream, 5}, {kindCrash, 3}, {kindDrain, 3}, {kindConfig, 5}, {kindForeign, 1}, {kindPoison, 1},
+	{kindHerd, 1}, {kindReplace, 2},
 }
 
 const (
--- a/soak/run.go
+++ b/soak/run.go
@@ -46,7 +46,9 @@
 	startWait   = 60 * time.Second
 	serviceWait = 60 * time.Second
 	deadline    = 2500 * time.Millisecond
-	defaultRate = 10
+	// longDeadline is that of the requests that run for seconds.
+	longDeadline = 30 * time.Second
+	defaultRate  = 10
 	// defaultTotal is the requests a second in all that one machine of 8 cores serves
 	// beside the work of a hundred daemons.
 	defaultTotal = 480
@@ -54,8 +56,10 @@
 	// before it on.
 	recoveredShare = 0.95
 	judgeLast      = 5 * time.Second
-	// oneInUnsafe requests is not idempotent.
+	// oneInUnsafe requests is not idempotent, and one in oneInLong runs for seconds
+	// beside.
 	oneInUnsafe = 3
+	oneInLong   = 20
 	// probeEvery is the time between two looks at which configuration is in force.
 	probeEvery = 250 * time.Millisecond
 )
@@ -178,7 +182,7 @@
 	for _, m := range w.machines {
 		for i := 0; ; i++ {
 			attempt := fmt.Sprintf("probe-last-%s-%d", m.vm.Name, i)
-			w.check.send(attempt, m.vm.Service, false)
+			w.check.send(attempt, m.service(), false)
 			r, err := m.caller.Send(ctx, "/safe/x", attempt, false, deadline)
 			if err == nil && r.Status == http.StatusOK {
 				break
@@ -273,17 +277,22 @@
 }
 
 func (w *world) request(m *machine) {
+	if m.away.Load() {
+		return
+	}
 	n := w.requests.Add(1)
-	unsafe := n%oneInUnsafe == 0
-	path := "/safe/x"
-	if unsafe {
+	unsafe, path, left := n%oneInUnsafe == 0, "/safe/x", deadline
+	switch {
+	case n%oneInLong == 0:
+		unsafe, path, left = true, platformtest.LongPath+"x", longDeadline
+	case unsafe:
 		path = "/unsafe/x"
 	}
 	attempt := fmt.Sprintf("r%d", n)
-	w.check.send(attempt, m.vm.Service, unsafe)
+	w.check.send(attempt, m.service(), unsafe)
 	calmBefore := w.calm()
 	last := time.Since(w.began) > w.plan.Length-judgeLast
-	r, err := m.caller.Send(context.Background(), path, attempt, unsafe, deadline)
+	r, err := m.caller.Send(context.Background(), path, attempt, unsafe, left)
 	_, stopping := m.state()
 	if err != nil {
 		if stopping && calmBefore && w.calm() && w.check.ranOnce(attempt) && !errors.Is(err, context.DeadlineExceeded) {
@@ -320,11 +329,14 @@
 	seen, seenLife := 0, 0
 	for i := 0; ctx.Err() == nil; i++ {
 		time.Sleep(probeEvery)
+		if m.away.Load() {
+			continue
+		}
 		version, published := w.newest()
 		due := time.Since(published) > configBound && m.calm()
 		life, stopping := m.state()
 		attempt := fmt.Sprintf("probe-%s-%d", m.vm.Name, i)
-		w.check.send(attempt, m.vm.Service, false)
+		w.check.send(attempt, m.service(), false)
 		r, err := m.caller.Send(ctx, fmt.Sprintf("/v%d/x", version), attempt, false, deadline)
 		if after, _ := m.state(); err != nil || stopping || life != after {
 			continue
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 
 // machine is one VM: the daemon's process, its upstream and the proxies around it.
 type machine struct {
+	// vm changes its service when the VM is replaced.
 	vm       platformtest.VM
 	binary   string
 	settings string
@@ -26,6 +28,9 @@
 	store    *link
 	caller   platformtest.Caller
 
+	// away is set while the VM is being replaced: it has no callers.
+	away atomic.Bool
+
 	mu sync.Mutex
 	// process is nil between an end and the next start.
 	process *exec.Cmd
@@ -98,10 +103,13 @@
 
 // start starts the daemon, and again whenever it ends.
 func (m *machine) start() error {
-	if err := os.WriteFile(m.settings, []byte(m.vm.Settings()), 0o600); err != nil {
+	m.mu.Lock()
+	text := m.vm.Settings()
+	m.vm.First = false
+	m.mu.Unlock()
+	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
-	m.vm.First = false
 	cmd := exec.Command(m.binary)
 	cmd.Env = []string{platformtest.Env(m.settings)}
 	cmd.Stdout, cmd.Stderr = m.log, m.log
@@ -138,6 +146,21 @@
 	}
 }
 
+// service returns the service that the VM belongs to.
+func (m *machine) service() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.vm.Service
+}
+
+// move has the next daemon and the next upstream belong to another service.
+func (m *machine) move(service string) {
+	m.mu.Lock()
+	m.vm.Service = service
+	m.mu.Unlock()
+	m.upstream.Move(service)
+}
+
 // signal sends a signal to the process, if there is one.
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
