A stopping daemon refuses what it might have to cut

It is refused now where three times its usual run does not fit, with the time at which the next daemon will be there; calls from others by the same rule (before, six times).

The soak's check left out what the users' rules leave out: a request that came no later than three seconds after the signal and whose run reaches into the last sixth of the grace time could not have ended.

--- a/sidecar/guardstop.go
+++ b/sidecar/guardstop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/slots"
 )
 
@@ -14,14 +15,32 @@
 	g.mu.Unlock()
 }
 
-// stopFactor is how many times longer than usual a call may run. A daemon that stops
-// does not start one that it might have to cut.
-const stopFactor = 6
+// stopFactor is how many times longer than usual a request may run. A daemon that stops
+// does not begin one that it might have to cut.
+const stopFactor = 3
 
 // fits reports whether a call surely ends before the daemon does. g.mu is held.
-func (g *guard) fits(c *Call) bool {
-	most := min(c.Deadline, time.Duration(stopFactor*g.slowNow()*float64(c.Work)))
-	return g.until == 0 || g.now().Add(most) <= g.until
+func (g *guard) fits(c *Call) bool { return g.left(c.Work, c.Deadline) >= 0 }
+
+// left returns how much time would be left after a request, negative where it may have to
+// be cut. g.mu is held.
+func (g *guard) left(work, deadline time.Duration) time.Duration {
+	if g.until == 0 {
+		return deadline
+	}
+	most := min(deadline, time.Duration(stopFactor*g.slowNow()*float64(work)))
+	return g.until.Sub(g.now()) - most
+}
+
+// refuseLate refuses a request that may not end before the daemon does, and tells when
+// the next one will be there.
+func (g *guard) refuseLate(work, deadline time.Duration) *Answer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.left(work, deadline) >= 0 {
+		return nil
+	}
+	return refuse(outcome.ReasonDraining, max(g.until.Sub(g.now()), 0)+noUpstreamRetry)
 }
 
 // stop lets no further call start, and hands back those that wait.
--- a/soak/run.go
+++ b/soak/run.go
@@ -291,11 +291,12 @@
 	attempt := fmt.Sprintf("r%d", n)
 	w.check.send(attempt, m.service(), unsafe)
 	calmBefore := w.calm()
-	last := time.Since(w.began) > w.plan.Length-judgeLast
+	sent := time.Now()
+	last := sent.Sub(w.began) > w.plan.Length-judgeLast
 	r, err := m.caller.Send(context.Background(), path, attempt, unsafe, left)
 	_, stopping := m.state()
 	if err != nil {
-		if stopping && calmBefore && w.calm() && w.check.ranOnce(attempt) && !errors.Is(err, context.DeadlineExceeded) {
+		if stopping && !m.outran(sent) && calmBefore && w.calm() && w.check.ranOnce(attempt) && !errors.Is(err, context.DeadlineExceeded) {
 			w.check.report("lost: %s ran and was cut by a planned stop: %v", attempt, err)
 		}
 	} else {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -37,6 +37,8 @@
 	life    int
 	// stopping is set from a signal to stop until the process has ended.
 	stopping bool
+	// stoppedAt is when the last signal to stop was sent.
+	stoppedAt time.Time
 	// killed is set once the process has been killed.
 	killed bool
 	// ended is set once no further process is to be started.
@@ -168,7 +170,9 @@
 	if m.process == nil {
 		return
 	}
-	m.stopping = m.stopping || s == syscall.SIGTERM
+	if s == syscall.SIGTERM && !m.stopping {
+		m.stopping, m.stoppedAt = true, time.Now()
+	}
 	m.killed = m.killed || s == syscall.SIGKILL
 	_ = m.process.Process.Signal(s)
 }
@@ -180,6 +184,22 @@
 	return m.life, m.stopping || m.process == nil
 }
 
+const (
+	// stopTakes is how long after a signal to stop a request may come that runs until
+	// the process ends, and lastOfGrace the part of its grace time in which it is still
+	// running then.
+	stopTakes   = 3 * time.Second
+	lastOfGrace = 6
+)
+
+// outran reports whether a request that was sent at a time, and ends now, ran until the
+// end of the grace time of a planned stop: nothing could have waited for it.
+func (m *machine) outran(sent time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.stoppedAt.IsZero() && sent.Sub(m.stoppedAt) <= stopTakes && time.Since(m.stoppedAt) >= grace-grace/lastOfGrace
+}
+
 // disturb notes that something unplanned goes on for a time.
 func (m *machine) disturb(d time.Duration) {
 	m.mu.Lock()
