Refuse after a full guard what the next choice cannot serve in time

Change: after a guard had no room, the next choice is taken only if it is expected to meet the target; else the caller is told at once when to come back.

--- a/core/placement/figures.go
+++ b/core/placement/figures.go
@@ -18,7 +18,8 @@
 	// MaxGivenBack is how often a request may be given back before a guard must
 	// keep it: each time costs a round trip.
 	MaxGivenBack = 2
-	// MaxFull is how many guards without room make a request be refused.
+	// MaxFull is how many guards without room make a request be refused, whatever is
+	// expected of others.
 	MaxFull = 2
 	// SurelyFull is how old the knowledge may be by which a request is refused
 	// without asking any guard. Older, and nobody would learn that there is room
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -247,3 +247,24 @@
 	p.Set([]Upstream{stopping})
 	require.Equal(t, "a", choose(t, p, at(4)).Upstream.Key, "there is no other")
 }
+
+// TestFullServiceIsNotAskedOnAndOn answers a burst that fills a service: a guard had no
+// room, and the next choice would be late too.
+func TestFullServiceIsNotAskedOnAndOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		full             int
+		expected, target time.Duration
+		want             bool
+	}{
+		"nobody was full":            {0, time.Second, 100 * time.Millisecond, false},
+		"another has room":           {1, 50 * time.Millisecond, 100 * time.Millisecond, false},
+		"none has room":              {1, time.Second, 100 * time.Millisecond, true},
+		"the target is over already": {1, time.Millisecond, -time.Millisecond, true},
+		"there is no target":         {1, time.Second, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			choice := Choice{Expected: c.expected}
+			require.Equal(t, c.want, choice.OutOfReach(c.full, c.target))
+		})
+	}
+}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -78,6 +78,14 @@
 	Age time.Duration
 }
 
+// OutOfReach reports whether a request that some guards had no room for is better refused
+// than sent where it was chosen to go: it would miss the target, of which so much time is
+// left, and take room there from others that would not. Its caller does better to come
+// back. Zero means that there is no target.
+func (c *Choice) OutOfReach(full int, target time.Duration) bool {
+	return full > 0 && target != 0 && c.Expected > target
+}
+
 // Placer chooses among the upstreams of one service. It is not safe for
 // concurrent use.
 type Placer struct {
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -323,7 +323,8 @@
 	if !ok {
 		return nil, 0, 0, false
 	}
-	if c.Age < placement.SurelyFull && c.Expected > j.deadline-m.now.Sub(j.began) {
+	took := m.now.Sub(j.began)
+	if c.Age < placement.SurelyFull && c.Expected > j.deadline-took || c.OutOfReach(j.full, j.target-took) {
 		p.Done(m.now, c.Upstream.Key, nil)
 		return nil, 0, 0, false
 	}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -278,6 +278,11 @@
 		r.release(t)
 		return refuse(outcome.ReasonQueueFull, spread(max(t.choice.Expected/2, busyRetry)))
 	}
+	if r.req.target > 0 && t.choice.OutOfReach(r.full, r.req.target.Sub(now)) {
+		r.release(t)
+		taken.refund(now)
+		return r.final()
+	}
 	t.taken = taken
 	if r.arrived > 0 {
 		r.e.d.metrics.resent.Inc(1)
