Tests claim their loopback networks

Package proctest took the networks 64 to 191 and sidecar 70 to 119, each by the number of its process, with the same port.

--- a/proctest/cluster_test.go
+++ b/proctest/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/dottereltiller/dottereltiller/core/config"
 	"github.com/dottereltiller/dottereltiller/core/policy"
 	"github.com/dottereltiller/dottereltiller/daemon"
+	"github.com/dottereltiller/dottereltiller/loopback"
 	"github.com/dottereltiller/dottereltiller/operator"
 	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/standin"
@@ -65,6 +66,12 @@
 	renewer              sync.WaitGroup
 }
 
+// claimedNet returns the second part of the addresses of this process.
+var claimedNet = sync.OnceValues(func() (int, error) {
+	const firstNet, nets = 60, 40
+	return loopback.Claim(firstNet, nets)
+})
+
 func startCluster(t testing.TB, services map[string]int) *cluster {
 	t.Helper()
 	if testing.Short() {
@@ -73,7 +80,8 @@
 	c := &cluster{t: t, log: &recordlog.Memory{}}
 	c.startLog()
 	binary := buildDaemon(t)
-	octet := 64 + os.Getpid()%128
+	octet, err := claimedNet()
+	require.NoError(t, err)
 	n := 0
 	for _, service := range []string{"returdesk", "sporarkiv"} {
 		for i := range services[service] {
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -271,17 +270,6 @@
 	stop   func()
 }
 
-var lastHost atomic.Int64
-
-// freePort returns an address that nobody listens on: a loopback address of this
-// process's own, so that no ephemeral port is in the way.
-func freePort(t *testing.T) string {
-	t.Helper()
-	const firstNet, nets, hosts, port = 70, 50, 250, 7000
-	n := lastHost.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d:%d", firstNet+os.Getpid()%nets, n/hosts, 1+n%hosts, port)
-}
-
 func optionsFor(t *testing.T, s *store, up *upstream, service model.ServiceName) Options {
 	return Options{
 		Addresses: Addresses{
