soak: leave room when VMs are replaced

Two of four VMs of the called service had gone to the other one. Eight requests run at once on the two that were left, and four a second run for two seconds: nothing of the system could serve the others. At least three stay now, and one request in forty is a long one.

--- a/soak/inflict.go
+++ b/soak/inflict.go
@@ -188,8 +188,9 @@
 	}
 }
 
-// leastOfService VMs of a service are left when one goes to the other.
-const leastOfService = 2
+// leastOfService VMs of a service are left when one goes to the other: with fewer there
+// would be no room for the callers of eight VMs.
+const leastOfService = 3
 
 // poisonEvery is the time between two sends of a request that crashes upstreams.
 const poisonEvery = 300 * time.Millisecond
--- a/soak/run.go
+++ b/soak/run.go
@@ -59,7 +59,7 @@
 	// oneInUnsafe requests is not idempotent, and one in oneInLong runs for seconds
 	// beside.
 	oneInUnsafe = 3
-	oneInLong   = 20
+	oneInLong   = 40
 	// probeEvery is the time between two looks at which configuration is in force.
 	probeEvery = 250 * time.Millisecond
 )
