--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -187,12 +187,9 @@
 // Choose returns the upstream for a request and counts it as sent there; Done
 // must follow. It reports false when every candidate is excluded.
 func (p *Placer) Choose(now model.Instant, ask Ask) (Choice, bool) {
-	best, second, near := p.rank(now, ask, readily)
-	if best.view == nil {
-		best, second, near = p.rank(now, ask, evenStopping)
-	}
-	if best.view == nil {
-		best, second, near = p.rank(now, ask, evenAvoided)
+	var best, second, near rated
+	for r := readily; r <= evenAvoided && best.view == nil; r++ {
+		best, second, near = p.rank(now, ask, r)
 	}
 	if best.view == nil {
 		return Choice{}, false
--- a/loopback/loopback.go
+++ b/loopback/loopback.go
@@ -1,8 +1,8 @@
-// Package loopback gives test processes loopback addresses that no other has.
+// Package loopback gives tests and soaks loopback addresses that no other process has.
 //
-// Tests of several packages run beside each other and bind fixed ports, so that a
-// daemon can start again under the address that it had. Each process claims a network
-// 127.N.0.0/16 by listening on one address of it until it ends.
+// They run beside each other and bind fixed ports, so that a daemon can start again
+// under the address that it had. Each process takes a network 127.N.0.0/16 by listening
+// on one address of it until it ends.
 package loopback
 
 import (
@@ -13,29 +13,37 @@
 	"syscall"
 )
 
+// ErrNoNet is returned when every network is in use.
+var ErrNoNet = errors.New("loopback: all networks are in use")
+
+// Listen listens on an address of the first free of so many networks, tried in turn from
+// start on, and returns its number, from 0. The error is ErrNoNet, or that of listening.
+func Listen(start uint64, nets int, address func(n int) string) (net.Listener, int, error) {
+	for i := range uint64(nets) {
+		n := int((start + i) % uint64(nets))
+		ln, err := net.Listen("tcp", address(n))
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) {
+			return ln, n, err
+		}
+	}
+	return nil, 0, ErrNoNet
+}
+
 // claimPort is the port that claims a network. Tests use others.
 const claimPort = 6999
 
-// ErrNoNet is returned when every network is claimed.
-var ErrNoNet = errors.New("loopback: all networks are in use")
-
 // claims keeps the listeners until the process ends.
 var claims []net.Listener
 
 // Claim returns N of a network 127.N.0.0/16 that no other process claims, from first on,
-// one of so many. The error is ErrNoNet, or that of listening. It is not safe for
-// concurrent use.
+// one of so many. The error is that of Listen. It is not safe for concurrent use.
 func Claim(first, nets int) (int, error) {
-	for i := range nets {
-		n := first + (os.Getpid()+i)%nets
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", n, claimPort))
-		if err == nil {
-			claims = append(claims, ln)
-			return n, nil
-		}
-		if !errors.Is(err, syscall.EADDRINUSE) {
-			return 0, err
-		}
+	ln, n, err := Listen(uint64(os.Getpid()), nets, func(n int) string {
+		return fmt.Sprintf("127.%d.255.254:%d", first+n, claimPort)
+	})
+	if err != nil {
+		return 0, err
 	}
-	return 0, ErrNoNet
+	claims = append(claims, ln)
+	return first + n, nil
 }
--- a/sidecar/attempts.go
+++ b/sidecar/attempts.go
@@ -74,14 +74,14 @@
 	if a := t.byKey[key]; a != nil {
 		return a, true
 	}
+	t.forget()
 	return t.add(key, deadline), false
 }
 
 // add notes an attempt. t.mu is held.
 func (t *attempts) add(key string, deadline time.Duration) *attempt {
-	t.forget()
 	a := newAttempt(key)
-	a.until = t.now().Add(deadline + rememberedPast)
+	a.until = t.now().Add(provenFor(deadline))
 	t.byKey[key] = a
 	heap.Push(&t.byTime, a)
 	return a
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -266,6 +266,8 @@
 // drain stops taking new work, tells everybody, and waits for what runs.
 func (d *Daemon) drain() {
 	began := time.Now()
+	grace := d.tunables.Load().Grace - graceMargin
+	d.guard.endBy(d.now().Add(grace))
 	d.stopping.Store(true)
 	d.opts.Decisions.Write(decision.Stopping, "", slog.Int64("in_flight", d.inFlight.Load()))
 	cur, _ := d.guard.current()
@@ -276,8 +278,6 @@
 			_ = d.opts.Directory.Remove(ctx, d.opts.Addresses.Peers)
 		}()
 	}
-	grace := d.tunables.Load().Grace - graceMargin
-	d.guard.endBy(d.now().Add(grace))
 	d.peers.update(func(r *Record) { r.Stopping = true })
 	end := began.Add(grace)
 	for time.Now().Before(end) {
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -22,9 +22,10 @@
 //
 // All begin with their kind, an id that the answer repeats, and the version of the
 // configuration in force, so that a daemon that cannot hear of a newer one from the
-// store learns of it. kindAsk is followed by the rank and the kind of the
-// request and a number that stands for the upstream, kindLoad by the load as it would find it, kindRecord by the record in JSON,
-// kindNoted by nothing, kindNews by the address where a new version can be had.
+// store learns of it. kindAsk is followed by the rank and the kind of the request and a
+// number that stands for the upstream, kindLoad by the load as it would find it,
+// kindRecord by the record in JSON, kindNoted by nothing, kindNews by the address where
+// a new version can be had.
 type datagrams struct {
 	d    *Daemon
 	conn *net.UDPConn
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -88,7 +88,7 @@
 	req := &request{http: r, id: attempt.ID, began: e.d.now()}
 	defer func() { req.held.release() }()
 	refused := e.classify(req, attempt)
-	if refused == nil {
+	if refused == nil && e.d.stopping.Load() {
 		left := req.deadline.Sub(req.began)
 		refused = e.d.guard.refuseLate(e.workOf(req.route.Name, left), left)
 	}
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -163,13 +163,9 @@
 // the context ends, a call that waits is withdrawn and an idempotent one that
 // runs is cancelled.
 func (g *guard) Do(ctx context.Context, c *Call) *Answer {
-	at := newAttempt(c.Key())
-	if !c.Idempotent {
-		// Nobody asks what became of one that may run again.
-		known := false
-		if at, known = g.attempts.begin(c.Key(), c.Deadline); known {
-			return g.finish(at.again())
-		}
+	at, known := g.begin(c)
+	if known {
+		return g.finish(at.again())
 	}
 	if c.Alternative > 0 {
 		g.refresh(ctx)
@@ -197,6 +193,15 @@
 	return g.finish(a)
 }
 
+// begin notes a call, unless it may run again: nobody asks what became of such a one. It
+// reports true when the call is known already.
+func (g *guard) begin(c *Call) (*attempt, bool) {
+	if c.Idempotent {
+		return newAttempt(c.Key()), false
+	}
+	return g.attempts.begin(c.Key(), c.Deadline)
+}
+
 // arrive lets a call wait for its start, unless it is refused at once.
 func (g *guard) arrive(c *Call) (uint64, <-chan slots.Exit, *Answer) {
 	g.mu.Lock()
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -29,7 +29,7 @@
 	Slots    int                   `json:"sl,omitempty"`
 	// ColdMS is how much longer the upstream is slow after its start.
 	ColdMS int64 `json:"c,omitempty"`
-	// Stopping tells that the daemon takes no more calls.
+	// Stopping tells that the daemon is about to stop. It takes calls where no other can.
 	Stopping bool `json:"x,omitempty"`
 	// Departed are the last incarnations beside it that left, so that a daemon
 	// that starts anew learns of them from the others.
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -115,7 +115,7 @@
 func (e *entry) sendSettled(ctx context.Context, pool *hop.Pool, t *try, c *Call) *Answer {
 	type result struct {
 		answer *Answer
-		// whole tells that the hop did not break, or that the guard was reached.
+		// whole tells that the answer of the daemon came.
 		whole bool
 	}
 	first := make(chan result, 1)
--- a/soak/inflict.go
+++ b/soak/inflict.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os/exec"
-	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -171,20 +170,19 @@
 // otherService returns the service of the VM's group that it does not belong to, or its
 // own where too few would be left of that.
 func (w *world) otherService(m *machine) string {
-	group := (slices.Index(w.machines, m) + 1) % groups(w.plan.VMs)
 	own, left := m.service(), 0
-	for i, x := range w.machines {
-		if x != m && (i+1)%groups(w.plan.VMs) == group && x.service() == own {
+	for _, x := range w.machines {
+		if x != m && x.group == m.group && x.service() == own {
 			left++
 		}
 	}
 	switch {
 	case left < leastOfService:
 		return own
-	case own == serviceOf(group, 0):
-		return serviceOf(group, 1)
+	case own == serviceOf(m.group, 0):
+		return serviceOf(m.group, 1)
 	default:
-		return serviceOf(group, 0)
+		return serviceOf(m.group, 0)
 	}
 }
 
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -38,16 +38,12 @@
 	reloads    = headOfPlan + "3000 reload 1 - 300\n4000 reload 2 - 300\n5000 reload 3 - 300\n6000 reload 4 - 300\n"
 	sheds      = headOfPlan + "3000 upstream 0 shed 4000\n"
 	poisons    = headOfPlan + "3000 poison 0 - 300\n"
+	replaced   = headOfPlan + "4000 replace 2 dark 300\n4000 replace 4 dark 300\n10000 replace 6 dark 300\n14000 replace 2 dark 300\n"
+	silences   = headOfPlan + "4000 peers 2 silent 1000\n4000 peers 4 silent 1000\n8000 peers 6 silent 1000\n8000 peers 8 silent 1000\n12000 peers 2 silent 1000\n12000 peers 4 silent 1000\n"
+	untold     = headOfPlan + "500 upstream 0 untold 29000\n6000 herd 0 - 300\n"
 	versions   = headOfPlan + "3000 store 0 silent 3000\n9000 config 0 - 300\n13000 config 0 - 300\n17000 config 0 - 300\n"
 )
 
-// Plans of the deliberate faults of daemons that start anew.
-const (
-	replaced = headOfPlan + "4000 replace 2 dark 300\n4000 replace 4 dark 300\n10000 replace 6 dark 300\n14000 replace 2 dark 300\n"
-	silences = headOfPlan + "4000 peers 2 silent 1000\n4000 peers 4 silent 1000\n8000 peers 6 silent 1000\n8000 peers 8 silent 1000\n12000 peers 2 silent 1000\n12000 peers 4 silent 1000\n"
-	untold   = headOfPlan + "500 upstream 0 untold 29000\n6000 herd 0 - 300\n"
-)
-
 var mutants = map[string]mutant{
 	"drained upstreams get requests": {
 		edits: []edit{{"platform/reports.go", `"draining": lifecycle.Draining}`, `"draining": lifecycle.Ready}`}},
@@ -102,7 +98,7 @@
 	},
 	"attempts are forgotten before their time": {
 		edits: []edit{
-			{"sidecar/attempts.go", "a.until = t.now().Add(deadline + rememberedPast)", "a.until = t.now()"},
+			{"sidecar/attempts.go", "a.until = t.now().Add(provenFor(deadline))", "a.until = t.now()"},
 			{"sidecar/attempts.go", "return a.answer != nil || a.barred && !early", "return true"},
 		},
 		plan: silences, want: "twice",
--- a/soak/run.go
+++ b/soak/run.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/loopback"
 	"github.com/dottereltiller/dottereltiller/platform/platformtest"
 )
 
@@ -123,16 +124,11 @@
 // listen takes addresses that no other soak has, beginning with those of the seed, and
 // listens on the store's.
 func (w *world) listen() (net.Listener, error) {
-	var last error
-	for i := range uint64(nets) {
-		w.net = int((w.plan.Seed + i) % nets)
-		ln, err := net.Listen("tcp", w.ip(0)+":8142")
-		if err == nil || !errors.Is(err, syscall.EADDRINUSE) {
-			return ln, err
-		}
-		last = err
-	}
-	return nil, last
+	ln, _, err := loopback.Listen(w.plan.Seed, nets, func(n int) string {
+		w.net = n
+		return w.ip(0) + ":8142"
+	})
+	return ln, err
 }
 
 func (w *world) build(ctx context.Context) error {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -17,7 +17,9 @@
 // machine is one VM: the daemon's process, its upstream and the proxies around it.
 type machine struct {
 	// vm changes its service when the VM is replaced.
-	vm       platformtest.VM
+	vm platformtest.VM
+	// group is that of its services.
+	group    int
 	binary   string
 	settings string
 	check    *checker
@@ -61,7 +63,7 @@
 	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	const zones = 3
 	group := number % groups
-	m := &machine{check: check, binary: binary, exits: make(chan error, 1), vm: platformtest.VM{
+	m := &machine{group: group, check: check, binary: binary, exits: make(chan error, 1), vm: platformtest.VM{
 		Name: fmt.Sprintf("vm-%d", number), IP: ip, Zone: fmt.Sprintf("z%d", number/groups%zones), Service: serviceOf(group, number/groups%2),
 		Outbound: at(portOutbound), Ready: at(portReady), Control: at(portControl), Upstream: at(proxyUpstream), Store: at(proxyStore),
 		InternalPort: portInternal, Advertised: at(proxyPeers), First: true,
