Name what ran in a crash from its first loss on

Where something takes connections in the place of an upstream that is gone, runs go on being lost, and the first, to blame, was not named; runs lost before, while the upstream still answered, were.

Now: the runs lost since the incarnation's last answer, each within 500 ms of the next.

--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -24,6 +24,9 @@
 
 	mu   sync.Mutex
 	lost []lostRun
+	// answered is when the upstream last answered anything, and which incarnation did.
+	answered     model.Instant
+	answeredLife lifecycle.Incarnation
 }
 
 // lostRun is a run whose connection was lost.
@@ -38,8 +41,12 @@
 const (
 	// maxLost bounds the runs that are remembered. An upstream runs fewer at once.
 	maxLost = 64
-	// crashSpan is the time within which a crash ends all connections.
+	// crashSpan is the time within which a crash ends all connections, and the longest
+	// time between two of the runs that are lost while the upstream is gone.
 	crashSpan = 500 * time.Millisecond
+	// answerSlack is how much later than a loss an answer may be read that came before
+	// it, over another connection.
+	answerSlack = 20 * time.Millisecond
 	// crashDial bounds a look at the upstream, which runs on the same VM.
 	crashDial = 100 * time.Millisecond
 )
@@ -66,29 +73,39 @@
 	return !errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// end takes in that an incarnation has crashed. The runs that were lost last are
-// those that ran then.
-func (c *crashes) end(i lifecycle.Incarnation) {
+// answer takes in that an incarnation has answered: it had not crashed until then.
+func (c *crashes) answer(i lifecycle.Incarnation) {
 	c.mu.Lock()
-	var last model.Instant
-	for _, r := range c.lost {
-		if r.upstream == i {
-			last = max(last, r.at)
-		}
+	defer c.mu.Unlock()
+	c.answered, c.answeredLife = c.now(), i
+}
+
+// end takes in that an incarnation has crashed. The runs that were lost since its last
+// answer, one soon after the other up to the last one, are those that ran then.
+func (c *crashes) end(i lifecycle.Incarnation) {
+	for _, r := range c.take(i) {
+		c.crashed(r)
 	}
-	var ran []lostRun
-	kept := c.lost[:0]
+}
+
+// take takes out the runs of an incarnation and returns those of its crash, the oldest
+// first.
+func (c *crashes) take(i lifecycle.Incarnation) []lostRun {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ran, kept []lostRun
 	for _, r := range c.lost {
 		switch {
 		case r.upstream != i:
 			kept = append(kept, r)
-		case last.Sub(r.at) <= crashSpan:
+		case i != c.answeredLife || r.at >= c.answered.Add(-answerSlack):
 			ran = append(ran, r)
 		}
 	}
 	c.lost = kept
-	c.mu.Unlock()
-	for _, r := range ran {
-		c.crashed(r)
+	first := len(ran) - 1
+	for first > 0 && ran[first].at.Sub(ran[first-1].at) <= crashSpan {
+		first--
 	}
+	return ran[max(first, 0):]
 }
--- a/sidecar/quarantine_test.go
+++ b/sidecar/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -133,6 +134,46 @@
 	require.Equal(t, []string{"one", "two", "other life", "three"}, named)
 }
 
+// TestCrashNamesTheFirstLoss has runs go on being lost for a while after a crash, as where
+// something else takes connections in the upstream's place.
+func TestCrashNamesTheFirstLoss(t *testing.T) {
+	const step = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		// losses and answers are in steps.
+		losses  []int
+		answers []int
+		want    []int
+	}{
+		"seven steps of losses":            {[]int{1, 2, 3, 4, 5, 6, 7, 8}, nil, []int{1, 2, 3, 4, 5, 6, 7, 8}},
+		"lost before the last answer":      {[]int{1, 2, 4, 5}, []int{3}, []int{4, 5}},
+		"a pause without an answer":        {[]int{1, 7, 8}, nil, []int{7, 8}},
+		"answered between all":             {[]int{1, 3, 5}, []int{2, 4}, []int{5}},
+		"an answer read just after a loss": {[]int{1, 4, 5}, []int{4}, []int{4, 5}},
+		"nothing since the last answer":    {[]int{1}, []int{2}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var now model.Instant
+			var named []int
+			up := newUpstream(t, "u")
+			crashes := &crashes{
+				address: up.address(), now: func() model.Instant { return now },
+				crashed: func(r lostRun) { named = append(named, int(r.at/model.Instant(step))) },
+			}
+			for i := range 10 {
+				now = now.Add(step)
+				if slices.Contains(c.losses, i+1) {
+					crashes.lose(lostRun{upstream: life(1)})
+				}
+				if slices.Contains(c.answers, i+1) {
+					crashes.answer(life(1))
+				}
+			}
+			crashes.end(life(1))
+			require.Equal(t, c.want, named)
+		})
+	}
+}
+
 func TestLostRunsAreBounded(t *testing.T) {
 	up := newUpstream(t, "u")
 	c := &crashes{address: up.address(), now: func() model.Instant { return 0 }, crashed: func(lostRun) {}}
