Have few daemons watch the store, and hand versions on

Weighed: three daemons in all read, as the lookouts did (a zone that is cut off from them reads itself, or lags); each daemon reads with a longer wait (a change still costs a call each, and an outage the tries of all).

Now: the daemons of a zone form cells of at most 64; the first of each watches the store and sends heartbeats that say whether it reaches it. Where they stay away, two others of the cell step in; who does not reach the store for two seconds leaves the turn to others (core/watch). Versions are pushed within zones, and fetched from another zone only where the own one brings none within 300 ms. A daemon whose entry is in the directory only reads it.

--- /dev/null
+++ b/core/watch/roster.go
@@ -0,0 +1,189 @@
+package watch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+const (
+	// HeartbeatEvery is the time between two heartbeats of a watcher.
+	HeartbeatEvery = 400 * time.Millisecond
+	// silence is how long a watcher that is not heard counts as one that watches.
+	silence = 3 * HeartbeatEvery
+	// stepIns is how many daemons of a cell step in on average each time that all look
+	// whether to, while there are too few watchers.
+	stepIns = 2
+	// minWatchers is the least number of watchers in all zones.
+	minWatchers = 3
+	// maxTrying is how many daemons of a cell try at once to reach a store that they do
+	// not reach.
+	maxTrying = 2
+	// yieldAfter is how long a daemon tries before it leaves the turn to others, and
+	// longestYield bounds the time until it tries again.
+	yieldAfter   = 2 * time.Second
+	longestYield = 10 * time.Second
+	// cellSize bounds the daemons that one watcher sends heartbeats to.
+	cellSize = 64
+)
+
+// heartbeat is the last one of another daemon.
+type heartbeat struct {
+	at model.Instant
+	// reaches tells that it reaches the store.
+	reaches bool
+}
+
+// Roster is what a daemon knows of the watchers of its cell. It is not safe for concurrent
+// use.
+type Roster struct {
+	self string
+	// draw draws from 0 to 1.
+	draw func() float64
+	// cell are the addresses of the cell in order, the own among them; wanted is how many
+	// of it watch.
+	cell   []string
+	wanted int
+	heard  map[string]heartbeat
+	// from is when others count that have not been heard: a daemon that starts leaves them
+	// the time of a heartbeat.
+	from model.Instant
+
+	watching bool
+	// reaches tells that the own last call to the store succeeded, triedSince since when
+	// none has while watching.
+	reaches    bool
+	triedSince model.Instant
+	yieldUntil model.Instant
+}
+
+// New returns the Roster of the daemon at an address, which starts now. Draw draws from 0
+// to 1.
+func New(self string, now model.Instant, draw func() float64) *Roster {
+	return &Roster{
+		self: self, draw: draw, cell: []string{self}, wanted: 1,
+		heard: make(map[string]heartbeat), from: now.Add(silence),
+	}
+}
+
+// SetMembers takes in the daemons of the own zone that can be reached and go on running,
+// this one among them, and the number of zones.
+func (r *Roster) SetMembers(zone []string, zones int) {
+	ordered := slices.Clone(zone)
+	slices.Sort(ordered)
+	cells := max((len(ordered)+cellSize-1)/cellSize, 1)
+	place, ok := slices.BinarySearch(ordered, r.self)
+	if !ok {
+		r.cell, r.wanted = []string{r.self}, 1
+		return
+	}
+	size := (len(ordered) + cells - 1) / cells
+	from := place / size * size
+	r.cell = ordered[from:min(from+size, len(ordered))]
+	all := cells * max(zones, 1)
+	r.wanted = (minWatchers + all - 1) / all
+	for address := range r.heard {
+		if !slices.Contains(r.cell, address) {
+			delete(r.heard, address)
+		}
+	}
+}
+
+// Heard takes in a heartbeat.
+func (r *Roster) Heard(now model.Instant, from string, reaches bool) {
+	if from != r.self && slices.Contains(r.cell, from) {
+		r.heard[from] = heartbeat{at: now, reaches: reaches}
+	}
+}
+
+// Called takes in whether a call to the store succeeded. It reports whether that is news
+// for the others.
+func (r *Roster) Called(now model.Instant, ok bool) (news bool) {
+	if r.reaches && !ok {
+		r.triedSince = now
+	}
+	news, r.reaches = ok != r.reaches, ok
+	return news
+}
+
+// Watching reports whether this daemon is to watch now. It is asked several times a
+// second.
+func (r *Roster) Watching(now model.Instant) bool {
+	was := r.watching
+	r.watching = r.decide(now)
+	if r.watching && !was {
+		r.reaches, r.triedSince = false, now
+	}
+	return r.watching
+}
+
+func (r *Roster) decide(now model.Instant) bool {
+	if now < r.yieldUntil {
+		return false
+	}
+	if r.watching && r.yields(now) {
+		turns := (len(r.cell) + maxTrying - 1) / maxTrying
+		r.yieldUntil = now.Add(min(time.Duration(turns-1)*yieldAfter, longestYield))
+		return false
+	}
+	ahead, others, trying := r.count(now)
+	place := slices.Index(r.cell, r.self)
+	switch {
+	case ahead >= r.wanted:
+		return false
+	case place < r.wanted || r.watching:
+		return true
+	case others >= r.wanted || trying >= maxTrying || now < r.from:
+		return false
+	default:
+		return r.draw()*float64(len(r.cell)) < stepIns
+	}
+}
+
+// yields reports whether this daemon has tried for long enough, and others can.
+func (r *Roster) yields(now model.Instant) bool {
+	return !r.reaches && now.Sub(r.triedSince) >= yieldAfter && len(r.cell) > maxTrying
+}
+
+// count returns how many others reach the store, those before this daemon and all, and
+// how many try to.
+func (r *Roster) count(now model.Instant) (ahead, others, trying int) {
+	for address, b := range r.heard {
+		switch {
+		case now.Sub(b.at) >= silence:
+		case !b.reaches:
+			trying++
+		default:
+			others++
+			if address < r.self {
+				ahead++
+			}
+		}
+	}
+	return ahead, others, trying
+}
+
+// Blind reports whether no daemon of the cell, this one included, is known to reach the
+// store.
+func (r *Roster) Blind(now model.Instant) bool {
+	if r.watching && r.reaches {
+		return false
+	}
+	_, others, _ := r.count(now)
+	return others == 0
+}
+
+// Reaches reports whether this daemon watches and reaches the store.
+func (r *Roster) Reaches() bool { return r.watching && r.reaches }
+
+// Others returns the other daemons of the cell, which the heartbeats go to.
+func (r *Roster) Others() []string {
+	out := make([]string, 0, len(r.cell))
+	for _, address := range r.cell {
+		if address != r.self {
+			out = append(out, address)
+		}
+	}
+	return out
+}
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -128,107 +128,25 @@
 	}
 }
 
-const (
-	// askPeersEvery is how often another daemon is asked for its configuration
-	// while the store cannot be reached: a change must be in force in two
-	// seconds.
-	askPeersEvery = 400 * time.Millisecond
-)
-
-// follower keeps the configuration up to date from the store, and from other
-// daemons while the store is away. It is a part of the daemon.
-type follower struct {
-	d *Daemon
-	// lost carries whether the store is away, away is what it carried last.
-	lost chan bool
-	away bool
-}
-
-// String names the part.
-func (f *follower) String() string { return "configuration" }
-
-// Serve follows the store until the context ends.
-func (f *follower) Serve(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go f.askPeers(ctx)
-	return f.d.opts.Source.Follow(ctx, f)
-}
-
-// Take implements Follower.
-func (f *follower) Take(raw []byte, from string) bool { return f.d.config.take(raw, from) }
-
-// lookouts is how many daemons read from the store at short intervals. The others
-// hear of a new version from them even where all of their own reads hang.
-const lookouts = 3
+// farFetchDelay is how long a daemon leaves it to its own zone to bring a version that it
+// has heard of from another one.
+const farFetchDelay = 300 * time.Millisecond
 
-// Lookout implements Follower: the daemons with the lowest addresses are.
-func (f *follower) Lookout() bool {
-	before := 0
-	for _, address := range f.d.peers.reachable() {
-		if address < f.d.opts.Addresses.Peers {
-			before++
-		}
-	}
-	return before < lookouts
-}
-
-// Reachable implements Follower.
-func (f *follower) Reachable(ok bool) {
-	if f.away == !ok {
+// behind takes in that a daemon has a version of the configuration, and fetches it
+// from there if it is newer, once at a time.
+func (d *Daemon) behind(address string, v model.Version) {
+	if v <= d.config.version() {
 		return
 	}
-	f.away = !ok
-	since := model.Instant(0)
-	if f.away {
-		since = f.d.now()
-	}
-	f.d.sourceLost.Store(int64(since))
-	select {
-	case <-f.lost:
-	default:
-	}
-	f.lost <- !ok
-}
-
-// askPeers asks others for the configuration while the store is away.
-func (f *follower) askPeers(ctx context.Context) {
-	lost := false
-	for {
-		var tick <-chan time.Time
-		if lost {
-			tick = time.After(askPeersEvery)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case lost = <-f.lost:
-		case <-tick:
-			f.askOne(ctx)
-		}
-	}
-}
-
-// askOne exchanges records with one other daemon, which brings its version.
-func (f *follower) askOne(ctx context.Context) {
-	for _, address := range f.d.peers.someReachable(1) {
-		pool := f.d.peers.pool(address)
-		if pool == nil {
-			return
-		}
-		reply, err := sendSync(ctx, pool, syncMessage{From: f.d.peers.self(), Version: f.d.config.version()})
-		if err != nil {
-			f.d.peers.missed(address, err)
-			return
-		}
-		f.d.peers.merge([]Record{reply.From})
-		f.d.behind(address, reply.Version)
+	if d.config.version() > 0 && d.peers.far(address) {
+		time.AfterFunc(farFetchDelay, func() { d.fetch(address, v) })
+		return
 	}
+	d.fetch(address, v)
 }
 
-// behind takes in that a daemon has a version of the configuration, and fetches it
-// from there if it is newer, once at a time.
-func (d *Daemon) behind(address string, v model.Version) {
+// fetch brings a version from a daemon unless it is in force.
+func (d *Daemon) fetch(address string, v model.Version) {
 	if v <= d.config.version() || !d.fetching.CompareAndSwap(false, true) {
 		return
 	}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +14,6 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/decision"
-	"github.com/dottereltiller/dottereltiller/pause"
 	"github.com/dottereltiller/dottereltiller/telemetry"
 )
 
@@ -37,6 +34,7 @@
 	origin    time.Time
 	metrics   *metrics
 	config    *configuration
+	follower  *follower
 	peers     *peers
 	guard     *guard
 	suspects  *suspects
@@ -49,8 +47,8 @@
 	// ready is set once the daemon has a configuration and knows the others.
 	ready    atomic.Bool
 	stopping atomic.Bool
-	// sourceLost is the model.Instant since when the store of the configuration is
-	// away. Zero means that it is there.
+	// sourceLost is the model.Instant since when no daemon of the cell is known to reach
+	// the store of the configuration. Zero means that one does.
 	sourceLost atomic.Int64
 	inFlight   atomic.Int64
 }
@@ -77,6 +75,7 @@
 	d.peers.behind = d.behind
 	d.peers.restore = d.guard.restore
 	d.guard.slots = d.peers.slotsOf
+	d.follower = newFollower(d)
 	d.suspects = newSuspects(d)
 	d.peers.regained = d.suspects.gossip.Wake
 	d.peers.met = d.suspects.gossip.Compare
@@ -239,7 +238,7 @@
 		tree.Add(s)
 	}
 	tree.Add(d.datagrams)
-	tree.Add(&follower{d: d, lost: make(chan bool, 1)})
+	tree.Add(d.follower)
 	tree.Add(&joiner{d: d})
 	tree.Add(d.suspects)
 	tree.Add(d.suspects.store)
@@ -298,79 +297,3 @@
 	d.opts.Decisions.Write(decision.Stopped, "", slog.Int64("in_flight", d.inFlight.Load()), slog.Int64("took_ms", time.Since(began).Milliseconds()))
 	d.opts.Decisions.Close(logWait)
 }
-
-// joiner makes the daemon known and finds the others. It is a part of the daemon.
-type joiner struct{ d *Daemon }
-
-// String names the part.
-func (j *joiner) String() string { return "joiner" }
-
-// Serve joins once, and returns when the daemon is ready.
-func (j *joiner) Serve(ctx context.Context) error {
-	var wg sync.WaitGroup
-	wg.Go(func() { j.discover(ctx) })
-	wg.Go(func() { j.becomeReady(ctx) })
-	wg.Go(func() { j.announce(ctx) })
-	wg.Wait()
-	return suture.ErrDoNotRestart
-}
-
-// announce joins, again and again until the store has taken it.
-func (j *joiner) announce(ctx context.Context) {
-	waits := pause.Doubling{Min: minPause, Max: maxPause}
-	for {
-		err := j.join(ctx)
-		if err == nil || ctx.Err() != nil {
-			return
-		}
-		j.d.opts.Decisions.Write(decision.AnnounceFailed, "", slog.String("error", err.Error()))
-		if waits.Wait(ctx) != nil {
-			return
-		}
-	}
-}
-
-// join writes the own entry and then reads all of them, so that of two daemons
-// that start together the later one sees the earlier.
-func (j *joiner) join(ctx context.Context) error {
-	self := j.d.peers.self()
-	err := j.d.opts.Directory.Announce(ctx, Listing{Address: self.Address, Incarnation: self.Incarnation, Zone: self.Zone})
-	list, listErr := j.d.opts.Directory.List(ctx)
-	if listErr == nil {
-		j.d.peers.meet(list)
-	}
-	return errors.Join(err, listErr)
-}
-
-// discover asks the own upstream who it is, unless it reports first. Others are
-// heard first, as they remember whether it was leaving.
-func (j *joiner) discover(ctx context.Context) {
-	if j.d.opts.First {
-		return
-	}
-	j.await(ctx, greetingWait)
-	if !j.d.config.await(ctx, func(*route.Table) bool { return j.d.healthPath() != "" }) {
-		return
-	}
-	j.d.guard.discover()
-	if cur, _ := j.d.guard.current(); cur.State != lifecycle.Unknown {
-		j.d.tellState()
-	}
-}
-
-func (j *joiner) await(ctx context.Context, most time.Duration) {
-	select {
-	case <-j.d.peers.greeted:
-	case <-time.After(most):
-	case <-ctx.Done():
-	}
-}
-
-// becomeReady waits until requests can be served.
-func (j *joiner) becomeReady(ctx context.Context) {
-	j.await(ctx, readyWait)
-	time.AfterFunc(readyWait, j.d.peers.introduce)
-	if j.d.config.await(ctx, func(*route.Table) bool { return true }) {
-		j.d.ready.Store(true)
-	}
-}
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -60,6 +60,9 @@
 	kindNews   = 5
 	// kindSuspects carries a message of package quarantine.
 	kindSuspects = 6
+	// kindHeartbeat comes from a daemon that watches the store. It is followed by a one
+	// where that reaches the store, else a zero, and by the daemon's address.
+	kindHeartbeat = 7
 	// headBytes is the length of what all begin with; askBytes and loadBytes are
 	// the lengths of whole datagrams.
 	headBytes = 13
@@ -120,20 +123,29 @@
 		a.d.behind(string(b[headBytes:]), version)
 	case kind == kindNoted:
 		a.hear(id, placement.Load{}, version)
+	case kind == kindHeartbeat && len(b) > headBytes:
+		address := string(b[headBytes+1:])
+		a.d.follower.heard(address, b[headBytes] == 1)
+		a.d.behind(address, version)
 	case kind == kindSuspects:
 		a.d.suspects.gossip.Receive(from.String(), b[headBytes:])
 	}
 }
 
-// newsTo is how many daemons are told of a new version by each that learns of it.
-// All but two in a hundred hear of it so even where nobody hears from the store.
-const newsTo = 4
-
 // spread tells some daemons of the configuration in force.
 func (a *datagrams) spread() {
-	for _, address := range a.d.peers.someReachable(newsTo) {
-		a.notify(kindNews, address, []byte(a.d.opts.Addresses.Peers))
+	for _, m := range a.d.follower.targets.Push(a.d.peers.members(), false) {
+		a.notify(kindNews, m.Address, []byte(a.d.opts.Addresses.Peers))
+	}
+}
+
+// heartbeat tells a daemon that this one watches the store.
+func (a *datagrams) heartbeat(address string, reaches bool) {
+	body := []byte{0}
+	if reaches {
+		body[0] = 1
 	}
+	a.notify(kindHeartbeat, address, append(body, a.d.opts.Addresses.Peers...))
 }
 
 // notify sends a datagram that needs no answer. It may be lost.
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -69,6 +69,8 @@
 	listings map[string]Listing
 	changed  chan struct{}
 	down     bool
+	// written counts the entries that were written to the directory.
+	written int
 }
 
 func newStore(doc route.Document) *store {
@@ -128,6 +130,9 @@
 
 func (s *source) Follow(ctx context.Context, f Follower) error {
 	for {
+		if err := f.Await(ctx); err != nil {
+			return err
+		}
 		s.s.mu.Lock()
 		doc, changed, down := s.s.doc, s.s.changed, s.s.down || s.cut.Load()
 		s.s.mu.Unlock()
@@ -159,6 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listings[l.Address] = l
+	s.written++
 	return nil
 }
 
--- /dev/null
+++ b/sidecar/follow.go
@@ -0,0 +1,187 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/gossip"
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/watch"
+)
+
+const (
+	// rosterTick is how often a daemon looks whether it is to watch the store.
+	rosterTick = 100 * time.Millisecond
+	// askPeersEvery is how often another daemon is asked for its configuration while no
+	// watcher of the own cell reaches the store: a change must be in force in two seconds.
+	askPeersEvery = 400 * time.Millisecond
+	// listedWait bounds the wait for the list of daemons at the start, before which it is
+	// not known whether others watch the store.
+	listedWait = time.Second
+)
+
+// follower keeps the configuration up to date: from the store where this daemon watches
+// it, else from the watchers, and from any daemon while none of them reaches the store. It
+// is a part of the daemon.
+type follower struct {
+	d       *Daemon
+	targets gossip.Targets
+
+	mu     sync.Mutex
+	roster *watch.Roster
+	// generation is that of the peers as of the roster's members.
+	generation uint64
+	// watching is closed while this daemon watches the store.
+	watching chan struct{}
+	watches  bool
+	// beaten and asked are when the last heartbeat was sent and a daemon asked.
+	beaten model.Instant
+	asked  model.Instant
+}
+
+func newFollower(d *Daemon) *follower {
+	return &follower{
+		d: d, targets: gossip.Targets{Zone: d.opts.Zone, Draw: drawInt},
+		roster:   watch.New(d.opts.Addresses.Peers, d.now(), rand.Float64),
+		watching: make(chan struct{}),
+	}
+}
+
+// String names the part.
+func (f *follower) String() string { return "configuration" }
+
+// Serve follows the configuration until the context ends.
+func (f *follower) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.tend(ctx)
+	return f.d.opts.Source.Follow(ctx, f)
+}
+
+// Take implements Follower.
+func (f *follower) Take(raw []byte, from string) bool { return f.d.config.take(raw, from) }
+
+// Await implements Follower.
+func (f *follower) Await(ctx context.Context) error {
+	f.mu.Lock()
+	watching := f.watching
+	f.mu.Unlock()
+	select {
+	case <-watching:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Reachable implements Follower.
+func (f *follower) Reachable(ok bool) {
+	f.mu.Lock()
+	news := f.roster.Called(f.d.now(), ok)
+	f.mu.Unlock()
+	if news {
+		f.beat()
+	}
+}
+
+// heard takes in the heartbeat of a watcher.
+func (f *follower) heard(address string, reaches bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.roster.Heard(f.d.now(), address, reaches)
+}
+
+// tend has this daemon watch the store when it is its turn.
+func (f *follower) tend(ctx context.Context) {
+	select {
+	case <-f.d.peers.listed:
+	case <-time.After(listedWait):
+	case <-ctx.Done():
+	}
+	tick := time.NewTicker(rosterTick)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		beat, ask := f.look()
+		if beat {
+			f.beat()
+		}
+		if ask {
+			go f.askOne(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+}
+
+// look decides whether this daemon watches, and reports whether a heartbeat is due and
+// whether another daemon is to be asked.
+func (f *follower) look() (beat, ask bool) {
+	now := f.d.now()
+	zone, zones, generation := f.d.peers.neighbours(f.generation)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if generation != f.generation {
+		f.generation = generation
+		f.roster.SetMembers(zone, zones)
+	}
+	watches := f.roster.Watching(now) && !f.d.stopping.Load()
+	switch {
+	case watches && !f.watches:
+		close(f.watching)
+		f.beaten = 0
+	case !watches && f.watches:
+		f.watching = make(chan struct{})
+	}
+	f.watches = watches
+	beat = watches && (f.beaten == 0 || now.Sub(f.beaten) >= watch.HeartbeatEvery)
+	blind := f.roster.Blind(now)
+	f.noteBlind(now, blind)
+	ask = blind && now.Sub(f.asked) >= askPeersEvery
+	if ask {
+		f.asked = now
+	}
+	return beat, ask
+}
+
+// noteBlind notes since when no daemon of the cell reaches the store.
+func (f *follower) noteBlind(now model.Instant, blind bool) {
+	if !blind {
+		f.d.sourceLost.Store(0)
+		return
+	}
+	f.d.sourceLost.CompareAndSwap(0, int64(now))
+}
+
+// beat sends a heartbeat to the cell.
+func (f *follower) beat() {
+	f.mu.Lock()
+	reaches, others := f.roster.Reaches(), f.roster.Others()
+	f.beaten = f.d.now()
+	f.mu.Unlock()
+	for _, address := range others {
+		f.d.datagrams.heartbeat(address, reaches)
+	}
+}
+
+// askOne exchanges records with one other daemon, which brings its version.
+func (f *follower) askOne(ctx context.Context) {
+	m, ok := f.targets.Partner(f.d.peers.members())
+	if !ok {
+		return
+	}
+	pool := f.d.peers.pool(m.Address)
+	if pool == nil {
+		return
+	}
+	reply, err := sendSync(ctx, pool, syncMessage{From: f.d.peers.self(), Version: f.d.config.version()})
+	if err != nil {
+		f.d.peers.missed(m.Address, err)
+		return
+	}
+	f.d.peers.merge([]Record{reply.From})
+	f.d.behind(m.Address, reply.Version)
+}
--- /dev/null
+++ b/sidecar/follow_test.go
@@ -0,0 +1,71 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// watchers returns the members that watch the store.
+func watchers(all []*member) []*member {
+	var out []*member
+	for _, m := range all {
+		m.follower.mu.Lock()
+		if m.follower.watches {
+			out = append(out, m)
+		}
+		m.follower.mu.Unlock()
+	}
+	return out
+}
+
+// TestFewDaemonsWatchTheStore has three of the daemons of the only zone do so, and others
+// take over when they end.
+func TestFewDaemonsWatchTheStore(t *testing.T) {
+	const (
+		daemons = 7
+		wanted  = 3
+	)
+	s := newStore(documentOf(1, "a"))
+	var all []*member
+	for i := range daemons {
+		all = append(all, join(t, s, "a", fmt.Sprint("a", i)))
+	}
+	for _, m := range all {
+		m.knows(t, "a", daemons)
+	}
+	eventually(t, "few watch", func() bool { return len(watchers(all)) == wanted })
+	var left []*member
+	for _, m := range all {
+		m.follower.mu.Lock()
+		watches := m.follower.watches
+		m.follower.mu.Unlock()
+		if watches {
+			m.kill()
+		} else {
+			left = append(left, m)
+		}
+	}
+	s.publish(documentOf(2, "a"))
+	for _, m := range left {
+		eventually(t, "the new version", func() bool { return m.config.version() == 2 })
+	}
+	eventually(t, "others watch", func() bool { return len(watchers(left)) == wanted })
+}
+
+// TestRestartWritesNoEntry has a daemon start again whose entry is in the directory.
+func TestRestartWritesNoEntry(t *testing.T) {
+	s := newStore(documentOf(1, "a"))
+	a, b := join(t, s, "a", "a1"), join(t, s, "a", "a2")
+	a.knows(t, "a", 2)
+	b.kill()
+	o := b.opts
+	o.First = false
+	again := start(t, o, s)
+	again.Report(ready("a2", 1, 1, "a"))
+	again.knows(t, "a", 2)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Equal(t, 2, s.written)
+}
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -24,7 +24,7 @@
 		{"config_source_lost", "1 while the store of the configuration is away", func() float64 { return number(d.sourceAway() > 0) }},
 		{"config_source_lost_seconds", "how long the store of the configuration has been away", func() float64 { return d.sourceAway().Seconds() }},
 		{"peers_known", "daemons known, this one included", func() float64 { return float64(d.peers.size()) }},
-		{"peers_lost", "daemons that cannot be reached", func() float64 { return float64(d.peers.size() - 1 - len(d.peers.reachable())) }},
+		{"peers_lost", "daemons that cannot be reached", func() float64 { return float64(d.peers.size() - 1 - len(d.peers.members())) }},
 		{"peers_lost_seconds", "how long the longest lost of them has been out of reach", func() float64 { return d.peers.longestLost().Seconds() }},
 		{"upstream_running", "requests that run in the own upstream", func() float64 { return float64(d.guard.snapshot().Running) }},
 		{"upstream_waiting", "requests that wait for it", func() float64 { return float64(d.guard.snapshot().Waiting) }},
--- a/sidecar/lying_test.go
+++ b/sidecar/lying_test.go
@@ -35,6 +35,11 @@
 			s := newStore(documentOf(1, "b"))
 			a, b1, _ := join(t, s, "a", "a1"), join(t, s, "b", "b1"), join(t, s, "b", "b2")
 			a.knows(t, "b", 2)
+			// Daemons that have just started have little to re-send, and a busy
+			// processor has that spent on hedges.
+			plenty := a.opts.Tunables
+			plenty.Resends.Slack = 100 * requests
+			a.Reconfigure(plenty)
 			b1.up.setHealth(c.health)
 			b1.up.set(c.handle)
 			for range requests {
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/gossip"
+	"github.com/dottereltiller/dottereltiller/core/model"
 )
 
 // size returns the number of daemons known, this one included.
@@ -16,7 +17,8 @@
 
 // startedWithin returns the number of daemons known, this one included, and the part
 // of them that has started within a span, by their own clocks. One whose clock is ahead
-// by more than the span counts as started long ago.
+// by more than the span counts as started long ago, one that is listed and has not been
+// heard of as started.
 func (p *peers) startedWithin(span time.Duration) (daemons int, part float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -29,19 +31,16 @@
 	}
 	count(&p.own)
 	for _, q := range p.all {
+		if q.record.Sequence == 0 && !q.lost {
+			started++
+			continue
+		}
 		count(&q.record)
 	}
 	daemons = len(p.all) + 1
 	return daemons, float64(started) / float64(daemons)
 }
 
-// someReachable draws up to n of the daemons that are not lost.
-func (p *peers) someReachable(n int) []string {
-	out := p.reachable()
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(n, len(out))]
-}
-
 // members returns the daemons that are not lost.
 func (p *peers) members() []gossip.Member {
 	p.mu.Lock()
@@ -55,15 +54,36 @@
 	return out
 }
 
-// reachable returns the addresses of the daemons that are not lost.
-func (p *peers) reachable() []string {
+// neighbours returns the addresses of the daemons of the own zone that can be reached and
+// go on running, this one among them, and the number of zones. It returns nothing where
+// that is as of a generation.
+func (p *peers) neighbours(generation uint64) (zone []string, zones int, now uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []string
+	if p.generation == generation {
+		return nil, 0, generation
+	}
+	seen := map[model.AvailabilityZone]bool{p.own.Zone: true}
+	if !p.own.Stopping {
+		zone = append(zone, p.own.Address)
+	}
 	for address, q := range p.all {
-		if !q.lost {
-			out = append(out, address)
+		if q.lost || q.record.Stopping {
+			continue
+		}
+		seen[q.record.Zone] = true
+		if q.record.Zone == p.own.Zone {
+			zone = append(zone, address)
 		}
 	}
-	return out
+	return zone, len(seen), p.generation
 }
+
+// far reports whether a daemon is of another zone.
+func (p *peers) far(address string) bool {
+	r, ok := p.of(address)
+	return ok && r.Zone != p.own.Zone
+}
+
+// drawInt draws from 0 to n-1.
+func drawInt(n int) int { return rand.IntN(n) }
--- a/sidecar/metrics_test.go
+++ b/sidecar/metrics_test.go
@@ -63,13 +63,13 @@
 		return 0
 	}
 	require.Positive(t, read("config_age_seconds"))
-	require.Zero(t, read("config_source_lost_seconds"))
+	eventually(t, "the store is reached", func() bool { return read("config_source_lost_seconds") == 0 })
 	require.Zero(t, read("peers_lost_seconds"))
-	f := &follower{d: a.Daemon, lost: make(chan bool, 1)}
-	f.Reachable(false)
-	require.Positive(t, read("config_source_lost_seconds"))
-	f.Reachable(true)
-	require.Zero(t, read("config_source_lost_seconds"))
+	s.setDown(true)
+	s.publish(documentOf(1, "b")) // wakes those who wait for a change
+	eventually(t, "the store is lost", func() bool { return read("config_source_lost_seconds") > 0 })
+	s.setDown(false)
+	eventually(t, "the store is reached again", func() bool { return read("config_source_lost_seconds") == 0 })
 	a.peers.missed(b.opts.Addresses.Peers, errStopped)
 	require.Positive(t, read("peers_lost_seconds"))
 }
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -139,17 +139,16 @@
 type Follower interface {
 	// Take takes in a document and reports whether it is a configuration.
 	Take(raw []byte, from string) bool
-	// Reachable takes in whether the store can be reached.
+	// Reachable takes in whether a call to the store succeeded.
 	Reachable(ok bool)
-	// Lookout reports whether this daemon looks after the store for others too. A
-	// read that hangs because its answer was lost must then end soon.
-	Lookout() bool
+	// Await waits until this daemon is to read from the store.
+	Await(ctx context.Context) error
 }
 
 // Source brings the configuration.
 type Source interface {
 	// Follow hands every document that it sees to the follower until the context
-	// ends, and tells it whenever the store is lost or regained.
+	// ends, and tells it what came of each call. Each call waits for the follower's turn.
 	Follow(ctx context.Context, f Follower) error
 	// Decode reads a document.
 	Decode(raw []byte) (route.Document, error)
@@ -167,7 +166,6 @@
 
 // Listing tells where a daemon is.
 type Listing struct {
-	Address     string                 `json:"address"`
-	Incarnation int64                  `json:"incarnation"`
-	Zone        model.AvailabilityZone `json:"zone"`
+	Address string                 `json:"address"`
+	Zone    model.AvailabilityZone `json:"zone"`
 }
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -127,6 +127,9 @@
 	// greeted is closed once another daemon has answered, or there is none.
 	greeted     chan struct{}
 	greetedOnce sync.Once
+	// listed is closed once the list of daemons has been asked for.
+	listed     chan struct{}
+	listedOnce sync.Once
 }
 
 func newPeers(own Record, now func() model.Instant, d *decision.Log) *peers {
@@ -136,6 +139,7 @@
 		draw:    rand.Float64,
 		ctx:     context.Background(),
 		greeted: make(chan struct{}),
+		listed:  make(chan struct{}),
 
 		regained: func() {},
 		met:      func(string) {},
@@ -215,7 +219,7 @@
 		if l.Address == p.own.Address || p.all[l.Address] != nil {
 			continue
 		}
-		p.greet(p.add(Record{Address: l.Address, Incarnation: l.Incarnation, Zone: l.Zone}))
+		p.greet(p.add(Record{Address: l.Address, Zone: l.Zone}))
 	}
 	if len(p.all) == 0 {
 		p.greetedOnce.Do(func() { close(p.greeted) })
--- a/sidecar/peers_test.go
+++ b/sidecar/peers_test.go
@@ -163,7 +163,11 @@
 
 // TestStartedWithin counts the daemons that have started of late, by their clocks.
 func TestStartedWithin(t *testing.T) {
-	const span = 10 * time.Second
+	const (
+		span = 10 * time.Second
+		// onlyListed stands for a daemon that has not been heard of.
+		onlyListed = time.Duration(-1)
+	)
 	for name, c := range map[string]struct {
 		ages []time.Duration
 		want float64
@@ -174,11 +178,15 @@
 		"a clock an hour ahead":    {[]time.Duration{time.Minute, -time.Hour}, 0},
 		"alone, started long ago":  {[]time.Duration{time.Hour}, 0},
 		"alone, started right now": {[]time.Duration{0}, 1},
+		"one of three only listed": {[]time.Duration{time.Minute, onlyListed, time.Hour}, 1.0 / 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := &peers{all: map[string]*peer{}}
 			for i, age := range c.ages {
-				r := Record{Incarnation: time.Now().Add(-age).UnixMilli()}
+				r := Record{Incarnation: time.Now().Add(-age).UnixMilli(), Sequence: 1}
+				if age == onlyListed {
+					r = Record{}
+				}
 				if i == 0 {
 					p.own = r
 				} else {
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
-	"github.com/dottereltiller/dottereltiller/core/gossip"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	core "github.com/dottereltiller/dottereltiller/core/quarantine"
@@ -46,7 +44,7 @@
 	})
 	s.gossip = &quarantine.Gossip{
 		Store:   s.store,
-		Targets: gossip.Targets{Zone: d.opts.Zone, Draw: rand.IntN},
+		Targets: d.follower.targets,
 		Members: d.peers.members,
 		Send:    func(address string, m []byte) { d.datagrams.notify(kindSuspects, address, m) },
 		Limit:   maxDatagram - headBytes,
