Tell other zones of a change by relays, and compare records

Now: a daemon tells its own zone and two daemons of each other zone, which hand records on in their zone, several in a datagram. Restarted daemons of other zones are no longer told by everybody: they ask two for all records.

--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -36,6 +36,8 @@
 	config    *configuration
 	follower  *follower
 	peers     *peers
+	relay     *relay
+	comparer  *comparer
 	guard     *guard
 	suspects  *suspects
 	bodies    *bodies
@@ -76,8 +78,13 @@
 	d.peers.restore = d.guard.restore
 	d.guard.slots = d.peers.slotsOf
 	d.follower = newFollower(d)
+	d.relay = &relay{near: d.peers.near, send: func(address string, b []byte) { d.datagrams.notify(kindRecords, address, b) }}
+	d.comparer = &comparer{d: d}
 	d.suspects = newSuspects(d)
-	d.peers.regained = d.suspects.gossip.Wake
+	d.peers.regained = func() {
+		d.suspects.gossip.Wake()
+		d.comparer.wake()
+	}
 	d.peers.met = d.suspects.gossip.Compare
 	d.bodies = newBodies(o.BodyBytes)
 	d.guard.crashes.crashed = d.suspects.crashed
@@ -240,6 +247,7 @@
 	tree.Add(d.datagrams)
 	tree.Add(d.follower)
 	tree.Add(&joiner{d: d})
+	tree.Add(d.comparer)
 	tree.Add(d.suspects)
 	tree.Add(d.suspects.store)
 	d.opts.Decisions.Write(decision.Started, "", slog.String("address", d.opts.Addresses.Peers),
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -63,6 +63,10 @@
 	// kindHeartbeat comes from a daemon that watches the store. It is followed by a one
 	// where that reaches the store, else a zero, and by the daemon's address.
 	kindHeartbeat = 7
+	// kindRecords carries records that need no answer, of the daemons of other zones or
+	// after a comparison, which is a kindCompare.
+	kindRecords = 8
+	kindCompare = 9
 	// headBytes is the length of what all begin with; askBytes and loadBytes are
 	// the lengths of whole datagrams.
 	headBytes = 13
@@ -127,6 +131,12 @@
 		address := string(b[headBytes+1:])
 		a.d.follower.heard(address, b[headBytes] == 1)
 		a.d.behind(address, version)
+	case kind == kindRecords:
+		if news := a.d.peers.merge(unpackRecords(b[headBytes:])); len(news) > 0 {
+			a.d.comparer.wake()
+		}
+	case kind == kindCompare:
+		a.d.comparer.receive(from.String(), b[headBytes:])
 	case kind == kindSuspects:
 		a.d.suspects.gossip.Receive(from.String(), b[headBytes:])
 	}
@@ -172,7 +182,11 @@
 	if held, ok := a.d.peers.of(r.Address); ok && held.newer(&r) {
 		return
 	}
-	a.d.peers.merge([]Record{r})
+	for _, news := range a.d.peers.merge([]Record{r}) {
+		if news.Zone != a.d.opts.Zone {
+			a.d.relay.add(news)
+		}
+	}
 	_, _ = a.conn.WriteToUDPAddrPort(a.head(kindNoted, id), from)
 }
 
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -79,6 +79,19 @@
 	return zone, len(seen), p.generation
 }
 
+// near returns the other daemons of the own zone that are not lost.
+func (p *peers) near() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for address, q := range p.all {
+		if !q.lost && q.record.Zone == p.own.Zone {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // far reports whether a daemon is of another zone.
 func (p *peers) far(address string) bool {
 	r, ok := p.of(address)
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -294,7 +294,11 @@
 		return
 	}
 	held, _ := p.d.peers.of(m.From.Address)
-	p.d.peers.merge(append([]Record{m.From}, m.Known...))
+	for _, news := range p.d.peers.merge(append([]Record{m.From}, m.Known...)) {
+		if news.Address == m.From.Address && news.Zone != p.d.opts.Zone {
+			p.d.relay.add(news)
+		}
+	}
 	p.d.peers.heardFrom(m.From.Address)
 	p.d.behind(m.From.Address, m.Version)
 	reply := syncMessage{From: p.d.peers.self(), Version: p.d.config.version()}
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -87,6 +87,8 @@
 	lookAfter = 2500 * time.Millisecond
 	// fullAsks is how many daemons a starting one asks for all that they know.
 	fullAsks = 2
+	// relaysPerZone is how many daemons of another zone are told of a change.
+	relaysPerZone = 2
 	// peerIdle is how long connections between daemons are kept.
 	peerIdle = 20 * time.Second
 	// peerDial bounds connecting to a daemon: a few round trips between regions.
@@ -163,11 +165,21 @@
 	p.tellAll()
 }
 
-// tellAll sends the own record to everybody. p.mu is held.
+// tellAll sends the own record to the own zone and to relays of the others, which hand it
+// on there. p.mu is held.
 func (p *peers) tellAll() {
 	p.told = true
+	relays := make(map[model.AvailabilityZone]int)
+	// The order of a map differs each time, and so do the relays.
 	for _, q := range p.all {
-		p.owe(q)
+		zone := q.record.Zone
+		switch {
+		case zone == p.own.Zone:
+			p.owe(q)
+		case !q.lost && !q.record.Stopping && relays[zone] < relaysPerZone:
+			relays[zone]++
+			p.owe(q)
+		}
 	}
 }
 
@@ -180,11 +192,11 @@
 	}
 }
 
-// greet has a new peer asked for what it knows, or told of this daemon. While
-// nothing is known of the own upstream the latter waits, so that a start takes one
-// message a peer and not two. p.mu is held.
+// greet has a new peer asked for what it knows, or told of this daemon. One of another zone
+// learns that from those that it asks itself. While nothing is known of the own upstream
+// the telling waits, so that a start takes one message a peer and not two. p.mu is held.
 func (p *peers) greet(q *peer) {
-	if q.full || p.told {
+	if q.full || p.told && q.record.Zone == p.own.Zone {
 		p.owe(q)
 	}
 }
@@ -243,21 +255,22 @@
 	return hop.NewPool(address, hop.PoolOptions{IdleLimit: peerIdle, DialTimeout: peerDial})
 }
 
-// merge takes in records, the first of which is its sender's.
-func (p *peers) merge(records []Record) {
+// merge takes in records and returns those that are news.
+func (p *peers) merge(records []Record) []Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var news []Record
 	for i := range records {
 		r := &records[i]
-		if r.Address == "" {
-			continue
-		}
-		if r.Address == p.own.Address {
+		switch {
+		case r.Address == "":
+		case r.Address == p.own.Address:
 			p.meetSelf(r)
-			continue
+		case p.mergeOne(r):
+			news = append(news, *r)
 		}
-		p.mergeOne(r)
 	}
+	return news
 }
 
 // meetSelf takes in what others hold of this daemon. A record of a life that
@@ -276,13 +289,14 @@
 	}
 }
 
-func (p *peers) mergeOne(r *Record) {
+// mergeOne takes in a record of another daemon, and reports whether it is news.
+func (p *peers) mergeOne(r *Record) bool {
 	q := p.all[r.Address]
 	if q == nil {
-		q = p.add(Record{Address: r.Address})
+		q = p.add(Record{Address: r.Address, Zone: r.Zone})
 		p.greet(q)
 	} else if !r.newer(&q.record) {
-		return
+		return false
 	}
 	restarted := r.Incarnation != q.record.Incarnation && q.record.Incarnation != 0 && q.record.Sequence != 0
 	changed := r.State != q.record.State || r.Upstream != q.record.Upstream || r.Stopping != q.record.Stopping
@@ -298,7 +312,7 @@
 		// Its memory of this daemon is gone, and so are the old connections.
 		q.pool.Close()
 		q.pool = newPeerPool(r.Address)
-		p.owe(q)
+		p.greet(q)
 	}
 	if r.Stopping && !stopped && r.State != lifecycle.Gone && p.draw()*float64(len(p.all)) < lookers {
 		time.AfterFunc(lookAfter, func() { p.missed(r.Address, errStopped) })
@@ -308,6 +322,7 @@
 			slog.String("upstream", string(r.Upstream.ID)), slog.Int64("born", r.Upstream.Born),
 			slog.String("state", r.State.String()), slog.Bool("stopping", r.Stopping))
 	}
+	return true
 }
 
 // slotsOf returns the slots of an upstream of this VM that does not tell them itself: as
--- a/sidecar/reborn_test.go
+++ b/sidecar/reborn_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 func replaceWith(t *testing.T, s *store, m *member, id string) *member {
 	t.Helper()
 	m.kill()
+	eventually(t, "the address is free", func() bool { return isFree(m.opts.Addresses.Peers) })
 	up := newUpstream(t, id)
 	o := optionsFor(t, s, up, "c")
 	o.Addresses.Peers = m.opts.Addresses.Peers
@@ -25,6 +27,16 @@
 	return n
 }
 
+// isFree reports whether datagrams can be taken at an address. A write under way keeps the
+// socket of a daemon for a moment after its end.
+func isFree(address string) bool {
+	conn, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	return conn.Close() == nil
+}
+
 // tryAt returns an attempt at the only upstream of a service, as the entry sees it now.
 func tryAt(t *testing.T, m *member) *try {
 	t.Helper()
