Take the longest silence before a new incarnation for its predecessor's crash

And an upstream may come back under its id and answer before it reports, so that its last answer is no bound either.

Now: a response counts as an answer, and the runs of a crash are those lost in a row before the longest time without one.

--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -24,9 +24,8 @@
 
 	mu   sync.Mutex
 	lost []lostRun
-	// answered is when the upstream last answered anything, and which incarnation did.
-	answered     model.Instant
-	answeredLife lifecycle.Incarnation
+	// answered are the first answers of the upstream after the lost runs, the oldest first.
+	answered []model.Instant
 }
 
 // lostRun is a run whose connection was lost.
@@ -41,8 +40,8 @@
 const (
 	// maxLost bounds the runs that are remembered. An upstream runs fewer at once.
 	maxLost = 64
-	// crashSpan is the time within which a crash ends all connections, and the longest
-	// time between two of the runs that are lost while the upstream is gone.
+	// crashSpan is the longest time between two of the runs that are lost while the
+	// upstream is gone.
 	crashSpan = 500 * time.Millisecond
 	// answerSlack is how much later than a loss an answer may be read that came before
 	// it, over another connection.
@@ -57,6 +56,7 @@
 	c.mu.Lock()
 	if len(c.lost) >= maxLost {
 		c.lost = c.lost[1:]
+		c.forget()
 	}
 	c.lost = append(c.lost, r)
 	c.mu.Unlock()
@@ -73,39 +73,86 @@
 	return !errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// answer takes in that an incarnation has answered: it had not crashed until then.
-func (c *crashes) answer(i lifecycle.Incarnation) {
+// forget drops the answers from before the lost runs that are remembered. c.mu is held.
+func (c *crashes) forget() {
+	for len(c.answered) > 0 && c.answered[0] < c.lost[0].at {
+		c.answered = c.answered[1:]
+	}
+}
+
+// answer takes in that the upstream has answered: it was there then. That may have been its
+// next incarnation, before it told of itself.
+func (c *crashes) answer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered, c.answeredLife = c.now(), i
+	if len(c.lost) == 0 {
+		return
+	}
+	at := c.now()
+	if at.Sub(c.lost[len(c.lost)-1].at) < answerSlack {
+		// It came before that loss, or after it, and was there before it in any case.
+		at = at.Add(-answerSlack)
+	}
+	if n := len(c.answered); n == 0 || c.answered[n-1] < c.lost[len(c.lost)-1].at && at > c.answered[n-1] {
+		c.answered = append(c.answered, at)
+	}
 }
 
-// end takes in that an incarnation has crashed. The runs that were lost since its last
-// answer, one soon after the other up to the last one, are those that ran then.
+// end takes in that an incarnation has crashed, and names the runs of its crash.
 func (c *crashes) end(i lifecycle.Incarnation) {
 	for _, r := range c.take(i) {
 		c.crashed(r)
 	}
 }
 
-// take takes out the runs of an incarnation and returns those of its crash, the oldest
-// first.
+// take takes out the runs of an incarnation. It returns those that were lost one soon after
+// the other, without an answer in between, before the longest time without one: the
+// upstream was gone then.
 func (c *crashes) take(i lifecycle.Incarnation) []lostRun {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var ran, kept []lostRun
+	var of, kept []lostRun
 	for _, r := range c.lost {
-		switch {
-		case r.upstream != i:
+		if r.upstream == i {
+			of = append(of, r)
+		} else {
 			kept = append(kept, r)
-		case i != c.answeredLife || r.at >= c.answered.Add(-answerSlack):
-			ran = append(ran, r)
 		}
 	}
 	c.lost = kept
-	first := len(ran) - 1
-	for first > 0 && ran[first].at.Sub(ran[first-1].at) <= crashSpan {
-		first--
+	var ran []lostRun
+	var longest time.Duration
+	for len(of) > 0 {
+		burst, until := c.burst(of)
+		if silent := until.Sub(burst[0].at); silent >= longest {
+			ran, longest = burst, silent
+		}
+		of = of[len(burst):]
+	}
+	if len(kept) == 0 {
+		c.answered = nil
+	}
+	return ran
+}
+
+// burst returns the first of the runs that were lost together, and until when the upstream
+// is not known to have answered. c.mu is held.
+func (c *crashes) burst(of []lostRun) ([]lostRun, model.Instant) {
+	until := c.now()
+	for _, at := range c.answered {
+		if at > of[0].at {
+			until = at
+			break
+		}
+	}
+	n := 1
+	for n < len(of) && of[n].at <= until && of[n].at.Sub(of[n-1].at) <= crashSpan {
+		n++
+	}
+	if n < len(of) && of[n].at <= until {
+		// Later runs were lost without an answer since: the upstream is taken to have
+		// been gone from those on only.
+		until = of[n-1].at
 	}
-	return ran[max(first, 0):]
+	return of[:n], until
 }
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -77,8 +77,8 @@
 	g.metrics.stage(stageGuard, c.Service, waited)
 	g.metrics.stage(stageUpstream, c.Service, ran)
 	g.judge(ctx, a)
-	if a.Arrived {
-		g.crashes.answer(life)
+	if err == nil {
+		g.crashes.answer()
 	}
 	if a.Outcome.Reason == outcome.ReasonConnectionLost {
 		go g.crashes.lose(lostRunOf(c, life))
