Say how often requests have run that a lost upstream left without an answer

Ends of requests and failed runs say whether the request is idempotent. Daemons write a line when they begin or end to watch the store.

--- a/cmd/dottereltiller/why.go
+++ b/cmd/dottereltiller/why.go
@@ -11,16 +11,17 @@
 
 type whyCmd struct {
 	Upstream string   `arg:"--upstream" placeholder:"ID" help:"tell of this upstream instead of a request"`
+	Lost     string   `arg:"--lost" placeholder:"ID" help:"tell how often the requests have run that must not run twice and got no answer from this upstream"`
 	Config   uint64   `arg:"--config" placeholder:"VERSION" help:"tell when each daemon learned of this version instead of a request"`
 	JSON     bool     `arg:"--json" help:"print JSON"`
-	Args     []string `arg:"positional" placeholder:"REQUEST-ID FILE" help:"the request, unless --upstream or --config is given, and the daemons' logs"`
+	Args     []string `arg:"positional" placeholder:"REQUEST-ID FILE" help:"the request, unless --upstream, --lost or --config is given, and the daemons' logs"`
 }
 
-var errWhyArgs = errors.New("name a request, --upstream or --config, and the logs of the daemons")
+var errWhyArgs = errors.New("name a request, --upstream, --lost or --config, and the logs of the daemons")
 
 func (c *whyCmd) run(context.Context) error {
 	files, request := c.Args, ""
-	if c.Upstream == "" && c.Config == 0 {
+	if c.Upstream == "" && c.Lost == "" && c.Config == 0 {
 		if len(files) == 0 {
 			return usageError{errWhyArgs}
 		}
@@ -36,6 +37,13 @@
 		}
 	}
 	log.Sort()
+	if c.Lost != "" {
+		losses := log.Losses(c.Lost)
+		if c.JSON {
+			return losses.WriteJSON(os.Stdout)
+		}
+		return losses.WriteText(os.Stdout)
+	}
 	var story why.Story
 	switch {
 	case c.Upstream != "":
--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -39,6 +39,7 @@
 	ConfigRefused   Kind = "configuration refused"
 	StoreLost       Kind = "store lost"
 	StoreRegained   Kind = "store regained"
+	StoreWatched    Kind = "store watched"
 	RecordRefused   Kind = "record refused"
 	Started         Kind = "daemon started"
 	Stopping        Kind = "daemon stopping"
@@ -65,7 +66,7 @@
 // the attempts that reached an upstream and that a guard handed back.
 var endFields = []string{
 	"route", "service", "upstream", "reason", "status", "retry_after_ms", "took_ms",
-	"sends", "given_back", "candidates", "expected_ms", "config",
+	"sends", "given_back", "candidates", "expected_ms", "config", "idempotent",
 }
 
 // Declarations lists every kind once, in the order of the page on logs.
@@ -79,7 +80,7 @@
 		{GivenBack, Trouble, "The guard gave a request back before it ran.", []string{"reason", "expected_ms", "alternative_ms", "slow", "slow_age_ms", "running", "waiting", "limit"}},
 		{Withdrawn, Trouble, "The entry asked a guard over a new connection what became of a request.", []string{"upstream", "result"}},
 		{Ran, Plain, "The guard had the upstream run a request.", []string{"upstream", "status", "ran_ms", "waited_ms", "slow", "running"}},
-		{RunFailed, Trouble, "An upstream was sent a request and gave no whole answer, or a failure.", []string{"upstream", "outcome", "reason", "status", "ran_ms", "error"}},
+		{RunFailed, Trouble, "An upstream was sent a request and gave no whole answer, or a failure.", []string{"upstream", "outcome", "reason", "status", "ran_ms", "error", "idempotent"}},
 		{Suspected, State, "The upstream crashed while it ran a request. One that ran in several crashes is refused.", []string{"upstream", "born", "fingerprint"}},
 		{UpstreamState, State, "The upstream of this VM changed its state.", []string{"upstream", "born", "sequence", "state", "cause"}},
 		{UpstreamFailing, State, "The upstream of this VM fails most requests, so that others are preferred.", []string{"upstream", "failing"}},
@@ -92,6 +93,7 @@
 		{ConfigRefused, State, "A configuration was passed over.", []string{"version", "in_force", "from", "error"}},
 		{StoreLost, State, "The store could not be reached or refused.", []string{"call", "error"}},
 		{StoreRegained, State, "The store answered again.", []string{"call", "away_ms"}},
+		{StoreWatched, State, "This daemon began or ended to watch the store for the daemons of its cell.", []string{"watches", "cell"}},
 		{RecordRefused, State, "A record of the store could not be read.", []string{"topic", "key", "error"}},
 		{Started, State, "The daemon started.", []string{"address", "zone", "service", "incarnation", "version"}},
 		{Stopping, State, "The daemon was told to stop.", []string{"in_flight"}},
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -233,7 +233,8 @@
 		slog.String("reason", string(a.Outcome.Reason)), slog.Int("status", status),
 		slog.Int64("retry_after_ms", a.Outcome.RetryAfter.Milliseconds()), slog.Int64("took_ms", took.Milliseconds()),
 		slog.Int("sends", req.sends), slog.Int("given_back", req.givenBack), slog.Int("candidates", req.candidates),
-		slog.Int64("expected_ms", req.expected.Milliseconds()), slog.Uint64("config", uint64(e.d.config.version())))
+		slog.Int64("expected_ms", req.expected.Milliseconds()), slog.Uint64("config", uint64(e.d.config.version())),
+		slog.Bool("idempotent", req.route != nil && req.route.Idempotent))
 }
 
 // service is what the entry holds of one service. Its mutex guards all of it.
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/dottereltiller/dottereltiller/core/gossip"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/watch"
+	"github.com/dottereltiller/dottereltiller/decision"
 )
 
 const (
@@ -86,6 +88,13 @@
 	}
 }
 
+// watchesStore reports whether this daemon watches the store.
+func (f *follower) watchesStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watches
+}
+
 // heard takes in the heartbeat of a watcher.
 func (f *follower) heard(address string, reaches bool) {
 	f.mu.Lock()
@@ -136,7 +145,10 @@
 	case !watches && f.watches:
 		f.watching = make(chan struct{})
 	}
-	f.watches = watches
+	if watches != f.watches {
+		f.watches = watches
+		f.d.opts.Decisions.Write(decision.StoreWatched, "", slog.Bool("watches", watches), slog.Int("cell", len(f.roster.Others())+1))
+	}
 	beat = watches && (f.beaten == 0 || now.Sub(f.beaten) >= watch.HeartbeatEvery)
 	blind := f.roster.Blind(now)
 	f.noteBlind(now, blind)
--- a/sidecar/follow_test.go
+++ b/sidecar/follow_test.go
@@ -11,11 +11,9 @@
 func watchers(all []*member) []*member {
 	var out []*member
 	for _, m := range all {
-		m.follower.mu.Lock()
-		if m.follower.watches {
+		if m.follower.watchesStore() {
 			out = append(out, m)
 		}
-		m.follower.mu.Unlock()
 	}
 	return out
 }
@@ -38,10 +36,7 @@
 	eventually(t, "few watch", func() bool { return len(watchers(all)) == wanted })
 	var left []*member
 	for _, m := range all {
-		m.follower.mu.Lock()
-		watches := m.follower.watches
-		m.follower.mu.Unlock()
-		if watches {
+		if m.follower.watchesStore() {
 			m.kill()
 		} else {
 			left = append(left, m)
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -218,5 +218,6 @@
 		attrs = append(attrs, slog.String("error", err.Error()))
 	}
 	g.opts.Decisions.Write(decision.RunFailed, c.ID, append(attrs,
-		slog.String("outcome", a.Outcome.Kind.String()), slog.String("reason", string(a.Outcome.Reason)))...)
+		slog.String("outcome", a.Outcome.Kind.String()), slog.String("reason", string(a.Outcome.Reason)),
+		slog.Bool("idempotent", c.Idempotent))...)
 }
