--- /dev/null
+++ b/edits/edits_test.go
@@ -0,0 +1,39 @@
+package edits
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestChanged(t *testing.T) {
+	root := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(root, "a"), []byte("one two three two"), 0o600))
+	for name, c := range map[string]struct {
+		edits []Edit
+		want  string
+		count int
+	}{
+		"one":              {[]Edit{{"a", "one", "1"}}, "1 two three two", 0},
+		"after each other": {[]Edit{{"a", "one two", "two"}, {"a", "two three", "3"}}, "3 two", 0},
+		"twice there":      {[]Edit{{"a", "two", "2"}}, "", 2},
+		"not there":        {[]Edit{{"a", "four", "4"}}, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := Changed(root, c.edits)
+			if c.want == "" {
+				var e *CountError
+				require.ErrorAs(t, err, &e)
+				require.Equal(t, c.count, e.Count)
+				require.Contains(t, e.Error(), c.edits[0].Old)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, map[string]string{"a": c.want}, got)
+		})
+	}
+	_, err := Changed(root, []Edit{{"missing", "x", "y"}})
+	require.ErrorIs(t, err, os.ErrNotExist)
+}
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -59,6 +60,8 @@
 	// queue is how many requests wait at an upstream itself. One that comes when
 	// all slots and the queue are taken has its connection reset.
 	queue int
+	// perZone is the number of upstreams of a zone. Default: upstreamsPerZone.
+	perZone int
 	// recorded replaces the rate, the upstreams and the kinds of requests by those
 	// of a day.
 	recorded *recordedService
@@ -134,7 +137,7 @@
 		}
 	} else {
 		for z := range meshZones {
-			for range upstreamsPerZone {
+			for range cmp.Or(p.perZone, upstreamsPerZone) {
 				m.add(model.AvailabilityZone(rune('a'+z)), speeds(noise, p.noise, m.length))
 			}
 		}
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -11,21 +11,21 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/edits"
 )
 
 // mutant is the daemon with a deliberate fault. It shows that the checks see what
 // they are for.
 type mutant struct {
 	// edits replace text of source files; each must be there exactly once.
-	edits []edit
+	edits []edits.Edit
 	// plan is drawn by nobody: it holds the faults under which the mutant fails.
 	plan string
 	// want begins the violation.
 	want string
 }
 
-type edit struct{ file, old, new string }
-
 // Plans in which a kind of fault comes again and again.
 const (
 	headOfPlan = "soak 950 8 30000\n"
@@ -46,72 +46,72 @@
 
 var mutants = map[string]mutant{
 	"drained upstreams get requests": {
-		edits: []edit{{"platform/reports.go", `"draining": lifecycle.Draining}`, `"draining": lifecycle.Ready}`}},
+		edits: []edits.Edit{edits.New("platform/reports.go", `"draining": lifecycle.Draining}`, `"draining": lifecycle.Ready}`)},
 		plan:  drains, want: "drain",
 	},
 	"answers that belong to nobody are taken": {
-		edits: []edit{
-			{"hop/pool.go", "|| l.strayed || l.reader.Buffered() > 0", ""},
-			{"sidecar/run.go", "return r.ID == c.ID || r.ID == \"\" && (r.NotRun || r.Mistaken)", "return r.ID != \"\" || c.ID != \"\""},
+		edits: []edits.Edit{
+			edits.New("hop/pool.go", "|| l.strayed || l.reader.Buffered() > 0", ""),
+			edits.New("sidecar/run.go", "return r.ID == c.ID || r.ID == \"\" && (r.NotRun || r.Mistaken)", "return r.ID != \"\" || c.ID != \"\""),
 		},
 		plan: doubles, want: "mixed",
 	},
 	"an unknown end is followed by another send": {
-		edits: []edit{{"sidecar/forward.go", "if a.Outcome.Kind == outcome.Unknown && !r.req.route.Idempotent {", "if a.Outcome.Kind > outcome.Unknown+9 {"}},
+		edits: []edits.Edit{edits.New("sidecar/forward.go", "if a.Outcome.Kind == outcome.Unknown && !r.req.route.Idempotent {", "if a.Outcome.Kind > outcome.Unknown+9 {")},
 		plan:  allLose, want: "twice",
 	},
 	"a lost run counts as not run": {
-		edits: []edit{{"sidecar/run.go", "case !lost.Sent:", "case lost != nil:"}},
+		edits: []edits.Edit{edits.New("sidecar/run.go", "case !lost.Sent:", "case lost != nil:")},
 		plan:  allLose, want: "twice",
 	},
 	"re-sends know no budget": {
-		edits: []edit{{"sidecar/resends.go", "	if !s.resends.take(now, 1, daemons, started) {\n		return nil\n	}\n", "	if daemons > 0 {\n		return &resend{service: s}\n	}\n"}},
+		edits: []edits.Edit{edits.New("sidecar/resends.go", "	if !s.resends.take(now, 1, daemons, started) {\n		return nil\n	}\n", "	if daemons > 0 {\n		return &resend{service: s}\n	}\n")},
 		plan:  failures, want: "budget",
 	},
 	"a stop cuts what runs": {
-		edits: []edit{{"sidecar/daemon.go", "end := began.Add(grace)", "end := began"}},
+		edits: []edits.Edit{edits.New("sidecar/daemon.go", "end := began.Add(grace)", "end := began")},
 		plan:  stops, want: "lost",
 	},
 	"answers that break off are delivered": {
-		edits: []edit{{"hop/exchange.go", "if _, err := io.Copy(&buf, io.LimitReader(resp.Body, maxReply+1)); err != nil {\n		return nil, err\n	}", "_, _ = io.Copy(&buf, io.LimitReader(resp.Body, maxReply+1))"}},
+		edits: []edits.Edit{edits.New("hop/exchange.go", "if _, err := io.Copy(&buf, io.LimitReader(resp.Body, maxReply+1)); err != nil {\n		return nil, err\n	}", "_, _ = io.Copy(&buf, io.LimitReader(resp.Body, maxReply+1))")},
 		plan:  cuts, want: "mixed",
 	},
 	"requests that crash upstreams are served": {
-		edits: []edit{{"sidecar/quarantine.go", "	if !s.store.Watching() {\n		return nil\n	}\n	left", "	if s.store != nil {\n		return nil\n	}\n	left"}},
+		edits: []edits.Edit{edits.New("sidecar/quarantine.go", "	if !s.store.Watching() {\n		return nil\n	}\n	left", "	if s.store != nil {\n		return nil\n	}\n	left")},
 		plan:  poisons, want: "poison",
 	},
 	"a reload ends the process": {
-		edits: []edit{{"platform/watch.go", "signal.Notify(hup, syscall.SIGHUP)", "signal.Notify(hup, syscall.SIGUSR1)"}},
+		edits: []edits.Edit{edits.New("platform/watch.go", "signal.Notify(hup, syscall.SIGHUP)", "signal.Notify(hup, syscall.SIGUSR1)")},
 		plan:  reloads, want: "ended",
 	},
 	"a refusal tells no time to come back": {
-		edits: []edit{{"sidecar/entry.go", "if a.Outcome.RetryAfter > 0 {", "if a.Outcome.RetryAfter < 0 {"}},
+		edits: []edits.Edit{edits.New("sidecar/entry.go", "if a.Outcome.RetryAfter > 0 {", "if a.Outcome.RetryAfter < 0 {")},
 		plan:  sheds, want: "advice",
 	},
 	"new versions are not read": {
-		edits: []edit{{"platform/source.go", "	s.next = next\n	take(records, f)\n", "	s.next = next\n	take(records[:0], f)\n"}},
+		edits: []edits.Edit{edits.New("platform/source.go", "	s.next = next\n	take(records, f)\n", "	s.next = next\n	take(records[:0], f)\n")},
 		plan:  versions, want: "late",
 	},
 	"another daemon at the address proves what the one before did": {
-		edits: []edit{{"sidecar/messages.go", "if q.life != p.d.peers.self().Incarnation {", "if q.life == 0 {"}},
+		edits: []edits.Edit{edits.New("sidecar/messages.go", "if q.life != p.d.peers.self().Incarnation {", "if q.life == 0 {")},
 		plan:  replaced, want: "twice",
 	},
 	"attempts are forgotten before their time": {
-		edits: []edit{
-			{"sidecar/attempts.go", "a.until = t.now().Add(provenFor(deadline))", "a.until = t.now()"},
-			{"sidecar/attempts.go", "return a.answer != nil || a.barred && !early", "return true"},
+		edits: []edits.Edit{
+			edits.New("sidecar/attempts.go", "a.until = t.now().Add(provenFor(deadline))", "a.until = t.now()"),
+			edits.New("sidecar/attempts.go", "return a.answer != nil || a.barred && !early", "return true"),
 		},
 		plan: silences, want: "twice",
 	},
 	"slots that are not told at the start stay unknown": {
-		edits: []edit{
-			{"sidecar/guard.go", "if v != lifecycle.Started && v != lifecycle.Changed {", "if v != lifecycle.Started {"},
-			{"sidecar/probe.go", "report.Slots = g.slots(report.Incarnation)", "report.Slots = 1"},
+		edits: []edits.Edit{
+			edits.New("sidecar/guard.go", "if v != lifecycle.Started && v != lifecycle.Changed {", "if v != lifecycle.Started {"),
+			edits.New("sidecar/probe.go", "report.Slots = g.slots(report.Incarnation)", "report.Slots = 1"),
 		},
 		plan: untold, want: "recovery",
 	},
 	"only the caller's daemon is named": {
-		edits: []edit{{"sidecar/run.go", "Caller: c.Caller, Upstream: c.Upstream.ID", "Caller: c.Service + \"x\", Upstream: c.Upstream.ID"}},
+		edits: []edits.Edit{edits.New("sidecar/run.go", "Caller: c.Caller, Upstream: c.Upstream.ID", "Caller: c.Service + \"x\", Upstream: c.Upstream.ID")},
 		plan:  sheds, want: "caller",
 	},
 }
@@ -134,20 +134,14 @@
 func overlay(t *testing.T, m mutant) string {
 	t.Helper()
 	dir := t.TempDir()
+	changed, err := edits.Changed(root, m.edits)
+	require.NoError(t, err)
 	replaced := map[string]string{}
-	for i, e := range m.edits {
-		original, err := filepath.Abs(filepath.Join(root, e.file))
-		require.NoError(t, err)
-		from := original
-		if edited := replaced[original]; edited != "" {
-			from = edited
-		}
-		source, err := os.ReadFile(from)
+	for file, text := range changed {
+		original, err := filepath.Abs(filepath.Join(root, file))
 		require.NoError(t, err)
-		require.Equal(t, 1, strings.Count(string(source), e.old), "%s: %q", e.file, e.old)
-		edited := filepath.Join(dir, string(rune('a'+i))+".go")
-		require.NoError(t, os.WriteFile(edited, []byte(strings.Replace(string(source), e.old, e.new, 1)), 0o600))
-		replaced[original] = edited
+		replaced[original] = filepath.Join(dir, strings.ReplaceAll(file, "/", "_"))
+		require.NoError(t, os.WriteFile(replaced[original], []byte(text), 0o600))
 	}
 	text, err := json.Marshal(map[string]any{"Replace": replaced})
 	require.NoError(t, err)
