--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -61,7 +61,7 @@
 	c.lost = append(c.lost, r)
 	c.mu.Unlock()
 	if !c.listening() {
-		c.end(r.upstream)
+		c.name(c.take(r.upstream, lastBurst))
 	}
 }
 
@@ -98,17 +98,40 @@
 	}
 }
 
-// end takes in that an incarnation has crashed, and names the runs of its crash.
-func (c *crashes) end(i lifecycle.Incarnation) {
-	for _, r := range c.take(i) {
+// end takes in that an incarnation has crashed, and names the runs of its crash: the
+// upstream was gone for longer than between any loss before and the next answer.
+func (c *crashes) end(i lifecycle.Incarnation) { c.name(c.take(i, longestBurst)) }
+
+func (c *crashes) name(ran []lostRun) {
+	for _, r := range ran {
 		c.crashed(r)
 	}
 }
 
-// take takes out the runs of an incarnation. It returns those that were lost one soon after
-// the other, without an answer in between, before the longest time without one: the
-// upstream was gone then.
-func (c *crashes) take(i lifecycle.Incarnation) []lostRun {
+// burst is runs that were lost one soon after the other, without an answer in between.
+type burst struct {
+	runs []lostRun
+	// silent is the time from the first loss until the upstream is known to have answered.
+	silent time.Duration
+}
+
+// lastBurst returns the burst of an upstream that is gone now.
+func lastBurst(all []burst) burst { return all[len(all)-1] }
+
+// longestBurst returns the burst of an upstream that was gone and is back: the last one of
+// those with the longest time without an answer.
+func longestBurst(all []burst) burst {
+	longest := all[0]
+	for _, b := range all[1:] {
+		if b.silent >= longest.silent {
+			longest = b
+		}
+	}
+	return longest
+}
+
+// take takes out the runs of an incarnation, and returns those of the burst that is picked.
+func (c *crashes) take(i lifecycle.Incarnation, pick func([]burst) burst) []lostRun {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var of, kept []lostRun
@@ -120,24 +143,23 @@
 		}
 	}
 	c.lost = kept
-	var ran []lostRun
-	var longest time.Duration
+	var all []burst
 	for len(of) > 0 {
-		burst, until := c.burst(of)
-		if silent := until.Sub(burst[0].at); silent >= longest {
-			ran, longest = burst, silent
-		}
-		of = of[len(burst):]
+		b := c.burst(of)
+		all = append(all, b)
+		of = of[len(b.runs):]
 	}
 	if len(kept) == 0 {
 		c.answered = nil
 	}
-	return ran
+	if len(all) == 0 {
+		return nil
+	}
+	return pick(all).runs
 }
 
-// burst returns the first of the runs that were lost together, and until when the upstream
-// is not known to have answered. c.mu is held.
-func (c *crashes) burst(of []lostRun) ([]lostRun, model.Instant) {
+// burst returns the first burst of lost runs. c.mu is held.
+func (c *crashes) burst(of []lostRun) burst {
 	until := c.now()
 	for _, at := range c.answered {
 		if at > of[0].at {
@@ -154,5 +176,5 @@
 		// been gone from those on only.
 		until = of[n-1].at
 	}
-	return of[:n], until
+	return burst{runs: of[:n], silent: until.Sub(of[0].at)}
 }
--- a/sidecar/quarantine_test.go
+++ b/sidecar/quarantine_test.go
@@ -175,6 +175,31 @@
 	}
 }
 
+// TestCrashNamesWhatIsLostNow has an upstream lose answers, each followed by one that comes
+// through, and then crash: nothing listens any longer, and only what runs then is named.
+func TestCrashNamesWhatIsLostNow(t *testing.T) {
+	var now model.Instant
+	var named []string
+	up := newUpstream(t, "u")
+	c := &crashes{
+		address: up.address(), now: func() model.Instant { return now },
+		crashed: func(r lostRun) { named = append(named, r.id) },
+	}
+	for range 5 {
+		now = now.Add(time.Second)
+		c.lose(lostRun{id: "answer lost", upstream: life(1)})
+		now = now.Add(2 * answerSlack)
+		c.answer()
+	}
+	now = now.Add(time.Second)
+	up.server.Close()
+	c.lose(lostRun{id: "crashed", upstream: life(1)})
+	now = now.Add(time.Millisecond)
+	c.lose(lostRun{id: "beside", upstream: life(1)})
+	c.end(life(1))
+	require.Equal(t, []string{"crashed", "beside"}, named)
+}
+
 func TestLostRunsAreBounded(t *testing.T) {
 	up := newUpstream(t, "u")
 	c := &crashes{address: up.address(), now: func() model.Instant { return 0 }, crashed: func(lostRun) {}}
