--- a/sidecar/compare.go
+++ b/sidecar/compare.go
@@ -10,6 +10,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/gossip"
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/interval"
 )
 
 const (
@@ -42,21 +43,14 @@
 func (c *comparer) String() string { return "comparer" }
 
 // Serve compares until the context ends.
-func (c *comparer) Serve(ctx context.Context) error {
-	tick := time.NewTicker(compareTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		if !c.due() {
-			continue
-		}
-		if m, ok := c.d.follower.targets.Partner(c.d.peers.members()); ok {
-			c.send(m.Address, compareOpens, c.d.peers.digest())
-		}
+func (c *comparer) Serve(ctx context.Context) error { return interval.Run(ctx, compareTick, c.tick) }
+
+func (c *comparer) tick() {
+	if !c.due() {
+		return
+	}
+	if m, ok := c.d.follower.targets.Partner(c.d.peers.members()); ok {
+		c.send(m.Address, compareOpens, c.d.peers.digest())
 	}
 }
 
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -58,7 +58,7 @@
 func (f *follower) Serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go f.tend(ctx)
+	go f.takeTurns(ctx)
 	return f.d.opts.Source.Follow(ctx, f)
 }
 
@@ -102,8 +102,8 @@
 	f.roster.Heard(f.d.now(), address, reaches)
 }
 
-// tend has this daemon watch the store when it is its turn.
-func (f *follower) tend(ctx context.Context) {
+// takeTurns has this daemon watch the store when it is its turn.
+func (f *follower) takeTurns(ctx context.Context) {
 	select {
 	case <-f.d.peers.listed:
 	case <-time.After(listedWait):
@@ -112,7 +112,7 @@
 	tick := time.NewTicker(rosterTick)
 	defer tick.Stop()
 	for ctx.Err() == nil {
-		beat, ask := f.look()
+		beat, ask := f.decide()
 		if beat {
 			f.beat()
 		}
@@ -126,9 +126,9 @@
 	}
 }
 
-// look decides whether this daemon watches, and reports whether a heartbeat is due and
+// decide decides whether this daemon watches, and reports whether a heartbeat is due and
 // whether another daemon is to be asked.
-func (f *follower) look() (beat, ask bool) {
+func (f *follower) decide() (beat, ask bool) {
 	now := f.d.now()
 	zone, zones, generation := f.d.peers.neighbours(f.generation)
 	f.mu.Lock()
