--- a/quarantine/gossip_test.go
+++ b/quarantine/gossip_test.go
@@ -34,9 +34,10 @@
 
 type meshDaemon struct {
 	*Gossip
-	name string
-	zone model.AvailabilityZone
-	sent int
+	name   string
+	zone   model.AvailabilityZone
+	sent   int
+	others []gossip.Member
 }
 
 type parcel struct {
@@ -68,21 +69,27 @@
 		}),
 		Targets: gossip.Targets{Zone: d.zone, Draw: m.rng.IntN},
 		Limit:   meshLimit,
-		Members: func() []gossip.Member {
-			var out []gossip.Member
-			for _, o := range m.daemons {
-				if o != d {
-					out = append(out, gossip.Member{Address: o.name, Zone: o.zone})
-				}
-			}
-			return out
-		},
-		Send: func(to string, message []byte) { m.send(d, m.byName[to], message) },
+		Members: func() []gossip.Member { return m.others(d) },
+		Send:    func(to string, message []byte) { m.send(d, m.byName[to], message) },
 	}
 	m.daemons = append(m.daemons, d)
 	m.byName[d.name] = d
 }
 
+// others returns all daemons but one.
+func (m *mesh) others(d *meshDaemon) []gossip.Member {
+	if len(d.others) == len(m.daemons)-1 {
+		return d.others
+	}
+	d.others = nil
+	for _, o := range m.daemons {
+		if o != d {
+			d.others = append(d.others, gossip.Member{Address: o.name, Zone: o.zone})
+		}
+	}
+	return d.others
+}
+
 func (m *mesh) send(from, to *meshDaemon, message []byte) {
 	from.sent += len(message)
 	m.sent += len(message)
