Judge a request by its oldest deaths

Cause: today's exchange of suspects keeps four deaths of a request in one order, and kept the newest.

Now the oldest four since the request was cleared, which is one order as well. TestKillerThatGoesOnIsRefused failed first.

--- a/core/quarantine/codec.go
+++ b/core/quarantine/codec.go
@@ -103,9 +103,10 @@
 	return r
 }
 
-// settleOrder brings the deaths into an order that does not depend on which became
-// known first, and keeps the newest.
+// settleOrder brings the deaths into an order that does not depend on which became known
+// first, and keeps the oldest: a request that goes on crashing upstreams must not put off
+// the time at which its deaths have settled.
 func (r *Record) settleOrder() {
 	slices.SortFunc(r.Deaths, Suspicion.compare)
-	r.Deaths = r.Deaths[max(len(r.Deaths)-maxDeaths, 0):]
+	r.Deaths = r.Deaths[:min(len(r.Deaths), maxDeaths)]
 }
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -96,7 +96,7 @@
 	Caller      model.CallerName  `json:"caller"`
 	// Request is method and target, cut to a bounded length.
 	Request string `json:"request"`
-	// Deaths are the newest deaths that the request ran in.
+	// Deaths are the oldest deaths that the request ran in since it was cleared.
 	Deaths []Suspicion `json:"deaths,omitempty"`
 	// Cleared is when the request was last answered in full or released, in
 	// Unix milliseconds. Deaths up to then do not count.
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -237,9 +237,9 @@
 	return changed
 }
 
-// remembers reports whether a death is among the newest of the request.
+// remembers reports whether a death is among the oldest that count.
 func (r *Record) remembers(d Suspicion) bool {
-	return len(r.Deaths) < maxDeaths || d.compare(slices.MinFunc(r.Deaths, Suspicion.compare)) > 0
+	return len(r.Deaths) < maxDeaths || d.compare(slices.MaxFunc(r.Deaths, Suspicion.compare)) < 0
 }
 
 func (t *Table) add(now int64, in Record) *Record {
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -59,6 +59,20 @@
 	require.False(t, refused(table, 62_000, "/kill"), "for a bounded time")
 }
 
+// TestKillerThatGoesOnIsRefused has a request crash one upstream after the other, faster than
+// its deaths settle.
+func TestKillerThatGoesOnIsRefused(t *testing.T) {
+	table := newTable()
+	const every, crashes = 100, 30
+	for i := range crashes {
+		now := int64(1000 + i*every)
+		table.Died(now, Of(request("/kill")), request("/kill"), death(i))
+		table.Settle(now)
+	}
+	require.True(t, refused(table, 1000+(maxDeaths-1)*every+settle.Milliseconds()+every, "/kill"))
+	require.EqualValues(t, 1000+(maxDeaths-1)*every, table.List()[0].Condemned, "by its first deaths")
+}
+
 func TestAnsweredBystanderIsCleared(t *testing.T) {
 	table := newTable()
 	die(table, 1000, 1, "/kill", "/popular")
