The test of loopback networks takes addresses of its own process

Ruled out: a fault of Claim or Listen; both are unchanged. What the test asserted it asserts still: claims differ and lie in their range, and all networks in use is told.

--- a/loopback/loopback_test.go
+++ b/loopback/loopback_test.go
@@ -1,16 +1,18 @@
 package loopback
 
 import (
+	"fmt"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 )
 
-// TestClaimsDiffer claims as many networks as there are.
+// TestClaimsDiffer claims several of many networks.
 func TestClaimsDiffer(t *testing.T) {
-	const first, nets = 250, 4
+	const first, nets, claimed = 200, 54, 4
 	seen := map[int]bool{}
-	for range nets {
+	for range claimed {
 		n, err := Claim(first, nets)
 		require.NoError(t, err)
 		require.False(t, seen[n])
@@ -18,6 +20,26 @@
 		require.Less(t, n, first+nets)
 		seen[n] = true
 	}
-	_, err := Claim(first, nets)
+}
+
+// TestNetworksRunOut takes as many networks as there are, at addresses of this process: the
+// same test may run beside.
+func TestNetworksRunOut(t *testing.T) {
+	const first, nets, hosts = 250, 4, 250
+	pid := os.Getpid()
+	address := func(n int) string {
+		return fmt.Sprintf("127.%d.%d.%d:%d", first+n, pid/hosts%hosts, 1+pid%hosts, claimPort)
+	}
+	seen := map[int]bool{}
+	for range nets {
+		ln, n, err := Listen(uint64(pid), nets, address)
+		require.NoError(t, err)
+		defer func() { _ = ln.Close() }()
+		require.False(t, seen[n])
+		require.GreaterOrEqual(t, n, 0)
+		require.Less(t, n, nets)
+		seen[n] = true
+	}
+	_, _, err := Listen(uint64(pid), nets, address)
 	require.ErrorIs(t, err, ErrNoNet)
 }
