--- a/core/gossip/targets.go
+++ b/core/gossip/targets.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "github.com/dottereltiller/dottereltiller/core/model"
+import (
+	"slices"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
 
 const (
 	// fanOut is how many daemons are told of news by each that learns of it. It
@@ -94,11 +98,7 @@
 
 func appendNew(out, more []Member) []Member {
 	for _, m := range more {
-		known := false
-		for _, o := range out {
-			known = known || o == m
-		}
-		if !known {
+		if !slices.Contains(out, m) {
 			out = append(out, m)
 		}
 	}
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -42,7 +42,7 @@
 type Table struct {
 	opts    Options
 	records map[Fingerprint]*Record
-	// changed are the records that have changed since News returned them.
+	// changed are the records that have changed since Told was called for them.
 	changed map[Fingerprint]struct{}
 	// version rises with every change.
 	version uint64
--- a/sidecar/compare.go
+++ b/sidecar/compare.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/binary"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,7 +89,8 @@
 	if len(body) != 1+buckets*bucketBytes {
 		return
 	}
-	own := c.d.peers.digest()
+	records := c.d.peers.known()
+	own := digestOf(records)
 	var differ []int
 	for i, sum := range own {
 		if sum != binary.BigEndian.Uint32(body[1+i*bucketBytes:]) {
@@ -100,11 +103,9 @@
 	if body[0] == compareOpens {
 		c.send(from, compareAnswers, own)
 	}
-	for len(differ) > maxBuckets {
-		i := drawInt(len(differ))
-		differ = append(differ[:i], differ[i+1:]...)
-	}
-	for _, b := range packRecords(c.d.peers.inBuckets(differ)) {
+	rand.Shuffle(len(differ), func(i, j int) { differ[i], differ[j] = differ[j], differ[i] })
+	differ = differ[:min(len(differ), maxBuckets)]
+	for _, b := range packRecords(inBuckets(records, differ)) {
 		c.d.datagrams.notify(kindRecords, from, b)
 	}
 }
@@ -125,10 +126,12 @@
 }
 
 // digest describes all records, the own one among them.
-func (p *peers) digest() digest {
+func (p *peers) digest() digest { return digestOf(p.known()) }
+
+func digestOf(records []Record) digest {
 	var d digest
-	for _, r := range p.known() {
-		if r.compared() {
+	for i := range records {
+		if r := &records[i]; r.compared() {
 			d[bucketOf(r.Address)] ^= r.sum()
 		}
 	}
@@ -136,15 +139,11 @@
 }
 
 // inBuckets returns the records of some parts.
-func (p *peers) inBuckets(wanted []int) []Record {
-	var in [buckets]bool
-	for _, i := range wanted {
-		in[i] = true
-	}
+func inBuckets(records []Record, wanted []int) []Record {
 	var out []Record
-	for _, r := range p.known() {
-		if r.compared() && in[bucketOf(r.Address)] {
-			out = append(out, r)
+	for i := range records {
+		if r := &records[i]; r.compared() && slices.Contains(wanted, bucketOf(r.Address)) {
+			out = append(out, *r)
 		}
 	}
 	return out
--- a/why/lost.go
+++ b/why/lost.go
@@ -1,6 +1,7 @@
 package why
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -63,10 +64,7 @@
 		out.Requests = append(out.Requests, lossOf(id, of))
 	}
 	slices.SortFunc(out.Requests, func(a, b Loss) int {
-		if c := a.Time.Compare(b.Time); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Request, b.Request)
+		return cmp.Or(a.Time.Compare(b.Time), strings.Compare(a.Request, b.Request))
 	})
 	return out
 }
@@ -80,22 +78,26 @@
 	return kind == decision.Failed || kind == decision.RunFailed && l.Get("outcome") == "unknown"
 }
 
+// mayHaveRun reports whether the upstream of a line may have run its request.
+func mayHaveRun(l *Line) bool {
+	switch decision.Kind(l.Kind) {
+	case decision.Ran, decision.Answered, decision.Failed:
+		return true
+	case decision.RunFailed:
+		return l.Get("outcome") != "not-run"
+	default:
+		return false
+	}
+}
+
 // lossOf joins the lines of a request, in order of time.
 func lossOf(id string, lines []*Line) Loss {
 	loss := Loss{Request: id, Time: lines[0].Time}
 	answered, refused := false, false
-	ran := func(l *Line) {
-		if up := upstreamOf(l.Get("upstream")); up != "" && !slices.Contains(loss.Upstreams, up) {
-			loss.Upstreams = append(loss.Upstreams, up)
-		}
-	}
 	for _, l := range lines {
 		kind := decision.Kind(l.Kind)
-		switch {
-		case kind == decision.Ran, kind == decision.RunFailed && l.Get("outcome") != "not-run":
-			ran(l)
-		case kind == decision.Answered, kind == decision.Failed:
-			ran(l)
+		if up := upstreamOf(l.Get("upstream")); mayHaveRun(l) && up != "" && !slices.Contains(loss.Upstreams, up) {
+			loss.Upstreams = append(loss.Upstreams, up)
 		}
 		if isEnd(l.Kind) {
 			loss.Entry, loss.Told = l.Daemon, l.Get("status")
