The test of a lost listener uses an address that no other process takes

Cause: TestAServerThatLosesItsListenerListensAnew closed a listener on an ephemeral port and expected the server to have it back at the first restart. Another process may take the port in between; the restarts then go on and their number never is 1.

Ruled out: the server. It listened anew each time, and waited when it couldn't. The assertions are unchanged.

The claim of a network for tests stood in two packages; it is loopback.Own now.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dottereltiller/dottereltiller/core/invariant"
+	"github.com/dottereltiller/dottereltiller/loopback"
 	"github.com/dottereltiller/dottereltiller/settings"
 )
 
@@ -102,8 +104,20 @@
 	require.EqualError(t, <-done, `callers: broken invariant "n": d`)
 }
 
+// ownAddress returns a loopback address that no other process uses. An ephemeral port may
+// be taken by another between its release and the next time that it is listened on.
+func ownAddress(t *testing.T) string {
+	t.Helper()
+	const port = 7000
+	claimed, err := loopback.Own()
+	require.NoError(t, err)
+	return fmt.Sprintf("127.%d.0.1:%d", claimed, port)
+}
+
 func TestAServerThatLosesItsListenerListensAnew(t *testing.T) {
-	d, _ := startDaemon(t, testSettings())
+	s := testSettings()
+	s.Listen.Callers = ownAddress(t)
+	d, _ := startDaemon(t, s)
 	admin := "http://" + d.AdminAddress()
 	code, _ := get(t, "http://"+d.CallerAddress()+"/")
 	require.Equal(t, http.StatusServiceUnavailable, code)
--- a/loopback/loopback.go
+++ b/loopback/loopback.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 )
 
@@ -47,3 +48,10 @@
 	claims = append(claims, ln)
 	return first + n, nil
 }
+
+// Own returns N of the network 127.N.0.0/16 of this process, claimed once from those that
+// tests share. The error is that of Listen.
+var Own = sync.OnceValues(func() (int, error) {
+	const first, nets = 20, 80
+	return Claim(first, nets)
+})
--- a/loopback/loopback_test.go
+++ b/loopback/loopback_test.go
@@ -43,3 +43,12 @@
 	_, _, err := Listen(uint64(pid), nets, address)
 	require.ErrorIs(t, err, ErrNoNet)
 }
+
+// TestOwnNetworkStays asks twice.
+func TestOwnNetworkStays(t *testing.T) {
+	first, err := Own()
+	require.NoError(t, err)
+	again, err := Own()
+	require.NoError(t, err)
+	require.Equal(t, first, again)
+}
--- a/proctest/cluster_test.go
+++ b/proctest/cluster_test.go
@@ -66,12 +66,6 @@
 	renewer              sync.WaitGroup
 }
 
-// claimedNet returns the second part of the addresses of this process.
-var claimedNet = sync.OnceValues(func() (int, error) {
-	const firstNet, nets = 60, 40
-	return loopback.Claim(firstNet, nets)
-})
-
 func startCluster(t testing.TB, services map[string]int) *cluster {
 	t.Helper()
 	if testing.Short() {
@@ -80,7 +74,7 @@
 	c := &cluster{t: t, log: &recordlog.Memory{}}
 	c.startLog()
 	binary := buildDaemon(t)
-	octet, err := claimedNet()
+	octet, err := loopback.Own()
 	require.NoError(t, err)
 	n := 0
 	for _, service := range []string{"returdesk", "sporarkiv"} {
--- a/sidecar/addresses_test.go
+++ b/sidecar/addresses_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -13,18 +12,12 @@
 
 var lastHost atomic.Int64
 
-// claimedNet returns the second part of the addresses of this process.
-var claimedNet = sync.OnceValues(func() (int, error) {
-	const firstNet, nets = 20, 40
-	return loopback.Claim(firstNet, nets)
-})
-
 // freePort returns an address that nobody listens on: a loopback address of this
 // process's own, so that no ephemeral port is in the way.
 func freePort(t *testing.T) string {
 	t.Helper()
 	const hosts, port = 250, 7000
-	claimed, err := claimedNet()
+	claimed, err := loopback.Own()
 	require.NoError(t, err)
 	n := lastHost.Add(1)
 	return fmt.Sprintf("127.%d.%d.%d:%d", claimed, n/hosts, 1+n%hosts, port)
