Hand on a large configuration as its difference from the version held

A daemon keeps its newest four documents and answers one that tells which it has with a Zstandard frame whose dictionary is that document (226, RFC 3229). The frame names the document it starts from by hash and has a checksum; a daemon that holds another one under the same version notes it and fetches the whole. Up to 32 KB documents travel whole: making a delta takes 3.2 ms and 3 MB for a moment.

Ruled out: common prefix and suffix (the version stands first, so all in between would travel); compress/flate with a dictionary (its window is 32 KB); a format of our own.

--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -15,7 +15,6 @@
 // inForce is a configuration in force.
 type inForce struct {
 	table *route.Table
-	raw   []byte
 	since time.Time
 }
 
@@ -26,6 +25,7 @@
 	source    Source
 	decisions *decision.Log
 	current   atomic.Pointer[inForce]
+	versions  versions
 	// mu orders changes. changed is closed and replaced at each, and guarded by it.
 	mu       sync.Mutex
 	onChange []func(*route.Table)
@@ -43,13 +43,6 @@
 	return nil
 }
 
-func (c *configuration) raw() []byte {
-	if f := c.current.Load(); f != nil {
-		return f.raw
-	}
-	return nil
-}
-
 // age returns for how long the configuration has been in force. Zero means none.
 func (c *configuration) age() time.Duration {
 	if f := c.current.Load(); f != nil {
@@ -87,7 +80,8 @@
 	if doc.Version <= previous {
 		return true
 	}
-	c.current.Store(&inForce{table: table, raw: raw, since: time.Now()})
+	c.versions.add(doc.Version, raw)
+	c.current.Store(&inForce{table: table, since: time.Now()})
 	c.decisions.Write(decision.ConfigInForce, "", slog.Uint64("version", uint64(doc.Version)),
 		slog.Uint64("previous", uint64(previous)), slog.Int("routes", table.Routes()), slog.String("from", from))
 	for _, f := range c.onChange {
@@ -156,7 +150,7 @@
 		if pool == nil {
 			return
 		}
-		raw, err := fetchConfig(context.Background(), pool)
+		raw, err := d.config.fetch(context.Background(), pool, address)
 		if err != nil {
 			d.peers.missed(address, err)
 			return
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -69,9 +69,7 @@
 
 // askPeer asks another daemon within syncTimeout and returns the body of its answer.
 func askPeer(ctx context.Context, pool *hop.Pool, method, path string, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	r, err := pool.Do(ctx, hop.Exchange{Method: method, Target: path, Host: peerHost, Header: http.Header{}, Body: body})
+	r, err := exchangePeer(ctx, pool, method, path, body)
 	if err != nil {
 		return nil, err
 	}
@@ -103,8 +101,12 @@
 // peerHost is the Host of messages between daemons, which none looks at.
 const peerHost = "-"
 
-func fetchConfig(ctx context.Context, pool *hop.Pool) ([]byte, error) {
-	return askPeer(ctx, pool, http.MethodGet, pathConfig, nil)
+// exchangePeer asks another daemon within syncTimeout and returns its answer, whatever its
+// status. The error is a *hop.LostError.
+func exchangePeer(ctx context.Context, pool *hop.Pool, method, path string, body []byte) (*hop.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	return pool.Do(ctx, hop.Exchange{Method: method, Target: path, Host: peerHost, Header: http.Header{}, Body: body})
 }
 
 // settleQuestion asks a guard what became of an attempt.
@@ -226,7 +228,7 @@
 	case pathSettle:
 		p.settle(w, r)
 	case pathConfig:
-		p.config(w)
+		p.config(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -311,12 +313,3 @@
 	}
 	writeMessage(w, reply)
 }
-
-func (p peerHandler) config(w http.ResponseWriter) {
-	raw := p.d.config.raw()
-	if raw == nil {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	_, _ = w.Write(raw)
-}
--- /dev/null
+++ b/sidecar/versions.go
@@ -0,0 +1,159 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/delta"
+	"github.com/dottereltiller/dottereltiller/hop"
+)
+
+const (
+	// keptVersions is how many documents are kept for deltas, the one in force among
+	// them.
+	keptVersions = 4
+	// smallDocument is the size in bytes up to which documents travel whole: a delta
+	// costs the processor more than it saves on the way.
+	smallDocument = 32 << 10
+	// maxDocument bounds a document that comes as a delta, in bytes.
+	maxDocument = 16 << 20
+	// haveParameter tells which version the sender of a question has.
+	haveParameter = "have"
+)
+
+// heldDocument is a version of the configuration as it was read.
+type heldDocument struct {
+	version model.Version
+	raw     []byte
+	// deltas are those from earlier documents to this one that were asked for.
+	deltas map[model.Version][]byte
+}
+
+// versions keeps the newest documents, so that daemons that hold an earlier one get the
+// difference. The zero value is empty. It is safe for concurrent use.
+type versions struct {
+	mu sync.Mutex
+	// held are in rising order of version.
+	held []heldDocument
+}
+
+// add takes in a document that has come into force.
+func (v *versions) add(version model.Version, raw []byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if n := len(v.held); n > 0 {
+		v.held[n-1].deltas = nil
+	}
+	v.held = append(v.held, heldDocument{version: version, raw: raw, deltas: make(map[model.Version][]byte)})
+	if len(v.held) > keptVersions {
+		v.held = slices.Delete(v.held, 0, 1)
+	}
+}
+
+// newest returns the document in force, or nil.
+func (v *versions) newest() []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.held) == 0 {
+		return nil
+	}
+	return v.held[len(v.held)-1].raw
+}
+
+// of returns the document of a version, or nil when it is not kept.
+func (v *versions) of(version model.Version) []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.find(version)
+}
+
+// find is of with v.mu held.
+func (v *versions) find(version model.Version) []byte {
+	for _, h := range v.held {
+		if h.version == version {
+			return h.raw
+		}
+	}
+	return nil
+}
+
+// since returns the delta from a version to the document in force. It reports false where
+// the whole document is to be sent.
+func (v *versions) since(version model.Version) ([]byte, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	base := v.find(version)
+	if base == nil {
+		return nil, false
+	}
+	newest := &v.held[len(v.held)-1]
+	if len(newest.raw) <= smallDocument {
+		return nil, false
+	}
+	d, ok := newest.deltas[version]
+	if !ok {
+		var err error
+		if d, err = delta.Of(base, newest.raw); err != nil {
+			return nil, false
+		}
+		newest.deltas[version] = d
+	}
+	return d, len(d) < len(newest.raw)
+}
+
+// fetch returns the document that a daemon has in force. Where the daemon keeps the one in
+// force here, only the difference travels. The error is a *hop.LostError or a *StatusError.
+func (c *configuration) fetch(ctx context.Context, pool *hop.Pool, from string) ([]byte, error) {
+	have := c.version()
+	base := c.versions.of(have)
+	if base == nil {
+		return askPeer(ctx, pool, http.MethodGet, pathConfig, nil)
+	}
+	query := url.Values{haveParameter: {strconv.FormatUint(uint64(have), 10)}}
+	path := pathConfig + "?" + query.Encode()
+	r, err := exchangePeer(ctx, pool, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	switch r.Status {
+	case http.StatusOK:
+		return r.Body, nil
+	case http.StatusIMUsed:
+	default:
+		return nil, &StatusError{Path: path, Status: r.Status}
+	}
+	raw, err := delta.Apply(base, r.Body, maxDocument)
+	if err != nil {
+		// The daemon holds another document under the same version.
+		c.decisions.Write(decision.ConfigRefused, "", slog.Uint64("version", uint64(have)),
+			slog.Uint64("in_force", uint64(have)), slog.String("from", from), slog.String("error", err.Error()))
+		return askPeer(ctx, pool, http.MethodGet, pathConfig, nil)
+	}
+	return raw, nil
+}
+
+// config answers with the document in force, or with the delta from the version that the
+// sender has.
+func (p peerHandler) config(w http.ResponseWriter, r *http.Request) {
+	held := &p.d.config.versions
+	if have, err := strconv.ParseUint(r.URL.Query().Get(haveParameter), 10, 64); err == nil {
+		if d, ok := held.since(model.Version(have)); ok {
+			w.WriteHeader(http.StatusIMUsed)
+			_, _ = w.Write(d)
+			return
+		}
+	}
+	raw := held.newest()
+	if raw == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(raw)
+}
--- /dev/null
+++ b/sidecar/versions_test.go
@@ -0,0 +1,113 @@
+package sidecar
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/hop"
+)
+
+// longDocument returns a document of some hundred kilobytes in which the version and one
+// route differ.
+func longDocument(version int) []byte {
+	const routes = 2000
+	var b strings.Builder
+	fmt.Fprintf(&b, "version %d\n", version)
+	for i := range routes {
+		fmt.Fprintf(&b, "route-%d /path/%x service-%d\n", i, i*2654435761, i*31%77)
+		if i == version {
+			fmt.Fprintf(&b, "changed in %d\n", version)
+		}
+	}
+	return []byte(b.String())
+}
+
+// versionSource reads the documents of longDocument.
+type versionSource struct{ Source }
+
+func (versionSource) Decode(raw []byte) (route.Document, error) {
+	var v model.Version
+	_, err := fmt.Sscanf(string(raw), "version %d", &v)
+	return route.Document{Version: v, Routes: documentOf(1, "a").Routes}, err
+}
+
+// newVersions returns a configuration that had so many documents in force.
+func newVersions(newest int) *configuration {
+	c := newConfiguration(versionSource{}, nil)
+	for v := 1; v <= newest; v++ {
+		c.take(longDocument(v), "test")
+	}
+	return c
+}
+
+// serveVersions serves the documents of a configuration and counts the bytes sent.
+func serveVersions(t *testing.T, c *configuration, sent *int) *hop.Pool {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		peerHandler{&Daemon{config: c}}.config(rec, r)
+		*sent += rec.Body.Len()
+		w.WriteHeader(rec.Code)
+		_, _ = io.Copy(w, rec.Body)
+	}))
+	t.Cleanup(server.Close)
+	pool := hop.NewPool(server.Listener.Addr().String(), hop.PoolOptions{})
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+// TestVersionsTravelByDifference has a daemon fetch version 9.
+func TestVersionsTravelByDifference(t *testing.T) {
+	const newest, whole = 9, 60_000
+	for name, c := range map[string]struct {
+		have   int
+		other  bool
+		atMost int
+	}{
+		"one version behind":               {have: 8, atMost: 500},
+		"three versions behind":            {have: 6, atMost: 500},
+		"further than the other one keeps": {have: 5, atMost: 2 * whole},
+		"nothing in force":                 {have: 0, atMost: 2 * whole},
+		"another document of that version": {have: 8, other: true, atMost: 2*whole + 2000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent int
+			pool := serveVersions(t, newVersions(newest), &sent)
+			behind := newVersions(c.have)
+			if c.other {
+				behind = newVersions(0)
+				behind.take(append(longDocument(c.have), "something else\n"...), "test")
+			}
+			raw, err := behind.fetch(t.Context(), pool, "test")
+			require.NoError(t, err)
+			require.True(t, bytes.Equal(longDocument(newest), raw))
+			require.LessOrEqual(t, sent, c.atMost)
+		})
+	}
+}
+
+// TestSmallVersionsTravelWhole has no delta made of a document of a few bytes.
+func TestSmallVersionsTravelWhole(t *testing.T) {
+	var v versions
+	v.add(1, []byte("one"))
+	v.add(2, []byte("two"))
+	_, ok := v.since(1)
+	require.False(t, ok)
+	require.Equal(t, "two", string(v.newest()))
+}
+
+// TestKeptVersionsAreBounded brings many versions into force.
+func TestKeptVersionsAreBounded(t *testing.T) {
+	c := newVersions(100)
+	require.Len(t, c.versions.held, keptVersions)
+	require.NotNil(t, c.versions.of(100))
+	require.Nil(t, c.versions.of(100-keptVersions))
+}
