--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -115,6 +115,7 @@
 	if len(b) < headBytes {
 		return
 	}
+	a.d.metrics.traffic.received(b)
 	kind, id, version := b[0], binary.BigEndian.Uint32(b[1:]), model.Version(binary.BigEndian.Uint64(b[5:]))
 	switch {
 	case kind == kindAsk && len(b) == askBytes:
@@ -161,10 +162,16 @@
 // notify sends a datagram that needs no answer. It may be lost.
 func (a *datagrams) notify(kind byte, address string, body []byte) {
 	if to, err := netip.ParseAddrPort(address); err == nil {
-		_, _ = a.conn.WriteToUDPAddrPort(append(a.head(kind, 0), body...), to)
+		a.transmit(append(a.head(kind, 0), body...), to)
 	}
 }
 
+// transmit sends a datagram. It may be lost, here as on the way.
+func (a *datagrams) transmit(b []byte, to netip.AddrPort) {
+	a.d.metrics.traffic.sent(b)
+	_, _ = a.conn.WriteToUDPAddrPort(b, to)
+}
+
 // head returns the beginning of a datagram.
 func (a *datagrams) head(kind byte, id uint32) []byte {
 	b := binary.BigEndian.AppendUint32(append(make([]byte, 0, loadBytes), kind), id)
@@ -187,7 +194,7 @@
 			a.d.relay.add(news)
 		}
 	}
-	_, _ = a.conn.WriteToUDPAddrPort(a.head(kindNoted, id), from)
+	a.transmit(a.head(kindNoted, id), from)
 }
 
 const (
@@ -214,7 +221,7 @@
 	for range tellTries {
 		id := a.expect(question{key: address, address: address, to: answers})
 		ids = append(ids, id)
-		_, _ = a.conn.WriteToUDPAddrPort(append(a.head(kindRecord, id), body...), to)
+		a.transmit(append(a.head(kindRecord, id), body...), to)
 		select {
 		case <-answers:
 			return true
--- a/sidecar/inquire.go
+++ b/sidecar/inquire.go
@@ -100,7 +100,7 @@
 	}
 	id := a.expect(question{key: up.Key, address: string(up.Daemon), to: answers, late: i.late})
 	*ids = append(*ids, id)
-	_, _ = a.conn.WriteToUDPAddrPort(i.of(up).appendTo(a.head(kindAsk, id)), to)
+	a.transmit(i.of(up).appendTo(a.head(kindAsk, id)), to)
 }
 
 func (a *datagrams) collect(answers <-chan heard, ids []uint32, got map[string]heard, i inquiry) {
@@ -141,7 +141,7 @@
 	if !ok {
 		return
 	}
-	_, _ = a.conn.WriteToUDPAddrPort(appendLoad(a.head(kindLoad, id), load), to)
+	a.transmit(appendLoad(a.head(kindLoad, id), load), to)
 }
 
 // loadFor returns the load as a request would find it, and whether the upstream is the
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -222,6 +222,7 @@
 		p.call(w, r, line)
 		return
 	}
+	w = p.d.metrics.traffic.message(w, r)
 	switch r.URL.Path {
 	case pathSync:
 		p.sync(w, r)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -20,6 +20,7 @@
 	denied    tally.Counter
 	settled   tally.Counter
 	outcomes  *telemetry.OutcomeCounter
+	traffic   *traffic
 
 	// latencies holds a histogram for each route, stages one for each stage of a
 	// request and each service.
@@ -56,6 +57,7 @@
 		denied:    scope.Counter("resend_budget_empty"),
 		settled:   scope.Counter("settled"),
 		outcomes:  telemetry.NewOutcomeCounter(scope, "requests"),
+		traffic:   newTraffic(scope),
 		latencies: newTimers(scope),
 		stages:    newTimers(scope),
 	}
--- a/sidecar/metrics_test.go
+++ b/sidecar/metrics_test.go
@@ -73,3 +73,35 @@
 	a.peers.missed(b.opts.Addresses.Peers, errStopped)
 	require.Positive(t, read("peers_lost_seconds"))
 }
+
+// TestControlIsCountedByKind reads how much daemons that nobody calls told each other.
+func TestControlIsCountedByKind(t *testing.T) {
+	s := newStore(documentOf(1, "a"))
+	a, b := join(t, s, "a", "a1"), join(t, s, "a", "a2")
+	a.knows(t, "a", 2)
+	b.knows(t, "a", 2)
+	sent := func(kind, direction string) int64 {
+		var n int64
+		for _, m := range []*member{a, b} {
+			for _, c := range m.scope.Snapshot().Counters() {
+				if c.Name() == "control_bytes" && c.Tags()["kind"] == kind && c.Tags()["direction"] == direction {
+					n += c.Value()
+				}
+			}
+		}
+		return n
+	}
+	require.Positive(t, sent("sync", "sent"))
+	require.Positive(t, sent("sync", "received"))
+	for _, kind := range []string{"heartbeat", "comparison"} {
+		eventually(t, kind, func() bool { return sent(kind, "sent") > 0 && sent(kind, "received") > 0 })
+	}
+	require.Zero(t, sent("load_question", "sent"))
+}
+
+// TestKindsOfDatagramsAreNamed has every kind that is received counted.
+func TestKindsOfDatagramsAreNamed(t *testing.T) {
+	for kind := byte(kindAsk); kind <= kindCompare; kind++ {
+		require.Contains(t, kindNames, kind)
+	}
+}
