Records travel packed, relays spare each other, comparisons bring what is new

Both relays of a zone sent each record to all of it; a comparison that found one of 32 parts to differ sent all records of four parts; a record is 200 B of JSON, most of it the same each time.

Ruled out: Protocol Buffers (strings are most of a record: about half is saved, and less when many travel together); one relay (a lost datagram would leave a zone to comparisons).

--- a/sidecar/compare.go
+++ b/sidecar/compare.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,18 +19,10 @@
 	// the address, and bucketBytes the length of a part's hash.
 	buckets     = 32
 	bucketBytes = 4
-	// maxBuckets bounds the parts whose records one comparison brings.
-	maxBuckets = 4
 	// compareTick is how often a daemon looks whether to compare.
 	compareTick = 500 * time.Millisecond
 )
 
-// The first byte of a comparison tells whether it begins one or answers.
-const (
-	compareOpens   = 0
-	compareAnswers = 1
-)
-
 // comparer compares the records of all daemons with one other at a time, so that whoever
 // has missed a change learns of it. It is a part of the daemon.
 type comparer struct {
@@ -52,7 +43,7 @@
 		return
 	}
 	if m, ok := c.d.follower.targets.Partner(c.d.peers.members()); ok {
-		c.send(m.Address, compareOpens, c.d.peers.digest())
+		c.d.datagrams.notify(kindCompare, m.Address, c.d.peers.digest().encode())
 	}
 }
 
@@ -75,46 +66,74 @@
 	c.pace.Changed()
 }
 
-func (c *comparer) send(address string, step byte, d digest) {
-	body := append(make([]byte, 0, 1+buckets*bucketBytes), step)
-	for _, sum := range d {
-		body = binary.BigEndian.AppendUint32(body, sum)
-	}
-	c.d.datagrams.notify(kindCompare, address, body)
-}
-
-// receive takes in a comparison and sends the records of parts that differ. Who began it
-// sends its own after the answer.
+// receive takes in the digest of another daemon, and tells it what records there are in
+// parts that differ.
 func (c *comparer) receive(from string, body []byte) {
-	if len(body) != 1+buckets*bucketBytes {
+	if len(body) != buckets*bucketBytes {
 		return
 	}
 	records := c.d.peers.known()
-	own := digestOf(records)
 	var differ []int
-	for i, sum := range own {
-		if sum != binary.BigEndian.Uint32(body[1+i*bucketBytes:]) {
+	for i, sum := range digestOf(records) {
+		if sum != binary.BigEndian.Uint32(body[i*bucketBytes:]) {
 			differ = append(differ, i)
 		}
 	}
 	if len(differ) == 0 {
 		return
 	}
-	if body[0] == compareOpens {
-		c.send(from, compareAnswers, own)
-	}
 	rand.Shuffle(len(differ), func(i, j int) { differ[i], differ[j] = differ[j], differ[i] })
-	differ = differ[:min(len(differ), maxBuckets)]
-	for _, b := range packRecords(inBuckets(records, differ)) {
-		c.d.datagrams.notify(kindRecords, from, b)
+	c.d.datagrams.notify(kindSummary, from, summaryOf(records, differ).encode())
+}
+
+// resolve takes in what records another daemon has, sends those that are newer here, and
+// wishes for those that are newer there.
+func (c *comparer) resolve(from string, body []byte) {
+	s, ok := decodeSummary(body)
+	if !ok {
+		return
+	}
+	newer, wishes := s.against(c.d.peers.known())
+	c.sendRecords(from, newer)
+	if len(wishes) > 0 {
+		c.d.datagrams.notify(kindWish, from, encodeWishes(wishes))
+	}
+}
+
+// grant sends the records that another daemon wishes for.
+func (c *comparer) grant(from string, body []byte) {
+	wished := decodeWishes(body)
+	var out []Record
+	for _, r := range c.d.peers.known() {
+		if wished[hashOf(r.Address)] {
+			out = append(out, r)
+		}
+	}
+	c.sendRecords(from, out)
+}
+
+func (c *comparer) sendRecords(to string, records []Record) {
+	for _, b := range packRecords(records) {
+		c.d.datagrams.notify(kindCompared, to, b)
 	}
 }
 
 // digest has a hash of the records of each part.
 type digest [buckets]uint32
 
+func (d digest) encode() []byte {
+	b := make([]byte, 0, buckets*bucketBytes)
+	for _, sum := range d {
+		b = binary.BigEndian.AppendUint32(b, sum)
+	}
+	return b
+}
+
 func bucketOf(address string) int { return int(xxhash.Sum64String(address) % buckets) }
 
+// hashOf stands for an address in summaries and wishes.
+func hashOf(address string) uint32 { return uint32(xxhash.Sum64String(address) >> 32) }
+
 // compared reports whether a record is compared: those of daemons that are gone for good
 // are dropped at different times.
 func (r *Record) compared() bool { return r.Sequence > 0 && !(r.Stopping && r.State == lifecycle.Gone) }
@@ -137,14 +156,3 @@
 	}
 	return d
 }
-
-// inBuckets returns the records of some parts.
-func inBuckets(records []Record, wanted []int) []Record {
-	var out []Record
-	for i := range records {
-		if r := &records[i]; r.compared() && slices.Contains(wanted, bucketOf(r.Address)) {
-			out = append(out, *r)
-		}
-	}
-	return out
-}
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/netip"
@@ -24,7 +23,7 @@
 // configuration in force, so that a daemon that cannot hear of a newer one from the
 // store learns of it. kindAsk is followed by the rank and the kind of the request and a
 // number that stands for the upstream, kindLoad by the load as it would find it,
-// kindRecord by the record in JSON, kindNoted by nothing, kindNews by the address where
+// kindRecord by a packed record, kindNoted by nothing, kindNews by the address where
 // a new version can be had.
 type datagrams struct {
 	d    *Daemon
@@ -63,10 +62,14 @@
 	// kindHeartbeat comes from a daemon that watches the store. It is followed by a one
 	// where that reaches the store, else a zero, and by the daemon's address.
 	kindHeartbeat = 7
-	// kindRecords carries records that need no answer, of the daemons of other zones or
-	// after a comparison, which is a kindCompare.
+	// kindRecords carries records of the daemons of other zones, which need no answer.
 	kindRecords = 8
-	kindCompare = 9
+	// kindCompare carries a digest of all records, kindSummary which ones there are where
+	// digests differ, kindWish asks for some of them, and kindCompared brings some.
+	kindCompare  = 9
+	kindSummary  = 10
+	kindWish     = 11
+	kindCompared = 12
 	// headBytes is the length of what all begin with; askBytes and loadBytes are
 	// the lengths of whole datagrams.
 	headBytes = 13
@@ -133,16 +136,29 @@
 		a.d.follower.heard(address, b[headBytes] == 1)
 		a.d.behind(address, version)
 	case kind == kindRecords:
-		if news := a.d.peers.merge(unpackRecords(b[headBytes:])); len(news) > 0 {
-			a.d.comparer.wake()
-		}
+		records := unpackRecords(b[headBytes:])
+		a.d.relay.relayed(records)
+		a.learn(records)
+	case kind == kindCompared:
+		a.learn(unpackRecords(b[headBytes:]))
 	case kind == kindCompare:
 		a.d.comparer.receive(from.String(), b[headBytes:])
+	case kind == kindSummary:
+		a.d.comparer.resolve(from.String(), b[headBytes:])
+	case kind == kindWish:
+		a.d.comparer.grant(from.String(), b[headBytes:])
 	case kind == kindSuspects:
 		a.d.suspects.gossip.Receive(from.String(), b[headBytes:])
 	}
 }
 
+// learn takes in records. News may be news to others as well, who are asked soon.
+func (a *datagrams) learn(records []Record) {
+	if news := a.d.peers.merge(records); len(news) > 0 {
+		a.d.comparer.wake()
+	}
+}
+
 // spread tells some daemons of the configuration in force.
 func (a *datagrams) spread() {
 	for _, m := range a.d.follower.targets.Push(a.d.peers.members(), false) {
@@ -182,10 +198,11 @@
 // known gets no answer, so that its daemon, whose clock was set back, finds out
 // over a connection.
 func (a *datagrams) note(id uint32, b []byte, from netip.AddrPort) {
-	var r Record
-	if json.Unmarshal(b, &r) != nil || r.Address == "" {
+	told := unpackRecords(b)
+	if len(told) != 1 || told[0].Address == "" {
 		return
 	}
+	r := told[0]
 	if held, ok := a.d.peers.of(r.Address); ok && held.newer(&r) {
 		return
 	}
@@ -211,8 +228,8 @@
 	if err != nil {
 		return false
 	}
-	body, err := json.Marshal(r)
-	if err != nil || len(body) > maxDatagram-headBytes {
+	bodies := packRecords([]Record{r})
+	if len(bodies) != 1 {
 		return false
 	}
 	answers := make(chan heard, tellTries)
@@ -221,7 +238,7 @@
 	for range tellTries {
 		id := a.expect(question{key: address, address: address, to: answers})
 		ids = append(ids, id)
-		a.transmit(append(a.head(kindRecord, id), body...), to)
+		a.transmit(append(a.head(kindRecord, id), bodies[0]...), to)
 		select {
 		case <-answers:
 			return true
--- a/sidecar/metrics_test.go
+++ b/sidecar/metrics_test.go
@@ -101,7 +101,7 @@
 
 // TestKindsOfDatagramsAreNamed has every kind that is received counted.
 func TestKindsOfDatagramsAreNamed(t *testing.T) {
-	for kind := byte(kindAsk); kind <= kindCompare; kind++ {
+	for kind := byte(kindAsk); kind <= kindCompared; kind++ {
 		require.Contains(t, kindNames, kind)
 	}
 }
--- /dev/null
+++ b/sidecar/pack.go
@@ -0,0 +1,73 @@
+package sidecar
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"github.com/klauspost/compress/flate"
+)
+
+const (
+	// packRoom is the room for records in a datagram, in bytes.
+	packRoom = maxDatagram - headBytes
+	// maxUnpacked bounds the records of one datagram, in bytes of JSON.
+	maxUnpacked = 64 << 10
+)
+
+// packDictionary is what records have in common, so that the first one of a datagram is
+// short as well.
+var packDictionary = []byte(`.example","d":[{"id":"i-","born":177,"x":true` +
+	`{"a":"10.0.0.1:7420","i":1770000000000,"n":1,"z":"","s":"","u":{"ID":"i-","Born":1770000000000},"st":2,"sl":6,"c":3000}`)
+
+// packRecords writes records, one JSON value after the other and compressed (RFC 1951),
+// into bodies of datagrams. A record that fits into none is left out: its daemon is asked
+// for it.
+func packRecords(records []Record) [][]byte {
+	if len(records) == 0 {
+		return nil
+	}
+	body, err := deflateRecords(records)
+	if err == nil && len(body) <= packRoom {
+		return [][]byte{body}
+	}
+	if len(records) == 1 {
+		return nil
+	}
+	half := len(records) / 2
+	return append(packRecords(records[:half]), packRecords(records[half:])...)
+}
+
+func deflateRecords(records []Record) ([]byte, error) {
+	var plain, out bytes.Buffer
+	e := json.NewEncoder(&plain)
+	for i := range records {
+		if err := e.Encode(&records[i]); err != nil {
+			return nil, err
+		}
+	}
+	err := flate.StatelessDeflate(&out, plain.Bytes(), true, packDictionary)
+	return out.Bytes(), err
+}
+
+// inflaters keeps readers of compressed records, which are large.
+var inflaters = sync.Pool{New: func() any { return flate.NewReaderDict(bytes.NewReader(nil), packDictionary) }}
+
+// unpackRecords reads what packRecords wrote, up to what cannot be read.
+func unpackRecords(body []byte) []Record {
+	r := inflaters.Get().(io.Reader)
+	defer inflaters.Put(r)
+	if r.(flate.Resetter).Reset(bytes.NewReader(body), packDictionary) != nil {
+		return nil
+	}
+	var out []Record
+	d := json.NewDecoder(io.LimitReader(r, maxUnpacked))
+	for {
+		var rec Record
+		if d.Decode(&rec) != nil {
+			return out
+		}
+		out = append(out, rec)
+	}
+}
--- /dev/null
+++ b/sidecar/pack_test.go
@@ -0,0 +1,88 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+// recordsOf returns records such as those of a deployment with two services in five zones.
+func recordsOf(n int) []Record {
+	out := make([]Record, n)
+	for i := range out {
+		out[i] = Record{
+			Address:     fmt.Sprintf("10.%d.0.%d:7420", 1+i%5, 10+i/5),
+			Incarnation: 1772588904000 + int64(i*7919%3000), Sequence: uint64(2 + i%4),
+			Zone: model.AvailabilityZone(fmt.Sprint("odense-hal-", i%5)), Service: model.ServiceName(fmt.Sprint("dahu75", i%2)),
+			Upstream: lifecycle.Incarnation{ID: model.UpstreamID(fmt.Sprintf("i-%010x", i*2654435761)), Born: 1772588901000 + int64(i*104729%3000)},
+			State:    lifecycle.Ready, Slots: 6,
+		}
+	}
+	return out
+}
+
+// TestRecordsTravelCompressed bounds the bytes of records that travel together, and those
+// of a single one, against their JSON.
+func TestRecordsTravelCompressed(t *testing.T) {
+	for name, c := range map[string]struct {
+		records int
+		share   float64
+	}{
+		"one":               {1, 0.62},
+		"nine of a part":    {9, 0.50},
+		"sixty of a zone":   {60, 0.45},
+		"all three hundred": {300, 0.45},
+	} {
+		t.Run(name, func(t *testing.T) {
+			records := recordsOf(c.records)
+			plain, packed := 0, 0
+			for i := range records {
+				b, err := json.Marshal(&records[i])
+				require.NoError(t, err)
+				plain += len(b)
+			}
+			var got []Record
+			for _, body := range packRecords(records) {
+				require.LessOrEqual(t, len(body), packRoom)
+				packed += len(body)
+				got = append(got, unpackRecords(body)...)
+			}
+			require.Equal(t, records, got)
+			require.LessOrEqual(t, float64(packed), c.share*float64(plain), "%d of %d bytes", packed, plain)
+		})
+	}
+}
+
+// TestRecordsThatFitNoDatagram are left out, and only they.
+func TestRecordsThatFitNoDatagram(t *testing.T) {
+	records := recordsOf(20)
+	var noise strings.Builder
+	for i := range 1000 {
+		fmt.Fprintf(&noise, "%x", i*2654435761)
+	}
+	records[7].Service = model.ServiceName(noise.String())
+	var got []Record
+	for _, body := range packRecords(records) {
+		got = append(got, unpackRecords(body)...)
+	}
+	require.Len(t, got, len(records)-1)
+	require.Empty(t, packRecords(nil))
+}
+
+// TestRecordsThatCannotBeRead takes in whatever arrives.
+func TestRecordsThatCannotBeRead(t *testing.T) {
+	body := packRecords(recordsOf(5))[0]
+	rapid.Check(t, func(t *rapid.T) {
+		received := append([]byte(nil), body...)
+		received[rapid.IntRange(0, len(body)-1).Draw(t, "at")] ^= byte(rapid.IntRange(1, 255).Draw(t, "flipped"))
+		unpackRecords(received[:rapid.IntRange(0, len(body)).Draw(t, "length")])
+	})
+	require.Equal(t, recordsOf(5), unpackRecords(body))
+}
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -37,12 +37,7 @@
 }
 
 // newer reports whether r wins over old.
-func (r *Record) newer(old *Record) bool {
-	if r.Incarnation != old.Incarnation {
-		return r.Incarnation > old.Incarnation
-	}
-	return r.Sequence > old.Sequence
-}
+func (r *Record) newer(old *Record) bool { return stampOf(r).newer(stampOf(old)) }
 
 // maxTold bounds the departed incarnations in a record.
 const maxTold = 8
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -1,14 +1,18 @@
 package sidecar
 
 import (
-	"bytes"
-	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
-// relayAfter is how long a record waits for others that go the same way.
-const relayAfter = 30 * time.Millisecond
+const (
+	// relayAfter is how long a record waits for others that go the same way, and relaySpread
+	// how much longer at most, by chance: of the relays of a zone the first one to send a
+	// record spares the others that.
+	relayAfter  = 20 * time.Millisecond
+	relaySpread = 80 * time.Millisecond
+)
 
 // relay hands records of daemons of other zones on to the own one, several in a datagram.
 // What is lost on the way comes with the next comparison. It is safe for concurrent use.
@@ -27,11 +31,23 @@
 	defer r.mu.Unlock()
 	if r.pending == nil {
 		r.pending = make(map[string]Record)
-		time.AfterFunc(relayAfter, r.flush)
+		time.AfterFunc(relayAfter+rand.N(relaySpread), r.flush)
 	}
 	r.pending[rec.Address] = rec
 }
 
+// relayed takes in records that another daemon of the zone has handed on.
+func (r *relay) relayed(records []Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range records {
+		rec := &records[i]
+		if held, ok := r.pending[rec.Address]; ok && !held.newer(rec) {
+			delete(r.pending, rec.Address)
+		}
+	}
+}
+
 func (r *relay) flush() {
 	r.mu.Lock()
 	pending := r.pending
@@ -48,39 +64,3 @@
 		}
 	}
 }
-
-// packRecords writes records, one JSON value after the other, into bodies of datagrams. A
-// record that fits into none is left out: its daemon is asked for it.
-func packRecords(records []Record) [][]byte {
-	const room = maxDatagram - headBytes
-	var out [][]byte
-	var body []byte
-	for i := range records {
-		b, err := json.Marshal(&records[i])
-		if err != nil || len(b) > room {
-			continue
-		}
-		if len(body)+len(b) > room {
-			out = append(out, body)
-			body = nil
-		}
-		body = append(body, b...)
-	}
-	if len(body) > 0 {
-		out = append(out, body)
-	}
-	return out
-}
-
-// unpackRecords reads what packRecords wrote, up to what cannot be read.
-func unpackRecords(body []byte) []Record {
-	var out []Record
-	d := json.NewDecoder(bytes.NewReader(body))
-	for {
-		var r Record
-		if d.Decode(&r) != nil {
-			return out
-		}
-		out = append(out, r)
-	}
-}
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -152,3 +154,33 @@
 	require.NotEqual(t, odd, b.peers.digest())
 	require.Empty(t, unpackRecords([]byte("{broken")))
 }
+
+// TestOneRelayIsEnough has another relay of the zone hand a record on first.
+func TestOneRelayIsEnough(t *testing.T) {
+	const seq = 5
+	for name, c := range map[string]struct {
+		relayed []Record
+		sent    int
+	}{
+		"none before":    {nil, 1},
+		"the same":       {[]Record{{Address: "far", Incarnation: 1, Sequence: seq}}, 0},
+		"a newer one":    {[]Record{{Address: "far", Incarnation: 1, Sequence: seq + 1}}, 0},
+		"an older one":   {[]Record{{Address: "far", Incarnation: 1, Sequence: seq - 1}}, 1},
+		"another record": {[]Record{{Address: "other", Incarnation: 1, Sequence: seq}}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sent := 0
+				r := &relay{
+					near: func() []string { return []string{"a"} },
+					send: func(string, []byte) { sent++ },
+				}
+				r.add(Record{Address: "far", Incarnation: 1, Sequence: seq})
+				r.relayed(c.relayed)
+				time.Sleep(relayAfter + relaySpread)
+				synctest.Wait()
+				require.Equal(t, c.sent, sent)
+			})
+		})
+	}
+}
--- a/sidecar/traffic.go
+++ b/sidecar/traffic.go
@@ -17,6 +17,9 @@
 	kindHeartbeat: "heartbeat",
 	kindRecords:   "records",
 	kindCompare:   "comparison",
+	kindSummary:   "summary",
+	kindWish:      "wish",
+	kindCompared:  "compared",
 }
 
 // pathNames name the messages by connection in metrics.
