A watcher tells its cell of a new version at once

Cause: a daemon that the pushes of a version missed waited for the watcher's next heartbeat, up to 400 ms. When a heartbeat is due is decided by the roster, in the model as in the daemon. A cell fetches over 100 ms what it has not got from elsewhere by then.

--- a/core/watch/fleet_test.go
+++ b/core/watch/fleet_test.go
@@ -54,7 +54,6 @@
 	reading     bool
 	hung        bool
 	pause       time.Duration
-	beaten      model.Instant
 	sent        int
 }
 
@@ -127,13 +126,14 @@
 	if !d.reading && now >= d.free {
 		d.call()
 	}
-	if d.beaten == 0 || now.Sub(d.beaten) >= HeartbeatEvery {
-		d.beat()
-	}
+	d.beat()
 }
 
+// beat sends a heartbeat if one is due.
 func (d *daemon) beat() {
-	d.beaten = d.f.now
+	if !d.roster.HeartbeatDue(d.f.now) {
+		return
+	}
 	reaches := d.roster.Reaches()
 	for _, other := range d.roster.Others() {
 		to := d.f.byName[other]
@@ -166,9 +166,8 @@
 }
 
 func (d *daemon) called(ok bool) {
-	if d.roster.Called(d.f.now, ok) {
-		d.beat()
-	}
+	d.roster.Called(d.f.now, ok)
+	d.beat()
 }
 
 // read looks whether a read that waits has come to its end.
@@ -194,6 +193,8 @@
 		return
 	}
 	d.version = version
+	d.roster.News()
+	d.beat()
 	var members []gossip.Member
 	for _, o := range d.f.daemons {
 		if o != d && !o.down {
--- a/core/watch/roster.go
+++ b/core/watch/roster.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// HeartbeatEvery is the time between two heartbeats of a watcher.
+	// HeartbeatEvery is the time between two heartbeats of a watcher that has no news.
 	HeartbeatEvery = 400 * time.Millisecond
 	// silence is how long a watcher that is not heard counts as one that watches.
 	silence = 3 * HeartbeatEvery
@@ -56,6 +56,8 @@
 	reaches    bool
 	triedSince model.Instant
 	yieldUntil model.Instant
+	// beaten is when the last heartbeat was sent. Zero means that the next one is due.
+	beaten model.Instant
 }
 
 // New returns the Roster of the daemon at an address, which starts now. Draw draws from 0
@@ -97,14 +99,29 @@
 	}
 }
 
-// Called takes in whether a call to the store succeeded. It reports whether that is news
-// for the others.
-func (r *Roster) Called(now model.Instant, ok bool) (news bool) {
+// Called takes in whether a call to the store succeeded. The others are told at once when
+// that has changed.
+func (r *Roster) Called(now model.Instant, ok bool) {
 	if r.reaches && !ok {
 		r.triedSince = now
 	}
-	news, r.reaches = ok != r.reaches, ok
-	return news
+	if ok != r.reaches {
+		r.reaches = ok
+		r.News()
+	}
+}
+
+// News has the next heartbeat due at once: there is a new version, or the store has come
+// or gone.
+func (r *Roster) News() { r.beaten = 0 }
+
+// HeartbeatDue reports whether to send a heartbeat now, and takes in that it is sent.
+func (r *Roster) HeartbeatDue(now model.Instant) bool {
+	if !r.watching || r.beaten != 0 && now.Sub(r.beaten) < HeartbeatEvery {
+		return false
+	}
+	r.beaten = now
+	return true
 }
 
 // Watching reports whether this daemon is to watch now. It is asked several times a
@@ -113,7 +130,7 @@
 	was := r.watching
 	r.watching = r.decide(now)
 	if r.watching && !was {
-		r.reaches, r.triedSince = false, now
+		r.reaches, r.triedSince, r.beaten = false, now, 0
 	}
 	return r.watching
 }
--- a/core/watch/roster_test.go
+++ b/core/watch/roster_test.go
@@ -72,6 +72,25 @@
 	}
 }
 
+// TestVersionsAreHandedOnAtOnce has versions published at different times between
+// heartbeats: none waits for the next one.
+func TestVersionsAreHandedOnAtOnce(t *testing.T) {
+	const (
+		versions = 20
+		pause    = 3 * time.Second / 7
+		// prompt is a read, a heartbeat, and a fetch with what is left of the way.
+		prompt = 5 * step
+	)
+	for _, n := range sizes {
+		f := newFleet(n)
+		f.pass(5 * time.Second)
+		for range versions {
+			f.pass(pause)
+			require.LessOrEqual(t, f.inForce(t), prompt, "%d daemons", n)
+		}
+	}
+}
+
 // TestReadsThatHang has the store answer nothing to whoever reads, and be well again.
 // Versions are in force in time once the reads from before have been given up.
 func TestReadsThatHang(t *testing.T) {
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,9 +123,21 @@
 	}
 }
 
-// farFetchDelay is how long a daemon leaves it to its own zone to bring a version that it
-// has heard of from another one.
-const farFetchDelay = 300 * time.Millisecond
+const (
+	// farFetchDelay is how long a daemon leaves it to its own zone to bring a version that
+	// it has heard of from another one.
+	farFetchDelay = 300 * time.Millisecond
+	// fetchSpread is the time over which a cell fetches a version from the watcher that
+	// has told all of it at once. Most have it from others before.
+	fetchSpread = 100 * time.Millisecond
+)
+
+// behindWatcher takes in that a watcher of the cell has a version of the configuration.
+func (d *Daemon) behindWatcher(address string, v model.Version) {
+	if v > d.config.version() {
+		time.AfterFunc(rand.N(fetchSpread), func() { d.fetch(address, v) })
+	}
+}
 
 // behind takes in that a daemon has a version of the configuration, and fetches it
 // from there if it is newer, once at a time.
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -153,7 +153,10 @@
 		return err
 	}
 	d.peers.tellByDatagram = d.datagrams.tell
-	d.config.onChange = append(d.config.onChange, func(*route.Table) { d.datagrams.spread() })
+	d.config.onChange = append(d.config.onChange, func(*route.Table) {
+		d.datagrams.spread()
+		d.follower.handOn()
+	})
 	return nil
 }
 
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -134,7 +134,7 @@
 	case kind == kindHeartbeat && len(b) > headBytes:
 		address := string(b[headBytes+1:])
 		a.d.follower.heard(address, b[headBytes] == 1)
-		a.d.behind(address, version)
+		a.d.behindWatcher(address, version)
 	case kind == kindRecords:
 		records := unpackRecords(b[headBytes:])
 		a.d.relay.relayed(records)
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -38,9 +38,8 @@
 	// watching is closed while this daemon watches the store.
 	watching chan struct{}
 	watches  bool
-	// beaten and asked are when the last heartbeat was sent and a daemon asked.
-	beaten model.Instant
-	asked  model.Instant
+	// asked is when a daemon was last asked.
+	asked model.Instant
 }
 
 func newFollower(d *Daemon) *follower {
@@ -81,11 +80,17 @@
 // Reachable implements Follower.
 func (f *follower) Reachable(ok bool) {
 	f.mu.Lock()
-	news := f.roster.Called(f.d.now(), ok)
+	f.roster.Called(f.d.now(), ok)
 	f.mu.Unlock()
-	if news {
-		f.beat()
-	}
+	f.beat()
+}
+
+// handOn tells the cell of a new version.
+func (f *follower) handOn() {
+	f.mu.Lock()
+	f.roster.News()
+	f.mu.Unlock()
+	f.beat()
 }
 
 // watchesStore reports whether this daemon watches the store.
@@ -112,10 +117,8 @@
 	tick := time.NewTicker(rosterTick)
 	defer tick.Stop()
 	for ctx.Err() == nil {
-		beat, ask := f.decide()
-		if beat {
-			f.beat()
-		}
+		ask := f.decide()
+		f.beat()
 		if ask {
 			go f.askOne(ctx)
 		}
@@ -126,9 +129,9 @@
 	}
 }
 
-// decide decides whether this daemon watches, and reports whether a heartbeat is due and
-// whether another daemon is to be asked.
-func (f *follower) decide() (beat, ask bool) {
+// decide decides whether this daemon watches, and reports whether another daemon is to be
+// asked.
+func (f *follower) decide() (ask bool) {
 	now := f.d.now()
 	zone, zones, generation := f.d.peers.neighbours(f.generation)
 	f.mu.Lock()
@@ -141,7 +144,6 @@
 	switch {
 	case watches && !f.watches:
 		close(f.watching)
-		f.beaten = 0
 	case !watches && f.watches:
 		f.watching = make(chan struct{})
 	}
@@ -149,14 +151,13 @@
 		f.watches = watches
 		f.d.opts.Decisions.Write(decision.StoreWatched, "", slog.Bool("watches", watches), slog.Int("cell", len(f.roster.Others())+1))
 	}
-	beat = watches && (f.beaten == 0 || now.Sub(f.beaten) >= watch.HeartbeatEvery)
 	blind := f.roster.Blind(now)
 	f.noteBlind(now, blind)
 	ask = blind && now.Sub(f.asked) >= askPeersEvery
 	if ask {
 		f.asked = now
 	}
-	return beat, ask
+	return ask
 }
 
 // noteBlind notes since when no daemon of the cell reaches the store.
@@ -168,12 +169,15 @@
 	f.d.sourceLost.CompareAndSwap(0, int64(now))
 }
 
-// beat sends a heartbeat to the cell.
+// beat sends a heartbeat to the cell if one is due.
 func (f *follower) beat() {
 	f.mu.Lock()
+	due := f.roster.HeartbeatDue(f.d.now())
 	reaches, others := f.roster.Reaches(), f.roster.Others()
-	f.beaten = f.d.now()
 	f.mu.Unlock()
+	if !due {
+		return
+	}
 	for _, address := range others {
 		f.d.datagrams.heartbeat(address, reaches)
 	}
