The soak bounds what daemons tell each other of suspects

Cause: nothing in the soak noticed whole tables of suspects sent each second, the fault that took most of the bytes between zones on the largest site. Its requests were all the same two, so that tables stayed small, and it did not look at bytes.

Requests now differ (2,000 of each kind), and each daemon's own control_bytes are held to 19 KB/s, what all control may take.

--- /dev/null
+++ b/soak/control.go
@@ -0,0 +1,75 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// suspectsRate bounds what a daemon sends to others of requests that may crash
+	// upstreams, in bytes a second: all that control may take in a deployment of 1,700
+	// daemons. suspectsBurst, in bytes, lets short lives begin with a comparison.
+	suspectsRate  = 19_000.0
+	suspectsBurst = 12 * 1400.0
+)
+
+// checkControl holds the daemons' own count of what they sent to the bound.
+func (w *world) checkControl(ctx context.Context) {
+	for _, m := range w.machines {
+		sent, err := readCounter(ctx, m.metricsURL(), "dottereltiller_control_bytes", `direction="sent"`, `kind="suspects"`)
+		if err != nil {
+			w.check.report("metrics: %s: %v", m.vm.Name, err)
+			continue
+		}
+		up := time.Since(m.startedAt())
+		if sent > suspectsBurst+suspectsRate*up.Seconds() {
+			w.check.report("control: %s sent %.0f bytes about suspects in %s", m.vm.Name, sent, up.Round(time.Second))
+		}
+	}
+}
+
+// readCounter reads one counter in the Prometheus text format. It is 0 where there is none.
+func readCounter(ctx context.Context, url, name string, labels ...string) (float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, deadline)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("%s: answered %d", url, resp.StatusCode)
+	}
+	return findCounter(resp.Body, name, labels)
+}
+
+func findCounter(r io.Reader, name string, labels []string) (float64, error) {
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		series, value, _ := strings.Cut(lines.Text(), " ")
+		if !strings.HasPrefix(series, name+"{") || !containsAll(series, labels) {
+			continue
+		}
+		return strconv.ParseFloat(value, 64)
+	}
+	return 0, lines.Err()
+}
+
+func containsAll(s string, parts []string) bool {
+	for _, p := range parts {
+		if !strings.Contains(s, p) {
+			return false
+		}
+	}
+	return true
+}
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -41,6 +41,7 @@
 	replaced   = headOfPlan + "4000 replace 2 dark 300\n4000 replace 4 dark 300\n10000 replace 6 dark 300\n14000 replace 2 dark 300\n"
 	silences   = headOfPlan + "4000 peers 2 silent 1000\n4000 peers 4 silent 1000\n8000 peers 6 silent 1000\n8000 peers 8 silent 1000\n12000 peers 2 silent 1000\n12000 peers 4 silent 1000\n"
 	untold     = headOfPlan + "500 upstream 0 untold 29000\n6000 herd 0 - 300\n"
+	killers    = headOfPlan + "2000 poison 0 - 300\n4000 poison 0 - 300\n6000 poison 0 - 300\n8000 poison 0 - 300\n10000 poison 0 - 300\n12000 poison 0 - 300\n"
 	versions   = headOfPlan + "3000 store 0 silent 3000\n9000 config 0 - 300\n13000 config 0 - 300\n17000 config 0 - 300\n"
 )
 
@@ -110,6 +111,14 @@
 		},
 		plan: untold, want: "recovery",
 	},
+	"the whole table of suspects is sent to everybody each second": {
+		edits: []edits.Edit{
+			edits.New("quarantine/gossip.go", "if m, ok := g.Targets.Partner(g.Members()); ok {", "for _, m := range g.Members() {"),
+			edits.New("quarantine/exchange.go", "return binary.BigEndian.AppendUint64([]byte{kindOpening}, s.sum())", "whole, _ := appendRecords([]byte{kindRecords}, s.table.List(), 64<<10)\n	return whole"),
+			edits.New("core/gossip/pace.go", "slowPause = 10 * time.Second", "slowPause = time.Second"),
+		},
+		plan: killers, want: "control",
+	},
 	"only the caller's daemon is named": {
 		edits: []edits.Edit{edits.New("sidecar/run.go", "Caller: c.Caller, Upstream: c.Upstream.ID", "Caller: c.Service + \"x\", Upstream: c.Upstream.ID")},
 		plan:  sheds, want: "caller",
--- a/soak/run.go
+++ b/soak/run.go
@@ -61,6 +61,8 @@
 	// beside.
 	oneInUnsafe = 3
 	oneInLong   = 40
+	// variety is how many different requests of each kind there are.
+	variety = 2000
 	// probeEvery is the time between two looks at which configuration is in force.
 	probeEvery = 250 * time.Millisecond
 )
@@ -107,6 +109,7 @@
 	if err := w.awaitService(ctx); err != nil {
 		return Result{}, err
 	}
+	w.checkControl(ctx)
 	w.stop()
 	w.check.budget()
 	return Result{Violations: w.check.found(), Requests: int(w.requests.Load()), Served: int(w.served.Load())}, ctx.Err()
@@ -277,12 +280,12 @@
 		return
 	}
 	n := w.requests.Add(1)
-	unsafe, path, left := n%oneInUnsafe == 0, "/safe/x", deadline
+	unsafe, path, left := n%oneInUnsafe == 0, fmt.Sprintf("/safe/x%d", n%variety), deadline
 	switch {
 	case n%oneInLong == 0:
 		unsafe, path, left = true, platformtest.LongPath+"x", longDeadline
 	case unsafe:
-		path = "/unsafe/x"
+		path = fmt.Sprintf("/unsafe/x%d", n%variety)
 	}
 	attempt := fmt.Sprintf("r%d", n)
 	w.check.send(attempt, m.service(), unsafe)
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -41,6 +41,8 @@
 	stopping bool
 	// stoppedAt is when the last signal to stop was sent.
 	stoppedAt time.Time
+	// started is when the process was started.
+	started time.Time
 	// killed is set once the process has been killed.
 	killed bool
 	// ended is set once no further process is to be started.
@@ -56,6 +58,7 @@
 // The ports of a VM, and those of the proxies before them.
 const (
 	portOutbound, portReady, portControl, portInternal, portUpstream = 8141, 8140, 8146, 7660, 8147
+	portMetrics                                                      = 9102
 	proxyPeers, proxyUpstream, proxyStore                            = 7760, 8247, 8342
 )
 
@@ -121,7 +124,7 @@
 		return err
 	}
 	m.mu.Lock()
-	m.process, m.stopping, m.killed = cmd, false, false
+	m.process, m.stopping, m.killed, m.started = cmd, false, false, time.Now()
 	m.life++
 	m.mu.Unlock()
 	go m.await(cmd)
@@ -150,6 +153,18 @@
 	}
 }
 
+// startedAt returns when the process was started last.
+func (m *machine) startedAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.started
+}
+
+// metricsURL is where the daemon serves its figures.
+func (m *machine) metricsURL() string {
+	return fmt.Sprintf("http://%s:%d/metrics", m.vm.IP, portMetrics)
+}
+
 // service returns the service that the VM belongs to.
 func (m *machine) service() string {
 	m.mu.Lock()
