Learn at how many concurrent runs upstreams get most done

Cause: a guard keeps to 0.8 of the slots, which is right for upstreams that slow down there and nowhere else.

A learner in each guard compares limits in turns (one in three for the one on trial) while requests wait: lower ones where runs may be slower near the limit than when few are under way, higher ones after 4 s. By chance one guard of a service tries, and its record tells the others.

--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -10,7 +10,6 @@
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
-	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/core/quarantine"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/hop"
@@ -67,6 +66,7 @@
 	}
 	g.mu.Lock()
 	g.countRun()
+	run := g.beginRun(g.now())
 	pool, running, life := g.pool, g.queue.Running(), g.tracker.Current().Incarnation
 	g.mu.Unlock()
 	began := g.now()
@@ -74,6 +74,7 @@
 	ran := g.now().Sub(began)
 	a := g.read(ctx, c, reading, reply, err)
 	a.Work = g.workOf(ran)
+	g.endRun(run, c, a)
 	g.metrics.stage(stageGuard, c.Service, waited)
 	g.metrics.stage(stageUpstream, c.Service, ran)
 	g.judge(ctx, a)
@@ -168,7 +169,7 @@
 		g.slow, g.slowAt, g.told = l.Slow, g.now(), true
 	}
 	if l.Slots > 0 {
-		g.queue.SetLimit(placement.LimitOf(l.Slots))
+		g.setSlots(l.Slots)
 	}
 }
 
