--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -31,7 +31,6 @@
 	UpstreamState   Kind = "upstream state"
 	UpstreamFailing Kind = "upstream failing"
 	UpstreamTrusted Kind = "upstream trusted"
-	LimitFound      Kind = "limit found"
 	ReportRefused   Kind = "report refused"
 	PeerState       Kind = "peer state"
 	PeerLost        Kind = "peer lost"
@@ -86,7 +85,6 @@
 		{UpstreamState, State, "The upstream of this VM changed its state.", []string{"upstream", "born", "sequence", "state", "cause"}},
 		{UpstreamFailing, State, "The upstream of this VM fails most requests, so that others are preferred.", []string{"upstream", "failing"}},
 		{UpstreamTrusted, State, "It no longer does.", []string{"upstream", "failing"}},
-		{LimitFound, State, "Upstreams of the service get most done with so many concurrent runs, as the runs here or another guard tell.", []string{"limit", "before", "slots", "from"}},
 		{ReportRefused, State, "A report of an upstream could not be used.", []string{"upstream", "error"}},
 		{PeerState, State, "The upstream of another daemon changed its state.", []string{"peer", "upstream", "born", "state", "stopping"}},
 		{PeerLost, State, "Another daemon could not be reached.", []string{"peer", "error"}},
--- a/replay/mesh_guard_test.go
+++ b/replay/mesh_guard_test.go
@@ -57,18 +57,6 @@
 }
 
 func (m *mesh) pump(n *meshNode) {
-	if n.learner != nil {
-		n.learner.Slow(m.now, n.slow)
-		before := n.learner.InUse()
-		n.queue.SetLimit(n.learner.Limit(m.now, n.queue.Waiting() > 0))
-		if now := n.learner.InUse(); now != before {
-			for _, o := range m.nodes {
-				if o != n {
-					o.learner.Adopt(now)
-				}
-			}
-		}
-	}
 	for {
 		d, ok := n.queue.Next(m.now, n.slow)
 		if !ok {
@@ -96,16 +84,6 @@
 		return
 	}
 	n.runs = append(n.runs, j)
-	if n.learner != nil {
-		j.run = n.learner.Begin(m.now)
-	}
-}
-
-// learnOf tells the learner of a guard that a run has ended.
-func (m *mesh) learnOf(n *meshNode, j *job, counts bool) {
-	if n.learner != nil {
-		n.learner.End(m.now, j.run, m.usual(j), counts)
-	}
 }
 
 // work lets an upstream work for a tick.
@@ -114,8 +92,8 @@
 	if n.coldUntil > m.now {
 		speed /= coldFactor
 	}
-	if float64(len(n.runs)) >= m.knee*float64(n.slots) {
-		speed /= m.kneeFactor
+	if float64(len(n.runs)) >= kneeShare*float64(n.slots) {
+		speed /= kneeFactor
 	}
 	kept := n.runs[:0]
 	for i, j := range n.runs {
@@ -128,7 +106,6 @@
 			continue
 		}
 		n.queue.Finish()
-		m.learnOf(n, j, true)
 		m.finish(j)
 	}
 	n.runs = kept
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/dottereltiller/dottereltiller/core/limit"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/core/slots"
@@ -26,9 +25,10 @@
 	// longer work takes beside one.
 	noiseEvery  = 300
 	noiseFactor = 4.0
-	// usualKnee is where most recorded upstreams slow down, and how much.
-	usualKnee       = 0.8
-	usualKneeFactor = 1.7
+	// kneeShare of the slots can be busy before all runs take kneeFactor times as
+	// long.
+	kneeShare  = 0.8
+	kneeFactor = 1.7
 	// coldTicks is how long an upstream is slow after its start, coldFactor how
 	// much.
 	coldTicks  = 3000
@@ -62,15 +62,6 @@
 	queue int
 	// perZone is the number of upstreams of a zone. Default: upstreamsPerZone.
 	perZone int
-	// knee is the share of the slots from which on all runs take kneeFactor times as
-	// long. Default: usualKnee and usualKneeFactor. Past 1 nothing slows down.
-	knee, kneeFactor float64
-	// limit is how many requests guards let run at once. Default: as the product has it.
-	limit int
-	// learns has guards learn the limit.
-	learns bool
-	// lasts is how many ticks the pattern lasts. Default: meshTicks.
-	lasts int
 	// recorded replaces the rate, the upstreams and the kinds of requests by those
 	// of a day.
 	recorded *recordedService
@@ -100,7 +91,6 @@
 	coldUntil model.Instant
 	// away is set while the upstream is not there.
 	away    bool
-	learner *limit.Learner
 	mine    map[*meshNode]int
 	runs    []*job
 	waiting map[uint64]*job
@@ -114,7 +104,6 @@
 	givenBack int
 	full      int
 	tried     map[string]bool
-	run       limit.Run
 }
 
 type mesh struct {
@@ -136,10 +125,9 @@
 }
 
 func newMesh(p pattern, how policy, seed uint64) *mesh {
-	p.knee, p.kneeFactor = cmp.Or(p.knee, usualKnee), cmp.Or(p.kneeFactor, usualKneeFactor)
 	m := &mesh{
 		pattern: p, policy: how, rng: rand.New(rand.NewPCG(seed, 0)), due: map[int][]func(){},
-		kinds: usualKinds(), length: cmp.Or(p.lasts, meshTicks),
+		kinds: usualKinds(), length: meshTicks,
 	}
 	noise := rand.New(rand.NewPCG(seed, 1))
 	if p.recorded != nil {
@@ -161,12 +149,9 @@
 func (m *mesh) add(zone model.AvailabilityZone, speeds []float64) {
 	n := &meshNode{
 		key: fmt.Sprint(zone, len(m.nodes)), zone: zone, speeds: speeds,
-		slots: m.slots, queue: slots.New(cmp.Or(m.limit, placement.LimitOf(m.slots))), slow: 1,
+		slots: m.slots, queue: slots.New(placement.LimitOf(m.slots)), slow: 1,
 		mine: map[*meshNode]int{}, waiting: map[uint64]*job{},
 	}
-	if m.learns {
-		n.learner = limit.NewLearner(m.slots, n.queue.Limit(), func() bool { return m.rng.IntN(len(m.nodes)) == 0 })
-	}
 	n.placer = placement.New(placement.Options{Zone: zone, Rand: m.rng.Float64})
 	m.nodes = append(m.nodes, n)
 }
@@ -270,7 +255,6 @@
 func (m *mesh) abandon(n *meshNode) {
 	for _, j := range n.runs {
 		n.queue.Finish()
-		m.learnOf(n, j, false)
 		m.done(j, n, nil)
 		m.turned++
 	}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -77,9 +76,6 @@
 	d.peers.version = d.config.version
 	d.peers.behind = d.behind
 	d.peers.restore = d.guard.restore
-	d.peers.hearFound = d.guard.hearFound
-	d.guard.mayTry = func() bool { return rand.IntN(d.peers.sharing()) == 0 }
-	d.guard.tellFound = func(f foundLimit) { d.peers.update(func(r *Record) { r.Found = f }) }
 	d.guard.slots = d.peers.slotsOf
 	d.follower = newFollower(d)
 	d.relay = &relay{near: d.peers.near, send: func(address string, b []byte) { d.datagrams.notify(kindRecords, address, b) }}
@@ -209,11 +205,9 @@
 // tellState tells the other daemons of the own upstream's state.
 func (d *Daemon) tellState() {
 	cur, departed := d.guard.current()
-	found := d.guard.newestFound()
 	d.peers.update(func(r *Record) {
 		r.Service, r.Upstream, r.State, r.Slots = cur.Service, cur.Incarnation, cur.State, cur.Slots
 		r.ColdMS = cur.ColdFor.Milliseconds()
-		r.Found = found
 		r.Departed = departed[max(len(departed)-maxTold, 0):]
 	})
 }
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
-	"github.com/dottereltiller/dottereltiller/core/limit"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
@@ -32,14 +31,10 @@
 	health  func() string
 	// slots returns how many slots an upstream has that does not tell, as far as others
 	// know. Zero means that nobody does.
-	slots  func(lifecycle.Incarnation) int
-	urgent func(rank int) bool
-	// mayTry draws whether this guard is to try other limits, of all of its service, and
-	// tellFound tells the others what it has found.
-	mayTry    func() bool
-	tellFound func(foundLimit)
-	service   model.ServiceName
-	metrics   *metrics
+	slots   func(lifecycle.Incarnation) int
+	urgent  func(rank int) bool
+	service model.ServiceName
+	metrics *metrics
 
 	mu      sync.Mutex
 	tracker lifecycle.Tracker
@@ -59,11 +54,6 @@
 	// their end.
 	suspected bool
 	probing   chan struct{}
-	// learner learns how many may run, from when the upstream is no longer slow after its
-	// start; it is nil until the slots are known. found is what it or another has found.
-	learner *limit.Learner
-	warmAt  model.Instant
-	found   foundLimit
 	// runs and calls count, of late, what the own upstream was sent and what it may
 	// have called at other services.
 	runs  float64
@@ -79,10 +69,9 @@
 func newGuard(o *Options, now func() model.Instant, m *metrics) *guard {
 	g := &guard{
 		opts: o, now: now, metrics: m, service: o.Service,
-		queue:   slots.New(1),
-		waiting: make(map[uint64]chan slots.Exit),
-		slow:    1,
-		mayTry:  func() bool { return true }, tellFound: func(foundLimit) {},
+		queue:    slots.New(1),
+		waiting:  make(map[uint64]chan slots.Exit),
+		slow:     1,
 		attempts: newAttempts(now),
 		crashes:  &crashes{address: o.Addresses.Upstream, now: now, crashed: func(lostRun) {}},
 	}
@@ -146,12 +135,10 @@
 	if v != lifecycle.Started && v != lifecycle.Changed {
 		return
 	}
-	cur := g.tracker.Current()
-	g.setSlots(cur.Slots)
+	g.queue.SetLimit(placement.LimitOf(g.tracker.Current().Slots))
 	if v != lifecycle.Started {
 		return
 	}
-	g.forgetRuns(cur.ColdFor)
 	g.pool.Close()
 	g.pool = g.newPool()
 	g.told, g.failing, g.suspected = false, placement.Failing{}, false
@@ -169,9 +156,6 @@
 func (g *guard) setService(s model.ServiceName) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s != g.service {
-		g.found, g.learner = foundLimit{}, nil
-	}
 	g.service = s
 }
 
@@ -335,7 +319,6 @@
 		g.giveAllBack()
 		return
 	}
-	g.limitNow(now)
 	slow := g.slowNow()
 	for {
 		d, ok := g.queue.Next(now, slow)
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -41,19 +41,6 @@
 	return daemons, float64(started) / float64(daemons)
 }
 
-// sharing returns how many daemons have upstreams of the own service, this one included.
-func (p *peers) sharing() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 1
-	for _, q := range p.all {
-		if q.record.Service == p.own.Service && !q.lost {
-			n++
-		}
-	}
-	return n
-}
-
 // members returns the daemons that are not lost.
 func (p *peers) members() []gossip.Member {
 	p.mu.Lock()
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -34,8 +34,6 @@
 	// Departed are the last incarnations beside it that left, so that a daemon
 	// that starts anew learns of them from the others.
 	Departed []lifecycle.Incarnation `json:"d,omitempty"`
-	// Found is the newest limit known of the service's upstreams.
-	Found foundLimit `json:"f,omitzero"`
 }
 
 // newer reports whether r wins over old.
@@ -109,8 +107,6 @@
 	met      func(address string)
 	// restore is told what others remember of the upstreams of this VM.
 	restore func([]lifecycle.Incarnation)
-	// hearFound is told what others of the own service have found.
-	hearFound func(f foundLimit, from string)
 
 	// draw draws from 0 to 1.
 	draw func() float64
@@ -270,9 +266,6 @@
 	}
 	q.coldUntil = p.now().Add(time.Duration(r.ColdMS) * time.Millisecond)
 	p.generation++
-	if r.Found.At > 0 && r.Service == p.own.Service && p.hearFound != nil {
-		go p.hearFound(r.Found, r.Address)
-	}
 	if restarted {
 		// Its memory of this daemon is gone, and so are the old connections.
 		q.pool.Close()
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -10,6 +10,7 @@
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/core/quarantine"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/hop"
@@ -66,7 +67,6 @@
 	}
 	g.mu.Lock()
 	g.countRun()
-	run := g.beginRun(g.now())
 	pool, running, life := g.pool, g.queue.Running(), g.tracker.Current().Incarnation
 	g.mu.Unlock()
 	began := g.now()
@@ -74,7 +74,6 @@
 	ran := g.now().Sub(began)
 	a := g.read(ctx, c, reading, reply, err)
 	a.Work = g.workOf(ran)
-	g.endRun(run, c, a)
 	g.metrics.stage(stageGuard, c.Service, waited)
 	g.metrics.stage(stageUpstream, c.Service, ran)
 	g.judge(ctx, a)
@@ -169,7 +168,7 @@
 		g.slow, g.slowAt, g.told = l.Slow, g.now(), true
 	}
 	if l.Slots > 0 {
-		g.setSlots(l.Slots)
+		g.queue.SetLimit(placement.LimitOf(l.Slots))
 	}
 }
 
