--- a/sidecar/addresses_test.go
+++ b/sidecar/addresses_test.go
@@ -14,7 +14,7 @@
 
 // freePort returns an address that nobody listens on: a loopback address of this
 // process's own, so that no ephemeral port is in the way.
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 	const hosts, port = 250, 7000
 	claimed, err := loopback.Own()
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -24,7 +24,7 @@
 // waitLimit bounds the wait for a condition.
 const waitLimit = 20 * time.Second
 
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	require.Eventually(t, ok, waitLimit, 2*time.Millisecond, what)
 }
@@ -203,7 +203,7 @@
 	health int
 }
 
-func newUpstream(t *testing.T, id string) *upstream {
+func newUpstream(t testing.TB, id string) *upstream {
 	u := &upstream{id: id}
 	u.server = httptest.NewServer(u)
 	t.Cleanup(u.server.Close)
@@ -276,7 +276,7 @@
 	stop   func()
 }
 
-func optionsFor(t *testing.T, s *store, up *upstream, service model.ServiceName) Options {
+func optionsFor(t testing.TB, s *store, up *upstream, service model.ServiceName) Options {
 	return Options{
 		Addresses: Addresses{
 			Callers: freePort(t), Peers: freePort(t), Control: freePort(t), Ready: freePort(t), Upstream: up.address(),
@@ -290,7 +290,7 @@
 }
 
 // join starts a daemon and reports its upstream as ready.
-func join(t *testing.T, s *store, service model.ServiceName, id string) *member {
+func join(t testing.TB, s *store, service model.ServiceName, id string) *member {
 	t.Helper()
 	up := newUpstream(t, id)
 	m := start(t, optionsFor(t, s, up, service), s)
@@ -306,7 +306,7 @@
 	}
 }
 
-func start(t *testing.T, o Options, s *store) *member {
+func start(t testing.TB, o Options, s *store) *member {
 	t.Helper()
 	m := &member{source: &source{s: s}, scope: tally.NewTestScope("", nil)}
 	o.Source, o.Scope = m.source, m.scope
--- /dev/null
+++ b/sidecar/rest_test.go
@@ -0,0 +1,53 @@
+package sidecar
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// processorTime returns what this process has used.
+func processorTime(b *testing.B) time.Duration {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+// controlSent returns the bytes that daemons have sent each other besides calls.
+func controlSent(all []*member) int64 {
+	var n int64
+	for _, m := range all {
+		for _, c := range m.scope.Snapshot().Counters() {
+			if c.Name() == "control_bytes" && c.Tags()["direction"] == "sent" {
+				n += c.Value()
+			}
+		}
+	}
+	return n
+}
+
+// BenchmarkRest measures what daemons that nobody calls spend on each other, once their
+// start is over.
+func BenchmarkRest(b *testing.B) {
+	const settle, span = 8 * time.Second, 10 * time.Second
+	for _, daemons := range []int{10, 40} {
+		b.Run(fmt.Sprint(daemons, " daemons"), func(b *testing.B) {
+			s := newStore(documentOf(1, "a"))
+			var all []*member
+			for i := range daemons {
+				all = append(all, join(b, s, "a", fmt.Sprint("a", i)))
+			}
+			time.Sleep(settle)
+			for b.Loop() {
+				cpu, sent := processorTime(b), controlSent(all)
+				time.Sleep(span)
+				each := span.Seconds() * float64(daemons)
+				b.ReportMetric(100*(processorTime(b)-cpu).Seconds()/each, "%core/daemon")
+				b.ReportMetric(float64(controlSent(all)-sent)/each, "B/s/daemon")
+			}
+		})
+	}
+}
