--- a/sidecar/compare.go
+++ b/sidecar/compare.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// buckets is how many parts the records of all daemons are compared in, by a hash of
-	// the address, and bucketBytes the length of a part's hash.
+	// buckets is how many the records of all daemons are compared in, by a hash of the
+	// address, and bucketBytes the length of a bucket's hash.
 	buckets     = 32
 	bucketBytes = 4
 	// compareTick is how often a daemon looks whether to compare.
@@ -67,7 +67,7 @@
 }
 
 // receive takes in the digest of another daemon, and tells it what records there are in
-// parts that differ.
+// buckets that differ.
 func (c *comparer) receive(from string, body []byte) {
 	if len(body) != buckets*bucketBytes {
 		return
@@ -118,7 +118,7 @@
 	}
 }
 
-// digest has a hash of the records of each part.
+// digest has a hash of the records of each bucket.
 type digest [buckets]uint32
 
 func (d digest) encode() []byte {
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -114,51 +114,6 @@
 
 func (a *datagrams) close() { _ = a.conn.Close() }
 
-func (a *datagrams) receive(b []byte, from netip.AddrPort) {
-	if len(b) < headBytes {
-		return
-	}
-	a.d.metrics.traffic.received(b)
-	kind, id, version := b[0], binary.BigEndian.Uint32(b[1:]), model.Version(binary.BigEndian.Uint64(b[5:]))
-	switch {
-	case kind == kindAsk && len(b) == askBytes:
-		go a.answer(id, decodeAsk(b), from)
-	case kind == kindLoad && len(b) == loadBytes:
-		a.hear(id, decodeLoad(b), version)
-	case kind == kindRecord:
-		a.note(id, b[headBytes:], from)
-	case kind == kindNews:
-		a.d.behind(string(b[headBytes:]), version)
-	case kind == kindNoted:
-		a.hear(id, placement.Load{}, version)
-	case kind == kindHeartbeat && len(b) > headBytes:
-		address := string(b[headBytes+1:])
-		a.d.follower.heard(address, b[headBytes] == 1)
-		a.d.behindWatcher(address, version)
-	case kind == kindRecords:
-		records := unpackRecords(b[headBytes:])
-		a.d.relay.relayed(records)
-		a.learn(records)
-	case kind == kindCompared:
-		a.learn(unpackRecords(b[headBytes:]))
-	case kind == kindCompare:
-		a.d.comparer.receive(from.String(), b[headBytes:])
-	case kind == kindSummary:
-		a.d.comparer.resolve(from.String(), b[headBytes:])
-	case kind == kindWish:
-		a.d.comparer.grant(from.String(), b[headBytes:])
-	case kind == kindSuspects:
-		a.d.suspects.gossip.Receive(from.String(), b[headBytes:])
-	}
-}
-
-// learn takes in records. News may be news to others as well, who are asked soon.
-func (a *datagrams) learn(records []Record) {
-	if news := a.d.peers.merge(records); len(news) > 0 {
-		a.d.comparer.wake()
-	}
-}
-
 // spread tells some daemons of the configuration in force.
 func (a *datagrams) spread() {
 	for _, m := range a.d.follower.targets.Push(a.d.peers.members(), false) {
@@ -194,26 +149,6 @@
 	return binary.BigEndian.AppendUint64(b, uint64(a.d.config.version()))
 }
 
-// note takes in the record of another daemon. One that is older than what is
-// known gets no answer, so that its daemon, whose clock was set back, finds out
-// over a connection.
-func (a *datagrams) note(id uint32, b []byte, from netip.AddrPort) {
-	told := unpackRecords(b)
-	if len(told) != 1 || told[0].Address == "" {
-		return
-	}
-	r := told[0]
-	if held, ok := a.d.peers.of(r.Address); ok && held.newer(&r) {
-		return
-	}
-	for _, news := range a.d.peers.merge([]Record{r}) {
-		if news.Zone != a.d.opts.Zone {
-			a.d.relay.add(news)
-		}
-	}
-	a.transmit(a.head(kindNoted, id), from)
-}
-
 const (
 	// tellTries is how often a record is sent by datagram before a connection is
 	// tried, and tellWait the wait for each answer: a round trip between regions
@@ -248,25 +183,6 @@
 	return false
 }
 
-// hear hands an answer to who waits for it.
-func (a *datagrams) hear(id uint32, l placement.Load, v model.Version) {
-	a.mu.Lock()
-	q, ok := a.waiting[id]
-	delete(a.waiting, id)
-	a.mu.Unlock()
-	if !ok {
-		return
-	}
-	h := heard{key: q.key, load: l, took: a.d.now().Sub(q.sent)}
-	if q.to == nil {
-		q.late(h)
-	} else {
-		// The channel has room for every answer.
-		q.to <- h
-	}
-	a.d.behind(q.address, v)
-}
-
 // expect notes a question and returns its id.
 func (a *datagrams) expect(q question) uint32 {
 	a.mu.Lock()
--- a/sidecar/metrics_test.go
+++ b/sidecar/metrics_test.go
@@ -101,7 +101,8 @@
 
 // TestKindsOfDatagramsAreNamed has every kind that is received counted.
 func TestKindsOfDatagramsAreNamed(t *testing.T) {
-	for kind := byte(kindAsk); kind <= kindCompared; kind++ {
+	for kind := range receivers {
 		require.Contains(t, kindNames, kind)
 	}
+	require.Len(t, kindNames, len(receivers))
 }
--- a/sidecar/summary.go
+++ b/sidecar/summary.go
@@ -11,11 +11,10 @@
 	maxWishes  = (maxDatagram - headBytes) / wishBytes
 )
 
-// summary tells which records a daemon has in some of the parts that records are compared
-// in.
+// summary tells which records a daemon has in some of the buckets.
 type summary struct {
-	// parts has a bit for each part that is covered.
-	parts   uint32
+	// covered has a bit for each bucket.
+	covered uint32
 	entries map[uint32]stamp
 }
 
@@ -35,24 +34,24 @@
 	return s.sequence > old.sequence
 }
 
-// summaryOf returns a summary of as many of the wanted parts as fit a datagram, at least
-// of the first. A part that is too large for one is cut, which costs records that the
+// summaryOf returns a summary of as many of the wanted buckets as fit a datagram, at least
+// of the first. A bucket that is too large for one is cut, which costs records that the
 // other daemon has.
 func summaryOf(records []Record, wanted []int) *summary {
 	of := make(map[int][]*Record)
 	for i := range records {
 		if r := &records[i]; r.compared() {
-			part := bucketOf(r.Address)
-			of[part] = append(of[part], r)
+			bucket := bucketOf(r.Address)
+			of[bucket] = append(of[bucket], r)
 		}
 	}
 	s := &summary{entries: make(map[uint32]stamp)}
-	for _, part := range wanted {
-		if s.parts != 0 && len(s.entries)+len(of[part]) > maxEntries {
+	for _, bucket := range wanted {
+		if s.covered != 0 && len(s.entries)+len(of[bucket]) > maxEntries {
 			continue
 		}
-		s.parts |= 1 << part
-		for _, r := range of[part] {
+		s.covered |= 1 << bucket
+		for _, r := range of[bucket] {
 			if len(s.entries) < maxEntries {
 				s.entries[hashOf(r.Address)] = stampOf(r)
 			}
@@ -67,7 +66,7 @@
 	own := make(map[uint32]stamp, len(s.entries))
 	for i := range records {
 		r := &records[i]
-		if !r.compared() || s.parts&(1<<bucketOf(r.Address)) == 0 {
+		if !r.compared() || s.covered&(1<<bucketOf(r.Address)) == 0 {
 			continue
 		}
 		hash := hashOf(r.Address)
@@ -86,7 +85,7 @@
 
 func (s *summary) encode() []byte {
 	b := make([]byte, 0, bucketBytes+len(s.entries)*entryBytes)
-	b = binary.BigEndian.AppendUint32(b, s.parts)
+	b = binary.BigEndian.AppendUint32(b, s.covered)
 	for hash, at := range s.entries {
 		b = binary.BigEndian.AppendUint32(b, hash)
 		b = binary.BigEndian.AppendUint64(b, uint64(at.incarnation))
@@ -99,7 +98,7 @@
 	if len(b) < bucketBytes || (len(b)-bucketBytes)%entryBytes != 0 {
 		return nil, false
 	}
-	s := &summary{parts: binary.BigEndian.Uint32(b), entries: make(map[uint32]stamp)}
+	s := &summary{covered: binary.BigEndian.Uint32(b), entries: make(map[uint32]stamp)}
 	for b = b[bucketBytes:]; len(b) > 0; b = b[entryBytes:] {
 		s.entries[binary.BigEndian.Uint32(b)] = stamp{
 			incarnation: int64(binary.BigEndian.Uint64(b[4:])),
--- a/sidecar/summary_test.go
+++ b/sidecar/summary_test.go
@@ -140,7 +140,7 @@
 	records := recordsOf(3)
 	records[1].Stopping, records[1].State = true, lifecycle.Gone
 	require.Len(t, summaryOf(records, []int{bucketOf(records[1].Address)}).entries, len(summaryOf(append(records[:1:1], records[2]), []int{bucketOf(records[1].Address)}).entries))
-	newer, wishes := (&summary{parts: ^uint32(0)}).against(records)
+	newer, wishes := (&summary{covered: ^uint32(0)}).against(records)
 	require.Len(t, newer, 2)
 	require.Empty(t, wishes)
 }
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -88,30 +88,33 @@
 }
 
 // since returns the delta from a version to the document in force, or that from nothing
-// where the version is not kept. It reports false where the document itself is to be sent.
-func (v *versions) since(version model.Version) ([]byte, bool) {
+// where the version is not kept. It is nil where the document itself is to be sent.
+func (v *versions) since(version model.Version) ([]byte, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(v.held) == 0 {
-		return nil, false
+		return nil, nil
 	}
 	newest := &v.held[len(v.held)-1]
 	if len(newest.raw) <= smallDocument {
-		return nil, false
+		return nil, nil
 	}
 	base := v.find(version)
 	if base == nil {
 		version = 0
 	}
-	d, ok := newest.deltas[version]
-	if !ok {
-		var err error
-		if d, err = delta.Of(base, newest.raw); err != nil {
-			return nil, false
-		}
-		newest.deltas[version] = d
+	if d, ok := newest.deltas[version]; ok {
+		return d, nil
+	}
+	d, err := delta.Of(base, newest.raw)
+	if err != nil {
+		return nil, err
 	}
-	return d, len(d) < len(newest.raw)
+	if len(d) >= len(newest.raw) {
+		d = nil
+	}
+	newest.deltas[version] = d
+	return d, nil
 }
 
 // fetch returns the document that a daemon has in force. Where the daemon keeps the one in
@@ -169,17 +172,28 @@
 // that tell what they have.
 func (p peerHandler) config(w http.ResponseWriter, r *http.Request) {
 	held := &p.d.config.versions
-	if have, err := strconv.ParseUint(r.URL.Query().Get(haveParameter), 10, 64); err == nil {
-		if d, ok := held.since(model.Version(have)); ok {
-			w.WriteHeader(http.StatusIMUsed)
-			_, _ = w.Write(d)
-			return
-		}
-	}
 	raw := held.newest()
 	if raw == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if d := p.deltaSince(r.URL.Query().Get(haveParameter)); d != nil {
+		w.WriteHeader(http.StatusIMUsed)
+		_, _ = w.Write(d)
+		return
+	}
 	_, _ = w.Write(raw)
 }
+
+// deltaSince returns the delta from a version in decimal digits, or nil.
+func (p peerHandler) deltaSince(version string) []byte {
+	have, err := strconv.ParseUint(version, 10, 64)
+	if err != nil {
+		return nil
+	}
+	d, err := p.d.config.versions.since(model.Version(have))
+	if err != nil {
+		p.d.opts.Logger.Error("no delta of the configuration", "have", have, "error", err)
+	}
+	return d
+}
--- a/sidecar/versions_test.go
+++ b/sidecar/versions_test.go
@@ -99,8 +99,9 @@
 	var v versions
 	v.add(1, []byte("one"))
 	v.add(2, []byte("two"))
-	_, ok := v.since(1)
-	require.False(t, ok)
+	d, err := v.since(1)
+	require.NoError(t, err)
+	require.Nil(t, d)
 	require.Equal(t, "two", string(v.newest()))
 }
 
