Catch SIGHUP from the start of the process on

A reload was due at 14,982 ms of the plan, and the daemon, killed at 14,677, was started again at about that moment. The signal was caught only once the settings were read and all addresses listened on; until then its default ends the process. A change of settings and a start of the machine come together in practice.

Ruled out: the soak's own fault (the signal may come at any time). What is left is the millisecond before the Go runtime takes signals, which only the one who starts the process can cover.

--- a/cmd/dottereltillerd/main.go
+++ b/cmd/dottereltillerd/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 
 	"github.com/dottereltiller/dottereltiller/cmd/internal/cli"
+	"github.com/dottereltiller/dottereltiller/cmd/internal/hangup"
 	"github.com/dottereltiller/dottereltiller/daemon"
 	"github.com/dottereltiller/dottereltiller/exitcode"
 	"github.com/dottereltiller/dottereltiller/identity"
@@ -48,6 +49,7 @@
 		onPlatform(path, a.Check)
 		return
 	}
+	hangup.Release()
 	if a.Settings == "" {
 		p.Fail("name a settings file by --settings or DOTTERELTILLER_SETTINGS")
 	}
@@ -123,7 +125,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := platform.Run(ctx, path); err != nil {
+	if err := platform.Run(ctx, path, hangup.Signals); err != nil {
 		exit(err, exitcode.Of(err))
 	}
 }
--- /dev/null
+++ b/cmd/internal/hangup/hangup.go
@@ -0,0 +1,21 @@
+// Package hangup catches SIGHUP from the start of the process on. The signal asks for the
+// settings to be read again, and would end a process that does not catch it yet.
+package hangup
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Signals brings the signals. One that came while another waits is dropped.
+var Signals = catch()
+
+func catch() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
+// Release has the signal end the process again.
+func Release() { signal.Reset(syscall.SIGHUP) }
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -82,7 +82,7 @@
 		plan:  poisons, want: "poison",
 	},
 	"a reload ends the process": {
-		edits: []edits.Edit{edits.New("platform/watch.go", "signal.Notify(hup, syscall.SIGHUP)", "signal.Notify(hup, syscall.SIGUSR1)")},
+		edits: []edits.Edit{edits.New("cmd/internal/hangup/hangup.go", "signal.Notify(c, syscall.SIGHUP)", "signal.Notify(c, syscall.SIGUSR1)")},
 		plan:  reloads, want: "ended",
 	},
 	"a refusal tells no time to come back": {
