Tests that want nobody to listen use an address of their own

Cause: TestClientTellsWhetherAnAppendMayHaveTakenEffect closed a server and took its port for one where nobody listens; the next server of the same test, or another process, may get that port. The same was so in hop, guard and sidecar, where the upstream's port is closed and refused connections are expected.

The assertions are unchanged.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -104,19 +103,12 @@
 	require.EqualError(t, <-done, `callers: broken invariant "n": d`)
 }
 
-// ownAddress returns a loopback address that no other process uses. An ephemeral port may
-// be taken by another between its release and the next time that it is listened on.
-func ownAddress(t *testing.T) string {
-	t.Helper()
-	const port = 7000
-	claimed, err := loopback.Own()
-	require.NoError(t, err)
-	return fmt.Sprintf("127.%d.0.1:%d", claimed, port)
-}
-
 func TestAServerThatLosesItsListenerListensAnew(t *testing.T) {
+	// Another process may take an ephemeral port before it is listened on again.
+	address, err := loopback.Address()
+	require.NoError(t, err)
 	s := testSettings()
-	s.Listen.Callers = ownAddress(t)
+	s.Listen.Callers = address
 	d, _ := startDaemon(t, s)
 	admin := "http://" + d.AdminAddress()
 	code, _ := get(t, "http://"+d.CallerAddress()+"/")
--- a/guard/crash_test.go
+++ b/guard/crash_test.go
@@ -13,6 +13,7 @@
 	"github.com/dottereltiller/dottereltiller/core/admission"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/loopback"
 	"github.com/dottereltiller/dottereltiller/membership"
 )
 
@@ -29,7 +30,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			address, err := loopback.Address()
+			require.NoError(t, err)
+			ln, err := net.Listen("tcp", address)
 			require.NoError(t, err)
 			defer func() { _ = ln.Close() }()
 			go func() {
--- a/hop/pool_test.go
+++ b/hop/pool_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/loopback"
 )
 
 // script is a server that plays one function a connection, in order; the last one
@@ -203,10 +205,9 @@
 		})
 	}
 	t.Run("nobody listens", func(t *testing.T) {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		nobody, err := loopback.Address()
 		require.NoError(t, err)
-		require.NoError(t, ln.Close())
-		_, err = NewPool(ln.Addr().String(), PoolOptions{}).Do(t.Context(), exchangeOf("1"))
+		_, err = NewPool(nobody, PoolOptions{}).Do(t.Context(), exchangeOf("1"))
 		var lost *LostError
 		require.ErrorAs(t, err, &lost)
 		require.False(t, lost.Sent)
--- a/loopback/loopback.go
+++ b/loopback/loopback.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -55,3 +56,19 @@
 	const first, nets = 20, 80
 	return Claim(first, nets)
 })
+
+// lastHost counts the addresses that Address has returned.
+var lastHost atomic.Int64
+
+// Address returns an address of this process's own network that nobody listens on, another
+// one at each call. Unlike an ephemeral port that was given back, no other process and no
+// other test takes it. The error is that of Own.
+func Address() (string, error) {
+	const hosts, port = 250, 7000
+	claimed, err := Own()
+	if err != nil {
+		return "", err
+	}
+	n := lastHost.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", claimed, n/hosts, 1+n%hosts, port), nil
+}
--- a/loopback/loopback_test.go
+++ b/loopback/loopback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"testing"
 
@@ -52,3 +53,20 @@
 	require.NoError(t, err)
 	require.Equal(t, first, again)
 }
+
+// TestAddressesDiffer takes more than fit one part of the network.
+func TestAddressesDiffer(t *testing.T) {
+	const addresses = 600
+	seen := map[string]bool{}
+	for range addresses {
+		a, err := Address()
+		require.NoError(t, err)
+		require.False(t, seen[a], a)
+		seen[a] = true
+	}
+	for a := range seen {
+		ln, err := net.Listen("tcp", a)
+		require.NoError(t, err)
+		require.NoError(t, ln.Close())
+	}
+}
--- a/recordlog/platform_test.go
+++ b/recordlog/platform_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dottereltiller/dottereltiller/bubble"
+	"github.com/dottereltiller/dottereltiller/loopback"
 )
 
 func client(t *testing.T, h http.Handler) *Client {
@@ -59,15 +60,14 @@
 func TestClientTellsWhetherAnAppendMayHaveTakenEffect(t *testing.T) {
 	lost := NewFaulty(&Memory{})
 	lost.Set(Faults{LoseReplies: 1})
-	refused := httptest.NewServer(http.NotFoundHandler())
-	gone := strings.TrimPrefix(refused.URL, "http://")
-	refused.Close()
+	nobody, err := loopback.Address()
+	require.NoError(t, err)
 	for name, c := range map[string]struct {
 		client    *Client
 		uncertain bool
 	}{
 		"reply lost":    {client(t, Handler(lost)), true},
-		"no connection": {NewClient(gone), false},
+		"no connection": {NewClient(nobody), false},
 		"not found":     {client(t, http.NotFoundHandler()), false},
 		"cut off": {client(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			panic(http.ErrAbortHandler)
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -205,7 +206,13 @@
 
 func newUpstream(t testing.TB, id string) *upstream {
 	u := &upstream{id: id}
-	u.server = httptest.NewServer(u)
+	// Tests close it and expect that nobody answers then.
+	ln, err := net.Listen("tcp", freePort(t))
+	require.NoError(t, err)
+	u.server = httptest.NewUnstartedServer(u)
+	_ = u.server.Listener.Close()
+	u.server.Listener = ln
+	u.server.Start()
 	t.Cleanup(u.server.Close)
 	return u
 }
