--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -19,6 +19,7 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/hop"
+	"github.com/dottereltiller/dottereltiller/loopback"
 	peerv1 "github.com/dottereltiller/dottereltiller/proto/dottereltiller/peer/v1"
 	"github.com/dottereltiller/dottereltiller/recordlog"
 	"github.com/dottereltiller/dottereltiller/wire"
@@ -58,7 +59,9 @@
 	d.log = recordlog.NewFaulty(d.memory)
 	listeners := make([]net.Listener, n)
 	for i := range listeners {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := loopback.Address()
+		require.NoError(t, err)
+		ln, err := net.Listen("tcp", address)
 		require.NoError(t, err)
 		listeners[i] = ln
 		d.nodes = append(d.nodes, &testNode{d: d, id: model.DaemonID(ln.Addr().String())})
