--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -78,6 +78,8 @@
 	// maxDatagram bounds a datagram, so that it fits an Ethernet frame. A longer
 	// record is sent by connection.
 	maxDatagram = 1400
+	// datagramRoom is the room for what follows the head.
+	datagramRoom = maxDatagram - headBytes
 )
 
 func newDatagrams(d *Daemon) (*datagrams, error) {
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -172,12 +172,12 @@
 // beat sends a heartbeat to the cell if one is due.
 func (f *follower) beat() {
 	f.mu.Lock()
-	due := f.roster.HeartbeatDue(f.d.now())
-	reaches, others := f.roster.Reaches(), f.roster.Others()
-	f.mu.Unlock()
-	if !due {
+	if !f.roster.HeartbeatDue(f.d.now()) {
+		f.mu.Unlock()
 		return
 	}
+	reaches, others := f.roster.Reaches(), f.roster.Others()
+	f.mu.Unlock()
 	for _, address := range others {
 		f.d.datagrams.heartbeat(address, reaches)
 	}
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -47,27 +47,21 @@
 // Error names the path and the status.
 func (e *StatusError) Error() string { return fmt.Sprintf("%s: answered %d", e.Path, e.Status) }
 
-func sendSync(ctx context.Context, pool *hop.Pool, m syncMessage) (syncMessage, error) {
-	var reply syncMessage
-	err := exchangeMessages(ctx, pool, pathSync, m, &reply)
-	return reply, err
-}
-
-// exchangeMessages sends a message in JSON and reads the reply. The error is a
-// *hop.LostError where the daemon was not reached, and a *StatusError where it refused.
-func exchangeMessages(ctx context.Context, pool *hop.Pool, path string, question, reply any) error {
-	body, err := json.Marshal(question)
+// sendSync sends a message in JSON and reads the reply. The error is a *hop.LostError where
+// the daemon was not reached, and a *StatusError where it refused.
+func sendSync(ctx context.Context, pool *hop.Pool, m syncMessage) (reply syncMessage, err error) {
+	body, err := json.Marshal(m)
 	if err != nil {
-		return err
+		return reply, err
 	}
-	r, err := exchangePeer(ctx, pool, http.MethodPost, path, body)
+	r, err := exchangePeer(ctx, pool, http.MethodPost, pathSync, body)
 	if err != nil {
-		return err
+		return reply, err
 	}
 	if r.Status != http.StatusOK {
-		return &StatusError{Path: path, Status: r.Status}
+		return reply, &StatusError{Path: pathSync, Status: r.Status}
 	}
-	return json.Unmarshal(r.Body, reply)
+	return reply, json.Unmarshal(r.Body, &reply)
 }
 
 // readMessage reads a message of at most so many bytes, or refuses it.
--- a/sidecar/metrics_test.go
+++ b/sidecar/metrics_test.go
@@ -74,23 +74,27 @@
 	require.Positive(t, read("peers_lost_seconds"))
 }
 
+// controlBytes adds up what members count of a kind, or of all kinds where it is empty.
+func controlBytes(all []*member, kind, direction string) int64 {
+	var n int64
+	for _, m := range all {
+		for _, c := range m.scope.Snapshot().Counters() {
+			tags := c.Tags()
+			if c.Name() == "control_bytes" && (kind == "" || tags["kind"] == kind) && tags["direction"] == direction {
+				n += c.Value()
+			}
+		}
+	}
+	return n
+}
+
 // TestControlIsCountedByKind reads how much daemons that nobody calls told each other.
 func TestControlIsCountedByKind(t *testing.T) {
 	s := newStore(documentOf(1, "a"))
 	a, b := join(t, s, "a", "a1"), join(t, s, "a", "a2")
 	a.knows(t, "a", 2)
 	b.knows(t, "a", 2)
-	sent := func(kind, direction string) int64 {
-		var n int64
-		for _, m := range []*member{a, b} {
-			for _, c := range m.scope.Snapshot().Counters() {
-				if c.Name() == "control_bytes" && c.Tags()["kind"] == kind && c.Tags()["direction"] == direction {
-					n += c.Value()
-				}
-			}
-		}
-		return n
-	}
+	sent := func(kind, direction string) int64 { return controlBytes([]*member{a, b}, kind, direction) }
 	require.Positive(t, sent("sync", "sent"))
 	require.Positive(t, sent("sync", "received"))
 	for _, kind := range []string{"heartbeat", "comparison"} {
--- a/sidecar/pack.go
+++ b/sidecar/pack.go
@@ -9,12 +9,8 @@
 	"github.com/klauspost/compress/flate"
 )
 
-const (
-	// packRoom is the room for records in a datagram, in bytes.
-	packRoom = maxDatagram - headBytes
-	// maxUnpacked bounds the records of one datagram, in bytes of JSON.
-	maxUnpacked = 64 << 10
-)
+// maxUnpacked bounds the records of one datagram, in bytes of JSON.
+const maxUnpacked = 64 << 10
 
 // packDictionary is what records have in common, so that the first one of a datagram is
 // short as well.
@@ -29,7 +25,7 @@
 		return nil
 	}
 	body, err := deflateRecords(records)
-	if err == nil && len(body) <= packRoom {
+	if err == nil && len(body) <= datagramRoom {
 		return [][]byte{body}
 	}
 	if len(records) == 1 {
--- a/sidecar/pack_test.go
+++ b/sidecar/pack_test.go
@@ -50,7 +50,7 @@
 			}
 			var got []Record
 			for _, body := range packRecords(records) {
-				require.LessOrEqual(t, len(body), packRoom)
+				require.LessOrEqual(t, len(body), datagramRoom)
 				packed += len(body)
 				got = append(got, unpackRecords(body)...)
 			}
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -47,7 +47,7 @@
 		Targets: d.follower.targets,
 		Members: d.peers.members,
 		Send:    func(address string, m []byte) { d.datagrams.notify(kindSuspects, address, m) },
-		Limit:   maxDatagram - headBytes,
+		Limit:   datagramRoom,
 	}
 	return s
 }
--- a/sidecar/rest_test.go
+++ b/sidecar/rest_test.go
@@ -16,19 +16,6 @@
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
 }
 
-// controlSent returns the bytes that daemons have sent each other besides calls.
-func controlSent(all []*member) int64 {
-	var n int64
-	for _, m := range all {
-		for _, c := range m.scope.Snapshot().Counters() {
-			if c.Name() == "control_bytes" && c.Tags()["direction"] == "sent" {
-				n += c.Value()
-			}
-		}
-	}
-	return n
-}
-
 // BenchmarkRest measures what daemons that nobody calls spend on each other, once their
 // start is over.
 func BenchmarkRest(b *testing.B) {
@@ -42,11 +29,11 @@
 			}
 			time.Sleep(settle)
 			for b.Loop() {
-				cpu, sent := processorTime(b), controlSent(all)
+				cpu, sent := processorTime(b), controlBytes(all, "", "sent")
 				time.Sleep(span)
 				each := span.Seconds() * float64(daemons)
 				b.ReportMetric(100*(processorTime(b)-cpu).Seconds()/each, "%core/daemon")
-				b.ReportMetric(float64(controlSent(all)-sent)/each, "B/s/daemon")
+				b.ReportMetric(float64(controlBytes(all, "", "sent")-sent)/each, "B/s/daemon")
 			}
 		})
 	}
--- a/sidecar/summary.go
+++ b/sidecar/summary.go
@@ -7,8 +7,8 @@
 	entryBytes = 4 + 8 + 8
 	wishBytes  = 4
 	// maxEntries and maxWishes fit a datagram.
-	maxEntries = (maxDatagram - headBytes - bucketBytes) / entryBytes
-	maxWishes  = (maxDatagram - headBytes) / wishBytes
+	maxEntries = (datagramRoom - bucketBytes) / entryBytes
+	maxWishes  = datagramRoom / wishBytes
 )
 
 // summary tells which records a daemon has in some of the buckets.
--- a/sidecar/summary_test.go
+++ b/sidecar/summary_test.go
@@ -60,7 +60,7 @@
 		return bytes
 	}
 	message := summaryOf(other.records(), differ).encode()
-	require.LessOrEqual(t, len(message), maxDatagram-headBytes)
+	require.LessOrEqual(t, len(message), datagramRoom)
 	s, ok := decodeSummary(message)
 	require.True(t, ok)
 	newer, wishes := s.against(opener.records())
--- a/soak/control.go
+++ b/soak/control.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -38,19 +36,12 @@
 func readCounter(ctx context.Context, url, name string, labels ...string) (float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	body, err := get(ctx, url)
 	if err != nil {
 		return 0, err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("%s: answered %d", url, resp.StatusCode)
-	}
-	return findCounter(resp.Body, name, labels)
+	defer func() { _ = body.Close() }()
+	return findCounter(body, name, labels)
 }
 
 func findCounter(r io.Reader, name string, labels []string) (float64, error) {
