Tell why a request got no answer: cut, panicked, or the process ended

A caller whose connection is closed without an answer can have met one of four things, and neither lines nor counters told them apart: a daemon that ends as planned, an idle timer, a handler that panicked (net/http closes the connection, and its line was discarded), or a process that ended by itself.

Connections of servers now remember that this side has closed them. The line of a request's end says so (cut) and requests_cut counts them; a panic of a handler writes 'request aborted' with the stack and counts in handlers_panicked. The log of decisions is closed after the servers, so that what their end cuts is in it. A process that ended by itself shows as a 'daemon started' without a 'daemon stopped' before it.

No decision changes.

--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -21,6 +21,7 @@
 	Answered        Kind = "request answered"
 	Refused         Kind = "request refused"
 	Failed          Kind = "request failed"
+	Aborted         Kind = "request aborted"
 	Resent          Kind = "request sent again"
 	Hedged          Kind = "request hedged"
 	GivenBack       Kind = "request given back"
@@ -63,10 +64,11 @@
 
 // endFields are told of every end of a request. Expected_ms is what the entry
 // expected of the last choice, among so many candidates; sends and given_back count
-// the attempts that reached an upstream and that a guard handed back.
+// the attempts that reached an upstream and that a guard handed back. Cut tells that the
+// daemon had closed the caller's connection, so that the caller got no answer.
 var endFields = []string{
 	"route", "service", "upstream", "reason", "status", "retry_after_ms", "took_ms",
-	"sends", "given_back", "candidates", "expected_ms", "config", "idempotent",
+	"sends", "given_back", "candidates", "expected_ms", "config", "idempotent", "cut",
 }
 
 // Declarations lists every kind once, in the order of the page on logs.
@@ -75,6 +77,7 @@
 		{Answered, Plain, "The entry delivered an upstream's answer.", endFields},
 		{Refused, Trouble, "The entry refused a request that has not run.", endFields},
 		{Failed, Trouble, "The entry answered with a failure of its own; the request may have run.", endFields},
+		{Aborted, State, "A handler panicked; the connection was closed without an answer.", []string{"server", "error", "stack"}},
 		{Resent, Trouble, "The entry sent a request to another upstream after an attempt ended.", []string{"service", "upstream", "reason", "sends", "budget_left"}},
 		{Hedged, Trouble, "The entry sent an idempotent request to a second upstream while the first was at work.", []string{"service", "upstream", "instead_of", "waited_ms", "expected_ms", "budget_left"}},
 		{GivenBack, Trouble, "The guard gave a request back before it ran.", []string{"reason", "expected_ms", "alternative_ms", "slow", "slow_age_ms", "running", "waiting", "limit"}},
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -125,14 +125,14 @@
 // listen binds every address.
 func (d *Daemon) listen() error {
 	a := d.opts.Addresses
-	d.callers = newServer("callers", d.entry)
+	d.callers = newServer("callers", d.reportPanics("callers", d.entry))
 	d.config.onChange = append(d.config.onChange, func(t *route.Table) { d.callers.limit(t.Limits()) })
 	bind := []struct {
 		address string
 		server  *server
 	}{
 		{a.Callers, d.callers},
-		{a.PeerBind, newServer("peers", peerHandler{d})},
+		{a.PeerBind, newServer("peers", d.reportPanics("peers", peerHandler{d}))},
 		{a.Control, newServer("control", d.opts.Control(d))},
 		{a.Ready, newServer("ready", http.HandlerFunc(d.serveReady))},
 		{a.Metrics, newServer("metrics", d.opts.Metrics)},
@@ -233,8 +233,12 @@
 	// partsWait bounds the wait for the parts to end, within graceMargin: one that
 	// hangs must not keep the process.
 	partsWait = 150 * time.Millisecond
-	// logWait bounds the wait for the last lines.
+	// logWait bounds the wait for lines to be written.
 	logWait = 100 * time.Millisecond
+	// handlersWait bounds the wait for the requests that were cut, which tell so.
+	handlersWait = 20 * time.Millisecond
+	// handlersPoll is how often it is looked whether requests are in hand.
+	handlersPoll = time.Millisecond
 )
 
 // Serve runs the daemon until the context ends, then lets what runs finish within
@@ -266,9 +270,19 @@
 	stop()
 	d.closeServers()
 	<-done
+	d.awaitHandlers(handlersWait)
+	d.opts.Decisions.Close(logWait)
 	return nil
 }
 
+// awaitHandlers waits until no caller's request is in hand, for at most a time. What was
+// cut is in the log then.
+func (d *Daemon) awaitHandlers(most time.Duration) {
+	for end := time.Now().Add(most); d.inFlight.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(handlersPoll)
+	}
+}
+
 func (d *Daemon) event(e suture.Event) {
 	if d.opts.Logger != nil && e.Type() != suture.EventTypeStopTimeout {
 		d.opts.Logger.Error("part failed", "event", e.String())
@@ -306,5 +320,5 @@
 	}
 	d.guard.stop()
 	d.opts.Decisions.Write(decision.Stopped, "", slog.Int64("in_flight", d.inFlight.Load()), slog.Int64("took_ms", time.Since(began).Milliseconds()))
-	d.opts.Decisions.Close(logWait)
+	d.opts.Decisions.Flush(logWait)
 }
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -57,6 +57,9 @@
 	print *quarantine.Fingerprint
 }
 
+// cut reports whether this daemon has closed the caller's connection.
+func (r *request) cut() bool { return connClosed(r.http.Context()) }
+
 // entry takes callers' requests. It is safe for concurrent use.
 type entry struct {
 	d *Daemon
@@ -191,6 +194,9 @@
 		name = req.route.Name
 	}
 	e.d.metrics.answered(string(req.service), name, a.Outcome, took)
+	if req.cut() {
+		e.d.metrics.cut.Inc(1)
+	}
 	if e.d.stopping.Load() {
 		// The caller sends no more on this connection. Idle ones stay open: a
 		// request may be on its way on each of them.
@@ -225,7 +231,7 @@
 }
 
 func (e *entry) tell(k decision.Kind, req *request, name string, a *Answer, status int, took time.Duration) {
-	if k == decision.Answered && !e.d.opts.Decisions.Keeps(req.id) {
+	if k == decision.Answered && !req.cut() && !e.d.opts.Decisions.Keeps(req.id) {
 		return
 	}
 	e.d.opts.Decisions.Write(k, req.id,
@@ -234,7 +240,7 @@
 		slog.Int64("retry_after_ms", a.Outcome.RetryAfter.Milliseconds()), slog.Int64("took_ms", took.Milliseconds()),
 		slog.Int("sends", req.sends), slog.Int("given_back", req.givenBack), slog.Int("candidates", req.candidates),
 		slog.Int64("expected_ms", req.expected.Milliseconds()), slog.Uint64("config", uint64(e.d.config.version())),
-		slog.Bool("idempotent", req.route != nil && req.route.Idempotent))
+		slog.Bool("idempotent", req.route != nil && req.route.Idempotent), slog.Bool("cut", req.cut()))
 }
 
 // service is what the entry holds of one service. Its mutex guards all of it.
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -19,8 +19,12 @@
 	hedged    tally.Counter
 	denied    tally.Counter
 	settled   tally.Counter
-	outcomes  *telemetry.OutcomeCounter
-	traffic   *traffic
+	// cut counts the requests whose connection this daemon closed before the answer.
+	cut tally.Counter
+	// aborted counts the handlers that panicked.
+	aborted  tally.Counter
+	outcomes *telemetry.OutcomeCounter
+	traffic  *traffic
 
 	// latencies holds a histogram for each route, stages one for each stage of a
 	// request and each service.
@@ -56,6 +60,8 @@
 		hedged:    scope.Counter("hedged"),
 		denied:    scope.Counter("resend_budget_empty"),
 		settled:   scope.Counter("settled"),
+		cut:       scope.Counter("requests_cut"),
+		aborted:   scope.Counter("handlers_panicked"),
 		outcomes:  telemetry.NewOutcomeCounter(scope, "requests"),
 		traffic:   newTraffic(scope),
 		latencies: newTimers(scope),
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log"
+	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/thejerf/suture/v4"
 
 	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/decision"
 )
 
 const (
@@ -52,6 +56,7 @@
 		ErrorLog:                     log.New(io.Discard, "", 0),
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    s.state,
+		ConnContext:                  withConn,
 	}
 	// Without an own idle timeout the server would use that for headers.
 	s.http.IdleTimeout = idleForever
@@ -106,7 +111,7 @@
 func (s *server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
-	err := s.http.Serve(s.listener)
+	err := s.http.Serve(connListener{s.listener})
 	if errors.Is(err, net.ErrClosed) {
 		return suture.ErrDoNotRestart
 	}
@@ -122,3 +127,24 @@
 		_ = s.listener.Close()
 	}
 }
+
+// reportPanics has a handler's panic logged and counted before net/http closes the
+// connection.
+func (d *Daemon) reportPanics(server string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			v := recover()
+			if v == nil {
+				return
+			}
+			if v != http.ErrAbortHandler {
+				d.metrics.aborted.Inc(1)
+				attempt, _ := d.opts.Edge.Attempt(r.Header)
+				d.opts.Decisions.Write(decision.Aborted, attempt.ID, slog.String("server", server),
+					slog.String("error", fmt.Sprint(v)), slog.String("stack", string(debug.Stack())))
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/sidecar/unanswered_test.go
@@ -0,0 +1,148 @@
+package sidecar
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/decision"
+)
+
+// lines collects decision lines. It is safe for concurrent use.
+type lines struct {
+	mu  sync.Mutex
+	all []map[string]any
+	// written, if set, is called before a line is taken.
+	written func(kind string)
+}
+
+// Write implements io.Writer for one line.
+func (l *lines) Write(p []byte) (int, error) {
+	var fields map[string]any
+	if err := json.Unmarshal(p, &fields); err != nil {
+		return 0, err
+	}
+	if l.written != nil {
+		l.written(fields["msg"].(string))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, fields)
+	return len(p), nil
+}
+
+// of returns the lines of a kind.
+func (l *lines) of(k decision.Kind) []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(l.all), func(f map[string]any) bool { return f["msg"] != string(k) })
+}
+
+// joinWithLog is join with a log of decisions. The daemon runs until the end of the test
+// or its stop.
+func joinWithLog(t *testing.T, s *store, id string, l *lines) *member {
+	t.Helper()
+	up := newUpstream(t, id)
+	o := optionsFor(t, s, up, "a")
+	o.Decisions = decision.New(decision.Options{Handler: slog.NewJSONHandler(l, nil)})
+	m := start(t, o, s)
+	m.up = up
+	m.Report(ready(id, 1, 1, "a"))
+	return m
+}
+
+// kept is a connection of a caller.
+type kept struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func dialCallers(t *testing.T, m *member) *kept {
+	t.Helper()
+	conn, err := net.Dial("tcp", m.opts.Addresses.Callers)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &kept{conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// send writes a request for /safe/ without a body.
+func (k *kept) send(t *testing.T, id string) {
+	t.Helper()
+	_, err := io.WriteString(k.conn, "GET /safe/ HTTP/1.1\r\nHost: h\r\nT-Id: "+id+"\r\nT-Deadline: 5000\r\n\r\n")
+	require.NoError(t, err)
+}
+
+// answer reads a whole answer.
+func (k *kept) answer() (*http.Response, error) {
+	resp, err := http.ReadResponse(k.reader, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
+}
+
+// TestPanicsOfHandlersAreLogged has a handler of callers panic: the caller sees only that
+// the connection is closed.
+func TestPanicsOfHandlersAreLogged(t *testing.T) {
+	l := &lines{}
+	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", l)
+	m.callers.http.Handler = m.reportPanics("callers", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("broken") }))
+	k := dialCallers(t, m)
+	k.send(t, "one")
+	_, err := k.answer()
+	require.Error(t, err)
+	eventually(t, "the line", func() bool { return len(l.of(decision.Aborted)) == 1 })
+	line := l.of(decision.Aborted)[0]
+	require.Equal(t, "one", line["request"])
+	require.Equal(t, "broken", line["error"])
+	require.Contains(t, line["stack"], "unanswered_test.go")
+	require.EqualValues(t, 1, m.scope.Snapshot().Counters()["handlers_panicked+"].Value())
+}
+
+// TestRequestsThatAreCutAreLogged ends the servers of a daemon while it has a request in
+// hand.
+func TestRequestsThatAreCutAreLogged(t *testing.T) {
+	l := &lines{}
+	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", l)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	m.up.set(func(w http.ResponseWriter, _ *http.Request) { <-release; answerWell(w, "a1") })
+	k := dialCallers(t, m)
+	k.send(t, "one")
+	eventually(t, "it runs", func() bool { return len(m.up.requests()) == 1 })
+	m.tunables.Store(&Tunables{})
+	m.stop()
+	_, err := k.answer()
+	require.Error(t, err)
+	m.opts.Decisions.Close(time.Minute)
+	cut := l.of(decision.Failed)
+	require.Len(t, cut, 1)
+	require.Equal(t, "one", cut[0]["request"])
+	require.Equal(t, true, cut[0]["cut"])
+	require.EqualValues(t, 1, m.scope.Snapshot().Counters()["requests_cut+"].Value())
+}
+
+// TestCallersThatLeaveAreNotCut has the caller close its connection.
+func TestCallersThatLeaveAreNotCut(t *testing.T) {
+	l := &lines{}
+	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", l)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	m.up.set(func(w http.ResponseWriter, _ *http.Request) { <-release; answerWell(w, "a1") })
+	k := dialCallers(t, m)
+	k.send(t, "one")
+	eventually(t, "it runs", func() bool { return len(m.up.requests()) == 1 })
+	require.NoError(t, k.conn.Close())
+	eventually(t, "the line", func() bool { return len(l.of(decision.Failed)) == 1 })
+	require.Equal(t, false, l.of(decision.Failed)[0]["cut"])
+}
