A test of requests that come at the end of a stop, which fails

A stopping daemon looks every 25 ms whether it has nothing in hand, then writes its last lines, waiting up to 100 ms for a slow reader of its output, and closes all connections. A request that comes in between on a kept connection is read, passed on to an upstream, and cut: its caller gets no answer.

--- a/sidecar/unanswered_test.go
+++ b/sidecar/unanswered_test.go
@@ -146,3 +146,44 @@
 	eventually(t, "the line", func() bool { return len(l.of(decision.Failed)) == 1 })
 	require.Equal(t, false, l.of(decision.Failed)[0]["cut"])
 }
+
+// TestRequestsAtTheEndOfAStopAreNotCut guards against requests on kept connections that are
+// passed on and get no answer: one comes after a stopping daemon found nothing in hand and
+// before it closes its connections, here while its last line waits for a slow reader.
+func TestRequestsAtTheEndOfAStopAreNotCut(t *testing.T) {
+	ending, release := make(chan struct{}), make(chan struct{})
+	l := &lines{written: func(kind string) {
+		if kind == string(decision.Stopped) {
+			close(ending)
+			<-release
+		}
+	}}
+	s := newStore(documentOf(1, "b"))
+	a, b := joinWithLog(t, s, "a1", l), join(t, s, "b", "b1")
+	a.knows(t, "b", 1)
+	k := dialCallers(t, a)
+	k.send(t, "one")
+	resp, err := k.answer()
+	require.NoError(t, err)
+	require.False(t, resp.Close)
+	b.up.set(func(w http.ResponseWriter, r *http.Request) {
+		// It runs until its sender has gone.
+		select {
+		case <-r.Context().Done():
+		case <-time.After(time.Second):
+			answerWell(w, "b1")
+		}
+	})
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); a.stop() }()
+	<-ending
+	_, err = io.WriteString(k.conn, "GET /safe/ HTTP/1.1\r\nHost: h\r\nT-Id: two\r\nT-Deadline: 5000\r\n\r\n")
+	if err == nil {
+		_, err = k.answer()
+	}
+	close(release)
+	<-stopped
+	if len(b.up.requests()) > 1 {
+		require.NoError(t, err, "it was passed on and cut")
+	}
+}
