Close no connection by its idle timer that has come into use

A timer that had fired closed its connection whatever had happened since: a request read in the meantime would have been passed on and its caller left without an answer.

The timer now closes the connection only if it is still the idle period that it was set for, under the lock by which a connection comes into use. A handler whose connection this side has closed passes nothing on.

TestIdleTimersCloseNoConnectionInUse failed before ('it is in use'), passes now; TestRequestsOnClosedConnectionsAreNotPassedOn passed before, by the cancelled context.

--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -81,6 +81,10 @@
 
 // ServeHTTP answers one request.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if connClosed(r.Context()) {
+		// Its caller would get no answer.
+		panic(http.ErrAbortHandler)
+	}
 	e.d.answering.Add(1)
 	defer e.d.answering.Add(-1)
 	attempt, err := e.d.opts.Edge.Attempt(r.Header)
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -94,10 +94,20 @@
 		delete(s.idle, c)
 	}
 	if st == http.StateIdle && s.limits.IdleTimeout > 0 {
-		s.idle[c] = &idleConn{
-			since: time.Now(),
-			close: time.AfterFunc(s.limits.IdleTimeout+idleSlack, func() { _ = c.Close() }),
-		}
+		i := &idleConn{since: time.Now()}
+		i.close = time.AfterFunc(s.limits.IdleTimeout+idleSlack, func() { s.closeIdle(c, i) })
+		s.idle[c] = i
+	}
+}
+
+// closeIdle closes a connection whose timer has fired, unless it has been in use since the
+// timer was set.
+func (s *server) closeIdle(c net.Conn, since *idleConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.idle[c] == since {
+		delete(s.idle, c)
+		_ = c.Close()
 	}
 }
 
--- a/sidecar/server_test.go
+++ b/sidecar/server_test.go
@@ -43,3 +43,41 @@
 		})
 	}
 }
+
+// TestIdleTimersCloseNoConnectionInUse guards against a request that is passed on and cut:
+// its connection's idle timer is due, and fires only after the request has been read.
+func TestIdleTimersCloseNoConnectionInUse(t *testing.T) {
+	s := newServer("callers", http.NotFoundHandler())
+	s.limit(route.Limits{IdleTimeout: time.Hour})
+	conn, other := net.Pipe()
+	defer func() { _ = other.Close() }()
+	s.state(conn, http.StateIdle)
+	due := s.idle[conn]
+	s.state(conn, http.StateActive)
+	s.closeIdle(conn, due)
+	require.NoError(t, conn.SetDeadline(time.Time{}), "it is in use")
+	s.state(conn, http.StateIdle)
+	s.closeIdle(conn, due)
+	require.NoError(t, conn.SetDeadline(time.Time{}), "it has been in use since")
+	s.closeIdle(conn, s.idle[conn])
+	require.Error(t, conn.SetDeadline(time.Time{}), "it is closed")
+}
+
+// TestRequestsOnClosedConnectionsAreNotPassedOn has the idle timer close a connection whose
+// request has been read by then.
+func TestRequestsOnClosedConnectionsAreNotPassedOn(t *testing.T) {
+	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", &lines{})
+	handled := make(chan struct{})
+	entry := m.callers.http.Handler
+	m.callers.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(handled)
+		_ = r.Context().Value(connKey{}).(*serverConn).Close()
+		entry.ServeHTTP(w, r)
+	})
+	k := dialCallers(t, m)
+	k.send(t, "one")
+	_, err := k.answer()
+	require.Error(t, err)
+	<-handled
+	require.Empty(t, m.up.requests())
+}
