Hand on no request whose connection a stopping server has just closed

The same fault in the daemon of its own settings: http.Server.Shutdown and the closing of unused connections take a connection for idle until net/http notes that a request has been read. One that is closed in that moment had its request passed on, and its caller got no answer. Not seen outside the test.

What tells that this side has closed a connection is a package of its own, inbound, which both daemons use. TestRequestsOnClosedConnectionsAreNotHandedOn failed before; its sibling in sidecar now checks the entry itself instead of a race that the cancelled context won.

--- a/daemon/conns_test.go
+++ b/daemon/conns_test.go
@@ -38,3 +38,30 @@
 		})
 	}
 }
+
+// TestRequestsOnClosedConnectionsAreNotHandedOn guards against a request that is passed on
+// though its caller can get no answer: a server that stops closed its connection, which it
+// took for unused, as the request was read.
+func TestRequestsOnClosedConnectionsAreNotHandedOn(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	handedOn := make(chan struct{}, 1)
+	s := newServer(serverOptions{
+		name: "callers", listener: ln, maxConnections: 1,
+		handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handedOn <- struct{}{} }),
+	})
+	tracked, read := s.http.Handler, make(chan struct{})
+	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(read)
+		require.NoError(t, s.http.Close())
+		tracked.ServeHTTP(w, r)
+	})
+	go func() { _ = s.Serve(t.Context()) }()
+	resp, err := http.Get("http://" + ln.Addr().String())
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	require.Error(t, err)
+	<-read
+	require.Empty(t, handedOn)
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -13,6 +13,8 @@
 
 	"github.com/thejerf/suture/v4"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/dottereltiller/dottereltiller/inbound"
 )
 
 const (
@@ -78,6 +80,7 @@
 			MaxHeaderBytes:    o.maxHeaderBytes,
 			TLSConfig:         o.tls,
 			Protocols:         protocols,
+			ConnContext:       inbound.Context,
 			ConnState:         bothHooks(conns.follow, limitConnections(o.maxConnections, o.refused)),
 			ErrorLog:          log.New(lineCounter{o.errors}, "", 0),
 		},
@@ -96,6 +99,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
+	ln = inbound.Listener(ln)
 	if s.opts.tls != nil {
 		err = s.http.ServeTLS(ln, "", "")
 	} else {
--- /dev/null
+++ b/inbound/conn.go
@@ -0,0 +1,54 @@
+package inbound
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// conn is a connection that tells whether this side has closed it.
+type conn struct {
+	*net.TCPConn
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closed.Store(true)
+	return c.TCPConn.Close()
+}
+
+// Listener returns a listener whose connections tell whether they have been closed.
+func Listener(l net.Listener) net.Listener { return listener{l} }
+
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &conn{TCPConn: tcp}, nil
+	}
+	return c, nil
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Context is the ConnContext of an http.Server that serves a Listener, with TLS or without.
+func Context(ctx context.Context, c net.Conn) context.Context {
+	if secured, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = secured.NetConn()
+	}
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Closed reports whether this side has closed the connection of a request whose context is
+// given. net/http itself does so only after the handler.
+func Closed(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.closed.Load()
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -18,6 +18,7 @@
 	"github.com/dottereltiller/dottereltiller/core/quarantine"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/inbound"
 )
 
 const (
@@ -58,7 +59,7 @@
 }
 
 // cut reports whether this daemon has closed the caller's connection.
-func (r *request) cut() bool { return connClosed(r.http.Context()) }
+func (r *request) cut() bool { return inbound.Closed(r.http.Context()) }
 
 // entry takes callers' requests. It is safe for concurrent use.
 type entry struct {
@@ -81,7 +82,7 @@
 
 // ServeHTTP answers one request.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if connClosed(r.Context()) {
+	if inbound.Closed(r.Context()) {
 		// Its caller would get no answer.
 		panic(http.ErrAbortHandler)
 	}
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/inbound"
 )
 
 const (
@@ -56,7 +57,7 @@
 		ErrorLog:                     log.New(io.Discard, "", 0),
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    s.state,
-		ConnContext:                  withConn,
+		ConnContext:                  inbound.Context,
 	}
 	// Without an own idle timeout the server would use that for headers.
 	s.http.IdleTimeout = idleForever
@@ -121,7 +122,7 @@
 func (s *server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
-	err := s.http.Serve(connListener{s.listener})
+	err := s.http.Serve(inbound.Listener(s.listener))
 	if errors.Is(err, net.ErrClosed) {
 		return suture.ErrDoNotRestart
 	}
--- a/sidecar/server_test.go
+++ b/sidecar/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/dottereltiller/dottereltiller/bubble"
 	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/inbound"
 )
 
 // TestIdleConnectionsKeepTheNewestPromise changes how long idle connections are kept
@@ -63,21 +65,22 @@
 	require.Error(t, conn.SetDeadline(time.Time{}), "it is closed")
 }
 
-// TestRequestsOnClosedConnectionsAreNotPassedOn has the idle timer close a connection whose
-// request has been read by then.
+// TestRequestsOnClosedConnectionsAreNotPassedOn guards against a request that is passed on
+// though its caller can get no answer: its connection was closed just after it was read.
 func TestRequestsOnClosedConnectionsAreNotPassedOn(t *testing.T) {
 	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", &lines{})
-	handled := make(chan struct{})
-	entry := m.callers.http.Handler
-	m.callers.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer close(handled)
-		_ = r.Context().Value(connKey{}).(*serverConn).Close()
-		entry.ServeHTTP(w, r)
-	})
-	k := dialCallers(t, m)
-	k.send(t, "one")
-	_, err := k.answer()
-	require.Error(t, err)
-	<-handled
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	conn, err := inbound.Listener(ln).Accept()
+	require.NoError(t, err)
+	r := httptest.NewRequestWithContext(inbound.Context(t.Context(), conn), http.MethodGet, "/safe/", nil)
+	r.Host = "h"
+	r.Header.Set("T-Id", "one")
+	require.NoError(t, conn.Close())
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { m.entry.ServeHTTP(httptest.NewRecorder(), r) })
 	require.Empty(t, m.up.requests())
 }
