--- a/decision/log.go
+++ b/decision/log.go
@@ -45,7 +45,7 @@
 	opts    Options
 	counts  *counts
 	classes map[Kind]Class
-	lines   chan line
+	lines   chan slog.Record
 	done    chan struct{}
 
 	mu      sync.Mutex
@@ -59,12 +59,6 @@
 	total int64
 }
 
-// line is a record to be written, or a wish to be told when all before it are.
-type line struct {
-	record  slog.Record
-	written chan<- struct{}
-}
-
 // New returns a Log. Close flushes it.
 func New(o Options) *Log {
 	if o.SampleOneIn == 0 {
@@ -83,7 +77,7 @@
 		opts:    o,
 		counts:  newCounts(o.Scope),
 		classes: make(map[Kind]Class),
-		lines:   make(chan line, o.Buffer),
+		lines:   make(chan slog.Record, o.Buffer),
 		done:    make(chan struct{}),
 		tokens:  o.LinesPerSecond * burstSeconds,
 		at:      o.Now(),
@@ -165,7 +159,7 @@
 
 func (l *Log) push(c Class, r slog.Record) {
 	select {
-	case l.lines <- line{record: r}:
+	case l.lines <- r:
 	default:
 		l.drop(c)
 	}
@@ -200,44 +194,8 @@
 
 func (l *Log) write() {
 	defer close(l.done)
-	for w := range l.lines {
-		if w.written != nil {
-			close(w.written)
-			continue
-		}
-		_ = l.opts.Handler.Handle(context.Background(), w.record)
-	}
-}
-
-// Flush waits until what came before is written, for at most the given time.
-func (l *Log) Flush(wait time.Duration) {
-	if l == nil {
-		return
-	}
-	written := make(chan struct{})
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	if !l.ask(line{written: written}) {
-		return
-	}
-	select {
-	case <-written:
-	case <-timer.C:
-	}
-}
-
-// ask queues a wish to be told, and reports whether there was room.
-func (l *Log) ask(w line) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		return false
-	}
-	select {
-	case l.lines <- w:
-		return true
-	default:
-		return false
+	for r := range l.lines {
+		_ = l.opts.Handler.Handle(context.Background(), r)
 	}
 }
 
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -189,27 +189,3 @@
 		l.Write(Refused, "request", slog.String("reason", "queue-full"), slog.Int("status", 503))
 	}
 }
-
-func TestFlushWaitsForWhatCameBefore(t *testing.T) {
-	out := &sink{}
-	l := New(Options{Handler: slog.NewJSONHandler(out, nil)})
-	defer l.Close(time.Second)
-	l.Write(Stopped, "")
-	l.Flush(time.Minute)
-	require.Equal(t, map[string]int{string(Stopped): 1}, out.kinds(t))
-	l.Close(time.Minute)
-	l.Flush(time.Minute)
-	(*Log)(nil).Flush(time.Minute)
-}
-
-// TestFlushDoesNotWaitForASlowReader has a line that is not written while Flush waits.
-func TestFlushDoesNotWaitForASlowReader(t *testing.T) {
-	out := &sink{}
-	l := New(Options{Handler: slog.NewJSONHandler(out, nil)})
-	out.mu.Lock()
-	l.Write(Stopped, "")
-	l.Flush(time.Millisecond)
-	out.mu.Unlock()
-	l.Close(time.Minute)
-	require.Equal(t, map[string]int{string(Stopped): 1}, out.kinds(t))
-}
