An answer that is still to be written is in hand

A connection is in hand now until net/http reports it idle or closed, for callers and for the calls of other daemons, whose answers had the same gap (TestAnswersBeingWrittenAreInHand, TestPeerAnswersBeingWrittenAreInHand). - A request between two attempts was still passed on after the daemon had given up what was in hand. It is told that it has not run (TestNothingIsPassedOnOnceRequestsAreGivenUp). - An answer that came as the daemon gave up could be replaced by 502 (TestAnswersAtHandAreDeliveredAtTheEnd). - An idle timer that had fired when a longer promise came closed the connection all the same (TestIdleTimersKeepAPromiseThatCameAsTheyFired).

The waits at the end are bounded by the grace time.

--- a/inbound/doc.go
+++ b/inbound/doc.go
@@ -1,5 +1,5 @@
 // Package inbound tells whether a server has closed the connection of a request that it has
-// read. net/http does not: a server that stops closes connections that it takes for idle,
-// and one on which a request has just been read may be among them. Its handler would pass
-// the request on, and the caller would get no answer.
+// read. net/http does not: a server may close a connection as unused or idle just when a
+// request on it has been read. Its handler would pass the request on, and the caller would
+// get no answer.
 package inbound
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -45,6 +45,7 @@
 	datagrams *datagrams
 	servers   []*server
 	callers   *server
+	calls     *server
 	fetching  atomic.Bool
 	// ready is set once the daemon has a configuration and knows the others.
 	ready    atomic.Bool
@@ -53,8 +54,6 @@
 	// the store of the configuration. Zero means that one does.
 	sourceLost atomic.Int64
 	requests   inHand
-	// answering counts the handlers of callers' requests, those refused at the end too.
-	answering atomic.Int64
 	// ending is closed when the requests in hand are given up, as the grace time is over.
 	ending chan struct{}
 }
@@ -131,12 +130,13 @@
 	a := d.opts.Addresses
 	d.callers = newServer("callers", d.reportPanics("callers", d.entry))
 	d.config.onChange = append(d.config.onChange, func(t *route.Table) { d.callers.limit(t.Limits()) })
+	d.calls = newServer("peers", d.reportPanics("peers", peerHandler{d}))
 	bind := []struct {
 		address string
 		server  *server
 	}{
 		{a.Callers, d.callers},
-		{a.PeerBind, newServer("peers", d.reportPanics("peers", peerHandler{d}))},
+		{a.PeerBind, d.calls},
 		{a.Control, newServer("control", d.opts.Control(d))},
 		{a.Ready, newServer("ready", http.HandlerFunc(d.serveReady))},
 		{a.Metrics, newServer("metrics", d.opts.Metrics)},
@@ -242,8 +242,11 @@
 	// refusing is how long a daemon that takes nothing more still answers before it closes
 	// its connections: requests that are on their way to it are told that they have not run.
 	refusing = 50 * time.Millisecond
-	// answersWait bounds the wait for those answers, and for the lines that tell of them.
-	answersWait = 20 * time.Millisecond
+	// cutWait bounds the wait for the lines of requests that were cut.
+	cutWait = 20 * time.Millisecond
+	// closingMargin is the part of the grace time that is left when answers are no longer
+	// waited for.
+	closingMargin = 200 * time.Millisecond
 	// answersPoll is how often it is looked whether callers wait.
 	answersPoll = time.Millisecond
 )
@@ -273,19 +276,37 @@
 	case err := <-done:
 		return err
 	}
-	d.drain()
-	d.awaitAnswers(answersWait)
+	last := d.drain()
 	stop()
 	d.closeServers()
 	<-done
-	d.awaitAnswers(answersWait)
-	d.opts.Decisions.Close(logWait)
+	// What was cut tells so in the log.
+	d.awaitAnswers(time.Now().Add(min(cutWait, time.Until(last))))
+	d.opts.Decisions.Close(min(logWait, max(time.Until(last), 0)))
 	return nil
 }
 
-// awaitAnswers waits until no caller waits for an answer, for at most a time.
-func (d *Daemon) awaitAnswers(most time.Duration) {
-	for end := time.Now().Add(most); d.answering.Load() > 0 && time.Now().Before(end); {
+// isEnding reports whether the daemon gives up what is in hand.
+func (d *Daemon) isEnding() bool {
+	select {
+	case <-d.ending:
+		return true
+	default:
+		return false
+	}
+}
+
+// endIdle lets nothing more in if nothing is in hand, and reports whether that is so. An
+// answer that net/http has still to write is in hand.
+func (d *Daemon) endIdle() bool {
+	return d.requests.endIdle(func() bool {
+		return d.callers.answering() == 0 && d.calls.answering() == 0 && d.guard.stopIdle()
+	})
+}
+
+// awaitAnswers waits until nobody waits for an answer, or until the end.
+func (d *Daemon) awaitAnswers(end time.Time) {
+	for d.callers.answering()+d.calls.answering() > 0 && time.Now().Before(end) {
 		time.Sleep(answersPoll)
 	}
 }
@@ -296,10 +317,11 @@
 	}
 }
 
-// drain stops taking new work, tells everybody, and waits for what runs.
-func (d *Daemon) drain() {
+// drain stops taking new work, tells everybody, and waits for what runs. It returns when the
+// grace time ends.
+func (d *Daemon) drain() (last time.Time) {
 	began := time.Now()
-	last := began.Add(d.tunables.Load().Grace)
+	last = began.Add(d.tunables.Load().Grace)
 	end := last.Add(-graceMargin)
 	d.guard.endBy(d.now().Add(end.Sub(began)))
 	d.stopping.Store(true)
@@ -317,6 +339,8 @@
 	d.opts.Decisions.Write(decision.Stopped, "", slog.Int("in_flight", d.requests.count()), slog.Int64("took_ms", time.Since(began).Milliseconds()))
 	close(d.ending)
 	time.Sleep(min(refusing, time.Until(last)))
+	d.awaitAnswers(last.Add(-closingMargin))
+	return last
 }
 
 // awaitIdle waits until callers have had the time to leave and nothing is in hand, or until
@@ -328,7 +352,7 @@
 		}
 		if time.Since(began) > lingering {
 			d.callers.refuseNew()
-			if d.requests.endIdle(d.guard.stopIdle) {
+			if d.endIdle() {
 				return
 			}
 		}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -86,8 +86,6 @@
 		// Its caller would get no answer.
 		panic(http.ErrAbortHandler)
 	}
-	e.d.answering.Add(1)
-	defer e.d.answering.Add(-1)
 	attempt, err := e.d.opts.Edge.Attempt(r.Header)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -119,7 +119,7 @@
 		case <-r.req.ctx.Done():
 			return r.timeout()
 		case <-r.e.d.ending:
-			return r.givenUp(outcome.ReasonDraining)
+			return r.atEnd()
 		}
 	}
 }
@@ -149,6 +149,27 @@
 	return r.givenUp(outcome.ReasonDeadline)
 }
 
+// atEnd answers a request that the daemon gives up as it ends. An answer that has come
+// counts.
+func (r *race) atEnd() *Answer {
+	select {
+	case end := <-r.done:
+		if a := r.ended(end); a != nil {
+			return a
+		}
+	default:
+	}
+	return r.givenUp(outcome.ReasonDraining)
+}
+
+// finalAtEnd answers a request of which no attempt is under way as the daemon ends.
+func (r *race) finalAtEnd() *Answer {
+	if r.failure == nil {
+		return refuse(outcome.ReasonDraining, noUpstreamRetry)
+	}
+	return r.final()
+}
+
 // givenUp answers a request whose attempts are no longer waited for.
 func (r *race) givenUp(why outcome.Reason) *Answer {
 	if r.failure != nil && r.failure.Outcome.Kind == outcome.Answered {
@@ -254,6 +275,9 @@
 	if r.req.ctx.Err() != nil {
 		return r.timeout()
 	}
+	if r.e.d.isEnding() {
+		return r.finalAtEnd()
+	}
 	if a := r.e.d.suspects.refused(r.req); a != nil {
 		if r.failure == nil {
 			return a
--- a/sidecar/inhand.go
+++ b/sidecar/inhand.go
@@ -2,9 +2,9 @@
 
 import "sync"
 
-// inHand counts the callers' requests that are in hand. Once it has ended it takes no
-// more, so that a daemon that found none closes no connection under one that came since.
-// It is safe for concurrent use.
+// inHand counts the callers' requests in hand. Once it has ended, no further request is
+// passed on, so that none arrives between the check that nothing is in hand and the closing
+// of the connections. It is safe for concurrent use.
 type inHand struct {
 	mu    sync.Mutex
 	n     int
@@ -22,7 +22,7 @@
 	return true
 }
 
-// done takes in that a request is no longer in hand.
+// done notes that a request is no longer in hand.
 func (h *inHand) done() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -36,11 +36,12 @@
 	return h.n
 }
 
-// endIdle ends it if nothing is in hand and also agrees, and reports whether it has.
-func (h *inHand) endIdle(also func() bool) bool {
+// endIdle ends it if no request is in hand and nothing else is under way either, and
+// reports whether it has ended.
+func (h *inHand) endIdle(nothingElse func() bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ended = h.ended || h.n == 0 && also()
+	h.ended = h.ended || (h.n == 0 && nothingElse())
 	return h.ended
 }
 
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -40,6 +40,9 @@
 	// idle holds the idle connections; limits change while it runs.
 	idle   map[net.Conn]*idleConn
 	limits route.Limits
+	// active holds the connections between a request that has been read and the end of its
+	// answer.
+	active map[net.Conn]struct{}
 }
 
 // idleConn is a connection that is closed if it stays idle.
@@ -49,7 +52,7 @@
 }
 
 func newServer(name string, h http.Handler) *server {
-	s := &server{name: name, idle: make(map[net.Conn]*idleConn)}
+	s := &server{name: name, idle: make(map[net.Conn]*idleConn), active: make(map[net.Conn]struct{})}
 	s.http = &http.Server{
 		Handler:                      h,
 		ReadHeaderTimeout:            headerTimeout,
@@ -79,14 +82,14 @@
 	if !longer {
 		return
 	}
-	for _, c := range s.idle {
-		if c.close.Stop() {
-			c.close.Reset(time.Until(c.since.Add(l.IdleTimeout + idleSlack)))
-		}
+	for c, i := range s.idle {
+		i.close.Stop()
+		s.closeLater(c, i.since)
 	}
 }
 
-// state closes connections that have been idle for longer than promised.
+// state follows the connections, and closes those that have been idle for longer than
+// promised.
 func (s *server) state(c net.Conn, st http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,13 +97,29 @@
 		i.close.Stop()
 		delete(s.idle, c)
 	}
-	if st == http.StateIdle && s.limits.IdleTimeout > 0 {
-		i := &idleConn{since: time.Now()}
-		i.close = time.AfterFunc(s.limits.IdleTimeout+idleSlack, func() { s.closeIdle(c, i) })
-		s.idle[c] = i
+	delete(s.active, c)
+	switch {
+	case st == http.StateActive:
+		s.active[c] = struct{}{}
+	case st == http.StateIdle && s.limits.IdleTimeout > 0:
+		s.closeLater(c, time.Now())
 	}
 }
 
+// closeLater sets the timer of a connection that has been idle since a time. s.mu is held.
+func (s *server) closeLater(c net.Conn, since time.Time) {
+	i := &idleConn{since: since}
+	i.close = time.AfterFunc(time.Until(since.Add(s.limits.IdleTimeout+idleSlack)), func() { s.closeIdle(c, i) })
+	s.idle[c] = i
+}
+
+// answering returns how many connections wait for an answer.
+func (s *server) answering() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.active)
+}
+
 // closeIdle closes a connection whose timer has fired, unless it has been in use since the
 // timer was set.
 func (s *server) closeIdle(c net.Conn, since *idleConn) {
