A daemon outlives the reader of its lines

The end of the process that reads standard output or standard error ended the daemon with its next line: the Go runtime lets SIGPIPE end the process where a write to one of these fails with EPIPE.

The signal is ignored now. Lines that nobody reads are lost.

Both tests fail without the change, with "signal: broken pipe".

--- /dev/null
+++ b/cmd/dottereltillerd/logreader_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/loopback"
+	"github.com/dottereltiller/dottereltiller/platform/platformtest"
+)
+
+// TestEndOfTheLogsReaderDoesNotEndTheDaemon closes the pipe that a daemon on the platform
+// writes its lines to, and has it write one more.
+func TestEndOfTheLogsReaderDoesNotEndTheDaemon(t *testing.T) {
+	address, err := loopback.Address()
+	require.NoError(t, err)
+	ip, _, err := net.SplitHostPort(address)
+	require.NoError(t, err)
+	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	vm := platformtest.VM{
+		Name: "vm-1", IP: ip, Zone: "z", Service: "a", Outbound: at(8141), Ready: at(8140), Control: at(8146),
+		Upstream: at(8147), Store: at(8342), InternalPort: 7660, Advertised: at(7660), First: true,
+		GraceS: 1, Ratio: 0.2, Slack: 10, Window: 10,
+	}
+	path := write(t, vm.Settings())
+	out, in, err := os.Pipe()
+	require.NoError(t, err)
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), platformtest.Env(path))
+	cmd.Stdout = in
+	require.NoError(t, cmd.Start())
+	defer func() { _ = cmd.Process.Kill() }()
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	require.NoError(t, in.Close())
+	awaitLine(t, bufio.NewReader(out), "daemon started")
+	require.NoError(t, out.Close())
+
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	select {
+	case err := <-ended:
+		require.Fail(t, "the daemon ended", "%v", err)
+	case <-time.After(500 * time.Millisecond):
+	}
+	resp, err := http.Get(vm.ReadyURL())
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, <-ended)
+}
+
+// TestStopWithoutALogsReader closes the pipe that a daemon with settings of its own writes
+// its lines to, and stops it.
+func TestStopWithoutALogsReader(t *testing.T) {
+	cmd := exec.Command(program, "--settings", write(t, `{`+valid+`,
+		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0"}}`))
+	out, err := cmd.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
+	defer func() { _ = cmd.Process.Kill() }()
+	awaitLine(t, bufio.NewReader(out), "daemon started")
+	require.NoError(t, out.Close())
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
--- a/cmd/dottereltillerd/main.go
+++ b/cmd/dottereltillerd/main.go
@@ -96,6 +96,7 @@
 }
 
 func run(s settings.Settings) error {
+	outliveLogReader()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	if s.Process.MemoryLimitBytes > 0 {
@@ -123,6 +124,7 @@
 		}
 		return
 	}
+	outliveLogReader()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := platform.Run(ctx, path, hangup.Signals); err != nil {
@@ -130,6 +132,10 @@
 	}
 }
 
+// outliveLogReader has a write to a pipe that nobody reads fail. By default the signal of
+// such a write to standard output or standard error ends the process.
+func outliveLogReader() { signal.Ignore(syscall.SIGPIPE) }
+
 // obey stops the daemon at the first signal and ends its wait for requests in
 // flight at the second. A third one ends the process at once.
 func obey(signals <-chan os.Signal, stop func(), d *daemon.Daemon) {
