No data race where a body is written beside the wait for its response

The goroutine that writes a body of more than 2 KiB set link.written, which the exchange reads meanwhile. The head has set it before, so both saw true and nothing followed from it; the race detector reported it in a run of two daemons under load. The goroutine leaves the field alone now.

TestLargeBodyIsWrittenBesideTheWait failed in 6 of 6 runs with the race detector before, and passes in 9 of 9 now.

--- a/hop/exchange.go
+++ b/hop/exchange.go
@@ -150,7 +150,10 @@
 	if err := l.write(head); err != nil {
 		return wrote, err
 	}
-	go func() { wrote <- l.write(x.Body) }()
+	go func() {
+		_, err := l.conn.Write(x.Body)
+		wrote <- err
+	}()
 	return wrote, nil
 }
 
--- a/hop/pool_test.go
+++ b/hop/pool_test.go
@@ -334,3 +334,20 @@
 	require.NoError(t, err)
 	require.Equal(t, 1, informed)
 }
+
+// TestLargeBodyIsWrittenBesideTheWait has the race detector look at bodies that are
+// written while the response is waited for.
+func TestLargeBodyIsWrittenBesideTheWait(t *testing.T) {
+	s := play(t, echo)
+	p := NewPool(s.address, PoolOptions{})
+	defer p.Close()
+	for i := range 500 {
+		id := fmt.Sprint("r", i)
+		reply, err := p.Do(t.Context(), Exchange{
+			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}},
+			Body: make([]byte, inlineBody+1+i),
+		})
+		require.NoError(t, err)
+		require.Equal(t, "body of "+id, string(reply.Body))
+	}
+}
