Kept connections under failing upstreams, changing settings and stray datagrams

120 callers send on kept connections to two daemons, whose upstreams reset, break off, garble, repeat and delay answers. STRESS says how long; two seconds by default.

--- /dev/null
+++ b/sidecar/kept_test.go
@@ -0,0 +1,293 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+// rogue is an upstream that answers most requests and fails the others in every way that
+// bytes on a connection can.
+type rogue struct {
+	id string
+	ln net.Listener
+}
+
+func startRogue(t *testing.T, id string) *rogue {
+	t.Helper()
+	ln, err := net.Listen("tcp", freePort(t))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	r := &rogue{id: id, ln: ln}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(c)
+		}
+	}()
+	return r
+}
+
+func (r *rogue) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if req.URL.Path == "/health" {
+			r.reply(c, req, "200 OK", "")
+			continue
+		}
+		if !r.misbehave(c, req) {
+			return
+		}
+	}
+}
+
+// reply writes an answer with headers of its own and more.
+func (r *rogue) reply(c net.Conn, req *http.Request, status, more string) {
+	const body = "some text"
+	text := body
+	if req.Method == http.MethodHead {
+		text = ""
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nT-Instance: %s\r\nT-Slow: %.2f\r\nT-Id: %s\r\nT-Seal: s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, r.id, 0.5+2*rand.Float64(), req.Header.Get("T-Id"), more, len(body), text)
+}
+
+// misbehave answers, or not, and reports whether the connection is to serve again.
+func (r *rogue) misbehave(c net.Conn, req *http.Request) bool {
+	id := req.Header.Get("T-Id")
+	switch rand.IntN(60) {
+	case 0:
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	case 1:
+		return false
+	case 2:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\nContent-Length: 100\r\n\r\nhalf", id)
+		return false
+	case 3:
+		_, _ = io.WriteString(c, "\x00\x01 garbage\r\n\r\n\xff")
+		return false
+	case 4, 5, 6, 7:
+		status := []string{"000 a", "099 b", "+12 c", "199 d", "600 e", "999 f", "204 g", "304 h", "101 i", "500 j", "503 k", "421 l"}
+		r.reply(c, req, status[rand.IntN(len(status))], "")
+		return false
+	case 8:
+		r.reply(c, req, "200 OK", "")
+		r.reply(c, req, "200 OK", "")
+	case 9:
+		time.Sleep(time.Duration(rand.IntN(600)) * time.Millisecond)
+		r.reply(c, req, "200 OK", "")
+	case 10:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: another\r\nContent-Length: 0\r\n\r\n")
+		return true
+	case 11:
+		r.reply(c, req, "200 OK", "Connection: X-Some, close\r\nX-Some: 1\r\nTrailer: T-Slow\r\nKeep-Alive: timeout=x\r\n")
+		return false
+	case 12:
+		_, _ = io.WriteString(c, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100))
+		r.reply(c, req, "200 OK", "")
+	case 13:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nT-Slow: 3\r\n\r\n", id)
+	case 14:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Not Run\r\nT-Not-Run: 1\r\nT-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+	default:
+		time.Sleep(time.Duration(rand.IntN(8)) * time.Millisecond)
+		r.reply(c, req, "200 OK", "")
+	}
+	return true
+}
+
+// keptCaller sends requests one after the other on kept connections.
+type keptCaller struct {
+	address string
+	asked   *atomic.Int64
+	// lost are the requests that were written whole and got no answer.
+	lost *atomic.Int64
+	last *atomic.Value
+}
+
+func (k *keptCaller) run(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		conn, err := net.Dial("tcp", k.address)
+		if err != nil {
+			return
+		}
+		k.converse(ctx, conn, name)
+		_ = conn.Close()
+	}
+}
+
+// converse uses a connection until the daemon announces its end, or the caller leaves.
+func (k *keptCaller) converse(ctx context.Context, conn net.Conn, name string) {
+	in := bufio.NewReader(conn)
+	for ctx.Err() == nil {
+		n := k.asked.Add(1)
+		method, path, size := http.MethodGet, "/safe/x", 0
+		switch rand.IntN(6) {
+		case 0:
+			method = http.MethodHead
+		case 1, 2:
+			method, path, size = http.MethodPost, "/unsafe/x", []int{0, 10, 9000}[rand.IntN(3)]
+		}
+		_ = conn.SetDeadline(time.Now().Add(waitLimit))
+		_, err := fmt.Fprintf(conn, "%s %s%d HTTP/1.1\r\nHost: h\r\nT-Id: %s-%d\r\nT-Deadline: %d\r\nContent-Length: %d\r\n\r\n%s",
+			method, path, rand.IntN(50), name, n, 20+rand.IntN(1500), size, strings.Repeat("x", size))
+		if err == nil && rand.IntN(50) == 0 {
+			time.Sleep(time.Duration(rand.IntN(10)) * time.Millisecond)
+			return
+		}
+		var resp *http.Response
+		if err == nil {
+			if resp, err = http.ReadResponse(in, &http.Request{Method: method}); err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+		}
+		if err != nil {
+			k.lost.Add(1)
+			k.last.Store(err.Error())
+			return
+		}
+		if resp.Close || resp.StatusCode == http.StatusSwitchingProtocols {
+			return
+		}
+		if rand.IntN(10) == 0 {
+			time.Sleep(time.Duration(rand.IntN(40)) * time.Millisecond)
+		}
+	}
+}
+
+// disturb sends datagrams that no daemon sends, until the context ends.
+func disturb(ctx context.Context, address string) {
+	conn, err := net.Dial("udp4", address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	for ctx.Err() == nil {
+		b := make([]byte, rand.IntN(200))
+		for i := range b {
+			b[i] = byte(rand.Uint32())
+		}
+		if len(b) >= headBytes {
+			b[0] = byte(rand.IntN(14))
+			binary.BigEndian.PutUint32(b[1:], uint32(rand.IntN(1000)))
+			binary.BigEndian.PutUint64(b[5:], uint64(rand.IntN(2)))
+		}
+		_, _ = conn.Write(b)
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// TestKeptConnectionsAreAnsweredWhateverUpstreamsDo has many callers send on kept
+// connections while upstreams fail in all ways, their reports, the configuration and the
+// settings change, and datagrams come that cannot be read. STRESS is how long, as 90s.
+func TestKeptConnectionsAreAnsweredWhateverUpstreamsDo(t *testing.T) {
+	length := 2 * time.Second
+	if text := os.Getenv("STRESS"); text != "" {
+		var err error
+		length, err = time.ParseDuration(text)
+		require.NoError(t, err)
+	}
+	const callers, daemons = 120, 2
+	s := newStore(documentOf(1, "a"))
+	var members []*member
+	for i := range daemons {
+		id := fmt.Sprintf("u%d", i)
+		up := startRogue(t, id)
+		o := optionsFor(t, s, &upstream{server: &httptest.Server{Listener: up.ln}}, "a")
+		o.Tunables.Resends = ResendBudget{Ratio: 1, Slack: 1e6, Span: time.Second}
+		m := start(t, o, s)
+		m.Report(ready(id, 1, 1, "a"))
+		members = append(members, m)
+	}
+	for _, m := range members {
+		m.knows(t, "a", daemons)
+	}
+
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	var asked, lost atomic.Int64
+	var last atomic.Value
+	var wg sync.WaitGroup
+	for i := range callers {
+		k := &keptCaller{address: members[i%daemons].opts.Addresses.Callers, asked: &asked, lost: &lost, last: &last}
+		wg.Go(func() { k.run(ctx, fmt.Sprint("c", i)) })
+	}
+	for i, m := range members {
+		wg.Go(func() { disturb(ctx, m.opts.Addresses.Peers) })
+		wg.Go(func() { changeReports(ctx, m, fmt.Sprintf("u%d", i)) })
+	}
+	wg.Go(func() { changeConfiguration(ctx, s, members) })
+	wg.Wait()
+
+	t.Logf("%d requests", asked.Load())
+	require.Zero(t, lost.Load(), "of %d requests, the last: %v", asked.Load(), last.Load())
+	for _, m := range members {
+		counters := m.scope.Snapshot().Counters()
+		require.Zero(t, counters["handlers_panicked+"].Value())
+		require.Zero(t, counters["requests_cut+"].Value())
+	}
+}
+
+// changeReports has the upstream's state, slots and incarnation change.
+func changeReports(ctx context.Context, m *member, id string) {
+	for born := int64(2); ctx.Err() == nil; born++ {
+		for seq := uint64(1); seq < 4; seq++ {
+			r := ready(id, born, seq, "a")
+			r.Slots = 1 + rand.IntN(60)
+			if seq == 3 && rand.IntN(2) == 0 {
+				r.State = lifecycle.Draining
+			}
+			m.Report(r)
+			time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
+		}
+		if rand.IntN(3) == 0 {
+			m.Leave(lifecycle.Incarnation{ID: model.UpstreamID(id), Born: born})
+		}
+	}
+}
+
+// changeConfiguration publishes versions with other limits and budgets.
+func changeConfiguration(ctx context.Context, s *store, members []*member) {
+	for version := model.Version(2); ctx.Err() == nil; version++ {
+		doc := documentOf(version, "a")
+		doc.Limits.IdleTimeout = time.Duration(2+rand.IntN(10)) * time.Second
+		for i := range doc.Routes {
+			doc.Routes[i].MaxAttempts = 1 + rand.IntN(4)
+			doc.Routes[i].Target = time.Duration(10+rand.IntN(200)) * time.Millisecond
+		}
+		s.publish(doc)
+		for _, m := range members {
+			m.Reconfigure(Tunables{Service: "a", Resends: ResendBudget{Ratio: rand.Float64(), Slack: 1e6, Span: time.Second}, Grace: 5 * time.Second})
+		}
+		time.Sleep(time.Duration(20+rand.IntN(60)) * time.Millisecond)
+	}
+}
