The head of a response is bounded

An upstream, a daemon or a store that sends headers without an end filled the memory of who had asked, up to the deadline of the request: net/http reads the head of a response without a bound, and package hop set none for the connections of a Pool. 64 MiB of headers were taken in within a second.

TestEndlessHeadersAreGivenUp failed before: bytes were taken in.

--- a/hop/exchange.go
+++ b/hop/exchange.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -81,6 +80,7 @@
 	errFull     = errors.New("all connections are in use")
 	errForeign  = errors.New("responses belong to other requests")
 	errTooLarge = errors.New("response is too large")
+	errHeaders  = errors.New("response headers are too large")
 )
 
 // head returns the request line and headers.
@@ -166,7 +166,7 @@
 // receive reads responses until one belongs to the request.
 func (l *link) receive(x *Exchange, lost *LostError) (*Reply, error) {
 	for range maxStray {
-		resp, err := readResponse(l.reader, x)
+		resp, err := l.readResponse(x)
 		if err != nil {
 			return nil, err
 		}
@@ -189,9 +189,11 @@
 }
 
 // readResponse reads the head of the next final response.
-func readResponse(r *bufio.Reader, x *Exchange) (*http.Response, error) {
+func (l *link) readResponse(x *Exchange) (*http.Response, error) {
+	defer l.heads.lift()
 	for {
-		resp, err := http.ReadResponse(r, &http.Request{Method: x.Method})
+		l.heads.bound(defaultMaxHeaderBytes)
+		resp, err := http.ReadResponse(l.reader, &http.Request{Method: x.Method})
 		if err != nil {
 			return nil, err
 		}
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -139,7 +140,8 @@
 	if p.opts.Dialed != nil {
 		p.opts.Dialed()
 	}
-	return &link{conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes), idleLimit: p.opts.IdleLimit}, nil
+	heads := &headReader{from: conn}
+	return &link{conn: conn, heads: heads, reader: bufio.NewReaderSize(heads, bufferBytes), idleLimit: p.opts.IdleLimit}, nil
 }
 
 // reserve counts a connection about to be opened. It makes room by closing a
@@ -210,8 +212,10 @@
 
 // link is one connection.
 type link struct {
-	conn   net.Conn
+	conn net.Conn
+	// reader reads from heads.
 	reader *bufio.Reader
+	heads  *headReader
 	// uses counts the exchanges; written tells that the present one has sent
 	// bytes.
 	uses    int
@@ -256,3 +260,27 @@
 	})
 	return err == nil && quiet
 }
+
+// headReader bounds the bytes of a response head, which net/http reads without a bound.
+type headReader struct {
+	from    io.Reader
+	bounded bool
+	left    int
+}
+
+// bound lets so many bytes more be read; lift ends that.
+func (h *headReader) bound(n int) { h.bounded, h.left = true, n }
+func (h *headReader) lift()       { h.bounded = false }
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.bounded {
+		return h.from.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeaders
+	}
+	n, err := h.from.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
--- a/hop/pool_test.go
+++ b/hop/pool_test.go
@@ -351,3 +351,29 @@
 		require.Equal(t, "body of "+id, string(reply.Body))
 	}
 }
+
+// TestEndlessHeadersAreGivenUp has the other side send headers without an end.
+func TestEndlessHeadersAreGivenUp(t *testing.T) {
+	const most = 64 << 20
+	sent := make(chan int, 1)
+	s := play(t, func(c net.Conn, r *bufio.Reader) {
+		request(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		line := []byte("X-Some: " + strings.Repeat("x", 8<<10) + "\r\n")
+		n := 0
+		for n < most {
+			if _, err := c.Write(line); err != nil {
+				break
+			}
+			n += len(line)
+		}
+		sent <- n
+	})
+	p := NewPool(s.address, PoolOptions{})
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := p.Do(ctx, Exchange{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"r1"}}})
+	require.Error(t, err)
+	require.Less(t, <-sent, most/4, "bytes of headers that were taken in")
+}
