A route may allow any number of attempts

The channels of a request have room for every attempt that its route allows, so a route with a max-attempts beyond what memory holds had the handler of each of its requests panic: the connection was closed without an answer, before anything was sent. Beneath that, each request took 24 bytes for each attempt allowed.

64 attempts at most are made now. TestAttemptsWithoutABoundAreServed failed with EOF before.

--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -91,7 +91,7 @@
 // hedge sends an idempotent request to a second upstream if that is expected to
 // help.
 func (r *race) hedge() {
-	if !r.req.route.Idempotent || len(r.live) != 1 || r.arrived+1 >= r.req.route.MaxAttempts {
+	if !r.req.route.Idempotent || len(r.live) != 1 || r.arrived+1 >= r.req.attempts() {
 		return
 	}
 	now := r.e.d.now()
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -19,6 +19,8 @@
 	// maxMisses is how many attempts may reach no upstream before a request is
 	// refused.
 	maxMisses = 6
+	// maxAttempts bounds the attempts of one request, whatever its route allows.
+	maxAttempts = 64
 	// refusedRetry is the advice after upstreams refused a request although their
 	// guards held them below what they take: such refusals come and go.
 	refusedRetry = 50 * time.Millisecond
@@ -78,6 +80,9 @@
 	late    bool
 }
 
+// attempts returns how many upstreams the request may be sent to.
+func (r *request) attempts() int { return min(r.route.MaxAttempts, maxAttempts) }
+
 // forward sends a request to upstreams until one has answered it or nothing more
 // may be tried.
 func (e *entry) forward(req *request) *Answer {
@@ -86,7 +91,7 @@
 	if req.service != e.d.service() {
 		e.d.guard.called()
 	}
-	most := req.route.MaxAttempts + maxMisses + placement.MaxGivenBack + 1
+	most := req.attempts() + maxMisses + placement.MaxGivenBack + 1
 	r := &race{
 		e: e, req: req, s: s, work: e.workOf(req.route.Name, req.deadline.Sub(req.began)),
 		done: make(chan ended, most), mute: make(chan *try, most), tried: make(map[string]bool),
@@ -253,7 +258,7 @@
 		}
 		return r.final()
 	}
-	if r.arrived >= r.req.route.MaxAttempts || r.misses > maxMisses || r.full >= placement.MaxFull {
+	if r.arrived >= r.req.attempts() || r.misses > maxMisses || r.full >= placement.MaxFull {
 		return r.final()
 	}
 	now := r.e.d.now()
