--- /dev/null
+++ b/sidecar/fuzz_test.go
@@ -0,0 +1,61 @@
+package sidecar
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+)
+
+// FuzzDatagrams has a daemon receive whatever comes.
+func FuzzDatagrams(f *testing.F) {
+	o := optionsFor(f, newStore(documentOf(1, "a")), newUpstream(f, "a1"), "a")
+	o.Source = &source{s: newStore(documentOf(1, "a"))}
+	d, err := New(o)
+	require.NoError(f, err)
+	f.Cleanup(d.closeServers)
+	d.Report(ready("a1", 1, 1, "a"))
+	others := []Record{
+		{Address: "127.0.0.1:9", Incarnation: 1, Sequence: 1, Zone: "y", Service: "a", State: lifecycle.Ready, Slots: 6},
+		{Address: o.Addresses.Peers, Incarnation: 1 << 60, Sequence: 1, Zone: "z", Departed: []lifecycle.Incarnation{{ID: "a1", Born: 1}}},
+	}
+	bodies := map[byte][]byte{
+		kindAsk: make([]byte, 5), kindLoad: make([]byte, 13), kindNoted: nil, kindNews: []byte("127.0.0.1:9"),
+		kindRecord: packRecords(others[:1])[0], kindRecords: packRecords(others)[0], kindCompared: packRecords(others)[0],
+		kindHeartbeat: append([]byte{1}, "127.0.0.1:9"...), kindCompare: digestOf(others).encode(),
+		kindSummary: summaryOf(others, []int{0, 1, 2, bucketOf(others[0].Address)}).encode(),
+		kindWish:    encodeWishes([]uint32{1, hashOf(o.Addresses.Peers)}), kindSuspects: d.suspects.store.Opening(),
+	}
+	for kind, body := range bodies {
+		f.Add(append(append([]byte{kind}, make([]byte, headBytes-1)...), body...))
+	}
+	for _, message := range []string{"s", "w", "r", "a"} {
+		f.Add(append(append([]byte{kindSuspects}, make([]byte, headBytes-1)...), message+"0123456789abcdef0123456789abcdef"...))
+	}
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if len(b) >= headBytes {
+			// Versions that the daemon lacks would have it ask for them.
+			binary.BigEndian.PutUint64(b[5:], 0)
+		}
+		d.datagrams.receive(b, from)
+	})
+}
+
+// FuzzFields reads the fields of calls and answers, and what is written of them again.
+func FuzzFields(f *testing.F) {
+	f.Add((&Call{ID: "r1", Service: "a", Caller: "b", Upstream: lifecycle.Incarnation{ID: "a1"}}).encode())
+	f.Add(unknown("connection-lost").encode())
+	f.Fuzz(func(t *testing.T, s string) {
+		if c, err := decodeCall(s); err == nil {
+			_ = c.Key()
+		}
+		if a, err := decodeAnswer(s); err == nil {
+			_, err := decodeAnswer(a.encode())
+			require.NoError(t, err)
+		}
+	})
+}
