A test that fails: the idle timer closes connections with requests in hand

The handler may be in hand when the timer's function runs: net/http tells of a request only once its head has been read, and the function does not look whether it came too late. Callers that keep the promise send a second before.

--- /dev/null
+++ b/sidecar/idle_test.go
@@ -0,0 +1,61 @@
+package sidecar
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/route"
+)
+
+// TestIdleTimerCutsNoRequestInHand sends requests on kept connections at about the time
+// that these are closed as idle: each is answered, or has not been begun.
+func TestIdleTimerCutsNoRequestInHand(t *testing.T) {
+	const conns, before, runs = 400, 4 * time.Millisecond, 50 * time.Millisecond
+	const kept = 200 * time.Millisecond
+	var begun sync.Map
+	s := newServer("callers", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/first" {
+			begun.Store(r.URL.Path, true)
+			time.Sleep(runs)
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	s.limit(route.Limits{IdleTimeout: kept})
+	var err error
+	s.listener, err = net.Listen("tcp", freePort(t))
+	require.NoError(t, err)
+	go func() { _ = s.Serve(t.Context()) }()
+	t.Cleanup(s.close)
+	var cut, answered atomic.Int64
+	var wg sync.WaitGroup
+	for i := range conns {
+		conn, err := net.Dial("tcp", s.listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		wg.Go(func() {
+			in := bufio.NewReader(conn)
+			_, _ = io.WriteString(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+			if _, err := http.ReadResponse(in, nil); err != nil {
+				return
+			}
+			time.Sleep(kept + idleSlack - before + 2*before*time.Duration(i)/conns)
+			path := "/second-" + conn.LocalAddr().String()
+			_, _ = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+			if _, err := http.ReadResponse(in, nil); err == nil {
+				answered.Add(1)
+			} else if _, ok := begun.Load(path); ok {
+				cut.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	require.Zero(t, cut.Load(), "were begun and cut, %d answered", answered.Load())
+}
