Nobody waits for the reader of log lines

The line that a request is quarantined was written while the lock of the table of suspects was held, and straight to standard output. Where the reader of that stood still, every request that came after waited for the lock, deadlines notwithstanding: with requests in hand for good, a stop takes its whole grace time and cuts them. The lines of failed parts would have held up the supervisor.

TestStalledLogHoldsUpNoRequest failed with a logger as before: no answer in five seconds.

--- a/decision/log.go
+++ b/decision/log.go
@@ -59,9 +59,11 @@
 	total int64
 }
 
-// line is a record to be written, or a wish to be told when all before it are.
+// line is a record to be written by a handler, or a wish to be told when all before it
+// are.
 type line struct {
 	record  slog.Record
+	handler slog.Handler
 	written chan<- struct{}
 }
 
@@ -125,7 +127,7 @@
 		return
 	}
 	l.tell(now)
-	l.push(class, record(now, k, class, request, attrs))
+	l.push(class, record(now, k, class, request, attrs), l.opts.Handler)
 }
 
 // admit reports whether the budget allows a line. State lines are always
@@ -160,12 +162,12 @@
 		slog.Int64("state", l.dropped[State]),
 	}
 	l.dropped = [State + 1]int64{}
-	l.push(State, record(now, LinesDropped, State, "", attrs))
+	l.push(State, record(now, LinesDropped, State, "", attrs), l.opts.Handler)
 }
 
-func (l *Log) push(c Class, r slog.Record) {
+func (l *Log) push(c Class, r slog.Record, h slog.Handler) {
 	select {
-	case l.lines <- line{record: r}:
+	case l.lines <- line{record: r, handler: h}:
 	default:
 		l.drop(c)
 	}
@@ -205,7 +207,7 @@
 			close(w.written)
 			continue
 		}
-		_ = l.opts.Handler.Handle(context.Background(), w.record)
+		_ = w.handler.Handle(context.Background(), w.record)
 	}
 }
 
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -35,7 +35,8 @@
 	Scope     tally.Scope
 	// Metrics serves the figures. Nil serves none.
 	Metrics http.Handler
-	Logger  *slog.Logger
+	// Logger takes lines of requests and parts. It must not wait for their reader.
+	Logger *slog.Logger
 }
 
 // Tunables are the options that may change while a daemon runs.
--- /dev/null
+++ b/sidecar/stalledlog_test.go
@@ -0,0 +1,58 @@
+package sidecar
+
+import (
+	"log/slog"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	core "github.com/dottereltiller/dottereltiller/core/quarantine"
+	"github.com/dottereltiller/dottereltiller/decision"
+)
+
+// stalled is a writer whose reader stands still until the test ends.
+type stalled struct{ release chan struct{} }
+
+func newStalled(t *testing.T) *stalled {
+	s := &stalled{release: make(chan struct{})}
+	t.Cleanup(sync.OnceFunc(func() { close(s.release) }))
+	return s
+}
+
+// Write implements io.Writer.
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// TestStalledLogHoldsUpNoRequest has a request quarantined while nobody reads the lines.
+func TestStalledLogHoldsUpNoRequest(t *testing.T) {
+	s := newStore(documentOf(1, "a"))
+	o := optionsFor(t, s, newUpstream(t, "a1"), "a")
+	out := newStalled(t)
+	o.Decisions = decision.New(decision.Options{Handler: slog.NewJSONHandler(out, nil)})
+	o.Logger = o.Decisions.Logger()
+	m := start(t, o, s)
+	m.Report(ready("a1", 1, 1, "a"))
+	r := asked("a", http.MethodGet, "/safe/poison", nil)
+	for i := range crashesToRefuse {
+		m.suspects.store.Died(core.Of(r), r, core.Death{Upstream: "a9", Incarnation: model.Incarnation(i)})
+	}
+	// Deaths settle within half a second.
+	time.Sleep(time.Second)
+	done := make(chan int, 1)
+	go func() {
+		status, _ := m.get(t, "/safe/x")
+		done <- status
+	}()
+	select {
+	case status := <-done:
+		require.Equal(t, http.StatusOK, status)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "no answer")
+	}
+}
