A test that fails: requests that come during the last lines of a stop are cut

A stopping daemon that has nothing in hand starts nothing new itself, waits for its log for at most 100 ms and closes all connections. Requests that come in between are read and passed on to other daemons.

--- /dev/null
+++ b/sidecar/lastlines_test.go
@@ -0,0 +1,69 @@
+package sidecar
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/decision"
+)
+
+// TestRequestsDuringTheLastLinesAreAnswered stops a daemon whose log nobody reads, and uses
+// connections that were kept since before as soon as it starts nothing new itself. Those
+// whose request is passed on to the other daemon get its answer.
+func TestRequestsDuringTheLastLinesAreAnswered(t *testing.T) {
+	const conns, runs = 20, 150 * time.Millisecond
+	s := newStore(documentOf(1, "a"))
+	other := join(t, s, "a", "b1")
+	o := optionsFor(t, s, newUpstream(t, "a1"), "a")
+	o.Decisions = decision.New(decision.Options{Handler: slog.NewJSONHandler(newStalled(t), nil)})
+	d := start(t, o, s)
+	d.Report(ready("a1", 1, 1, "a"))
+	d.knows(t, "a", 2)
+
+	var callers []*kept
+	for i := range conns {
+		k := dialCallers(t, d)
+		k.send(t, fmt.Sprint("first-", i))
+		_, err := k.answer()
+		require.NoError(t, err)
+		callers = append(callers, k)
+	}
+	other.up.set(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(runs)
+		answerWell(w, "b1")
+	})
+	go d.stop()
+	eventually(t, "it starts nothing new", func() bool {
+		d.guard.mu.Lock()
+		defer d.guard.mu.Unlock()
+		return d.guard.closed
+	})
+	var unanswered sync.Map
+	var wg sync.WaitGroup
+	for i, k := range callers {
+		id := fmt.Sprint("second-", i)
+		k.send(t, id)
+		wg.Go(func() {
+			if _, err := k.answer(); err != nil {
+				unanswered.Store(id, true)
+			}
+		})
+	}
+	wg.Wait()
+	ran := 0
+	for _, r := range other.up.requests() {
+		if id := r.Header.Get("T-Id"); strings.HasPrefix(id, "second-") {
+			if _, ok := unanswered.Load(id); ok {
+				ran++
+			}
+		}
+	}
+	require.Zero(t, ran, "of %d requests ran and got no answer", conns)
+}
