--- a/decision/log.go
+++ b/decision/log.go
@@ -45,7 +45,7 @@
 	opts    Options
 	counts  *counts
 	classes map[Kind]Class
-	lines   chan slog.Record
+	lines   chan line
 	done    chan struct{}
 
 	mu      sync.Mutex
@@ -59,6 +59,12 @@
 	total int64
 }
 
+// line is a record and the handler that writes it.
+type line struct {
+	record  slog.Record
+	handler slog.Handler
+}
+
 // New returns a Log. Close flushes it.
 func New(o Options) *Log {
 	if o.SampleOneIn == 0 {
@@ -77,7 +83,7 @@
 		opts:    o,
 		counts:  newCounts(o.Scope),
 		classes: make(map[Kind]Class),
-		lines:   make(chan slog.Record, o.Buffer),
+		lines:   make(chan line, o.Buffer),
 		done:    make(chan struct{}),
 		tokens:  o.LinesPerSecond * burstSeconds,
 		at:      o.Now(),
@@ -119,7 +125,7 @@
 		return
 	}
 	l.tell(now)
-	l.push(class, record(now, k, class, request, attrs))
+	l.push(class, record(now, k, class, request, attrs), l.opts.Handler)
 }
 
 // admit reports whether the budget allows a line. State lines are always
@@ -154,12 +160,12 @@
 		slog.Int64("state", l.dropped[State]),
 	}
 	l.dropped = [State + 1]int64{}
-	l.push(State, record(now, LinesDropped, State, "", attrs))
+	l.push(State, record(now, LinesDropped, State, "", attrs), l.opts.Handler)
 }
 
-func (l *Log) push(c Class, r slog.Record) {
+func (l *Log) push(c Class, r slog.Record, h slog.Handler) {
 	select {
-	case l.lines <- r:
+	case l.lines <- line{record: r, handler: h}:
 	default:
 		l.drop(c)
 	}
@@ -194,8 +200,8 @@
 
 func (l *Log) write() {
 	defer close(l.done)
-	for r := range l.lines {
-		_ = l.opts.Handler.Handle(context.Background(), r)
+	for w := range l.lines {
+		_ = w.handler.Handle(context.Background(), w.record)
 	}
 }
 
--- a/hop/pool_test.go
+++ b/hop/pool_test.go
@@ -334,3 +334,46 @@
 	require.NoError(t, err)
 	require.Equal(t, 1, informed)
 }
+
+// TestLargeBodyIsWrittenBesideTheWait has the race detector look at bodies that are
+// written while the response is waited for.
+func TestLargeBodyIsWrittenBesideTheWait(t *testing.T) {
+	s := play(t, echo)
+	p := NewPool(s.address, PoolOptions{})
+	defer p.Close()
+	for i := range 500 {
+		id := fmt.Sprint("r", i)
+		reply, err := p.Do(t.Context(), Exchange{
+			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}},
+			Body: make([]byte, inlineBody+1+i),
+		})
+		require.NoError(t, err)
+		require.Equal(t, "body of "+id, string(reply.Body))
+	}
+}
+
+// TestEndlessHeadersAreGivenUp has the other side send headers without an end.
+func TestEndlessHeadersAreGivenUp(t *testing.T) {
+	const most = 64 << 20
+	sent := make(chan int, 1)
+	s := play(t, func(c net.Conn, r *bufio.Reader) {
+		request(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		line := []byte("X-Some: " + strings.Repeat("x", 8<<10) + "\r\n")
+		n := 0
+		for n < most {
+			if _, err := c.Write(line); err != nil {
+				break
+			}
+			n += len(line)
+		}
+		sent <- n
+	})
+	p := NewPool(s.address, PoolOptions{})
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := p.Do(ctx, Exchange{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"r1"}}})
+	require.Error(t, err)
+	require.Less(t, <-sent, most/4, "bytes of headers that were taken in")
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -82,10 +82,6 @@
 
 // ServeHTTP answers one request.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if inbound.Closed(r.Context()) {
-		// Its caller would get no answer.
-		panic(http.ErrAbortHandler)
-	}
 	attempt, err := e.d.opts.Edge.Attempt(r.Header)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -54,7 +54,7 @@
 func newServer(name string, h http.Handler) *server {
 	s := &server{name: name, idle: make(map[net.Conn]*idleConn), active: make(map[net.Conn]struct{})}
 	s.http = &http.Server{
-		Handler:                      h,
+		Handler:                      refuseClosed(h),
 		ReadHeaderTimeout:            headerTimeout,
 		MaxHeaderBytes:               headerBytes,
 		ErrorLog:                     log.New(io.Discard, "", 0),
@@ -158,6 +158,17 @@
 	}
 }
 
+// refuseClosed hands on no request whose connection has been closed since it was read: its
+// sender would get no answer.
+func refuseClosed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if inbound.Closed(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // reportPanics has a handler's panic logged and counted before net/http closes the
 // connection.
 func (d *Daemon) reportPanics(server string, next http.Handler) http.Handler {
--- a/sidecar/server_test.go
+++ b/sidecar/server_test.go
@@ -81,6 +81,6 @@
 	r.Host = "h"
 	r.Header.Set("T-Id", "one")
 	require.NoError(t, conn.Close())
-	require.PanicsWithValue(t, http.ErrAbortHandler, func() { m.entry.ServeHTTP(httptest.NewRecorder(), r) })
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { m.callers.http.Handler.ServeHTTP(httptest.NewRecorder(), r) })
 	require.Empty(t, m.up.requests())
 }
