The soak sees requests that ran and got no answer

A connection closed without an answer counted only during a planned stop; a daemon that is not told to stop must answer, too. And a daemon that ends a request with an answer of its own because it stops counts as having cut it.

A deliberate fault that closes the connections of every tenth request is found ('unanswered'), and so is the one that ends a stop at once ('lost'), each played once.

--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -70,9 +70,13 @@
 		plan:  failures, want: "budget",
 	},
 	"a stop cuts what runs": {
-		edits: []edits.Edit{edits.New("sidecar/daemon.go", "end := began.Add(grace)", "end := began")},
+		edits: []edits.Edit{edits.New("sidecar/daemon.go", "end := last.Add(-graceMargin)", "end := began")},
 		plan:  stops, want: "lost",
 	},
+	"connections of requests in hand are closed": {
+		edits: []edits.Edit{edits.New("sidecar/entry.go", "	e.write(w, req, e.forward(req))\n", "	a := e.forward(req)\n	if req.id[len(req.id)-1] == '7' {\n		panic(http.ErrAbortHandler)\n	}\n	e.write(w, req, a)\n")},
+		plan:  reloads, want: "unanswered",
+	},
 	"answers that break off are delivered": {
 		edits: []edits.Edit{edits.New("hop/exchange.go", "if _, err := io.Copy(&buf, io.LimitReader(resp.Body, maxReply+1)); err != nil {\n		return nil, err\n	}", "_, _ = io.Copy(&buf, io.LimitReader(resp.Body, maxReply+1))")},
 		plan:  cuts, want: "mixed",
--- a/soak/run.go
+++ b/soak/run.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/loopback"
 	"github.com/dottereltiller/dottereltiller/platform/platformtest"
 )
@@ -277,15 +279,20 @@
 	attempt := fmt.Sprintf("r%d", n)
 	w.check.send(attempt, m.service(), unsafe)
 	calmBefore := w.calm()
+	lifeBefore, stoppingBefore := m.state()
 	sent := time.Now()
 	last := sent.Sub(w.began) > w.plan.Length-judgeLast
 	r, err := m.caller.Send(context.Background(), path, attempt, unsafe, left)
-	_, stopping := m.state()
-	if err != nil {
-		if stopping && !m.outran(sent) && calmBefore && w.calm() && w.check.ranOnce(attempt) && !errors.Is(err, context.DeadlineExceeded) {
-			w.check.report("lost: %s ran and was cut by a planned stop: %v", attempt, err)
+	life, stopping := m.state()
+	if calmBefore && w.calm() && w.check.ranOnce(attempt) {
+		switch {
+		case stopping && !m.outran(sent) && brokenOff(r, err):
+			w.check.report("lost: %s ran and was cut by a planned stop: %d %v", attempt, r.Status, err)
+		case err != nil && brokenOff(r, err) && !stoppingBefore && !stopping && life == lifeBefore:
+			w.check.report("unanswered: %s ran and its connection to %s was closed without an answer: %v", attempt, m.vm.Name, err)
 		}
-	} else {
+	}
+	if err == nil {
 		w.check.answer(attempt, r)
 	}
 	well := err == nil && r.Status == http.StatusOK
@@ -300,6 +307,15 @@
 	}
 }
 
+// brokenOff reports whether a daemon ended a request that ran, without an answer or with
+// one of its own because it stops.
+func brokenOff(r platformtest.Result, err error) bool {
+	if err != nil {
+		return !errors.Is(err, context.DeadlineExceeded)
+	}
+	return r.Status == http.StatusBadGateway && strings.TrimSpace(r.Body) == string(outcome.ReasonDraining)
+}
+
 // calm reports whether nothing unplanned has disturbed any VM of late.
 func (w *world) calm() bool {
 	for _, m := range w.machines {
