Ignore SIGHUP until the runtime catches it

A SIGHUP in the first milliseconds of a daemon ended it: the Go runtime has to start before package hangup can catch the signal, which asks for the settings to be read again. A daemon that has just been started reads them anyway, so nothing is lost by passing over the signal.

A C constructor in package hangup, which runs before the runtime, ignores the signal. The runtime leaves an ignored SIGHUP alone until signal.Notify asks for it. Release puts the inherited action back, as signal.Reset would take the constructor's for it: a daemon that runs with its own settings still ends by SIGHUP, unless it was started with the signal ignored. Without cgo nothing changes.

Tests: TestHangupBeforeTheRuntime starts the daemon 200 times and sends SIGHUP as soon as /proc shows it ignored or caught; without the constructor it fails with "signal: hangup", as the runtime catches the signal before signal.Notify and then ends by it. TestHangupEndsADaemonOfItsOwnSettings fails without the restoring (still running after 10 s).

--- /dev/null
+++ b/cmd/dottereltillerd/early_test.go
@@ -0,0 +1,88 @@
+//go:build cgo && linux
+
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/exitcode"
+	"github.com/dottereltiller/dottereltiller/platform"
+)
+
+// TestHangupBeforeTheRuntime guards against SIGHUP ending a daemon whose Go runtime does
+// not take signals yet: it is ignored before it is caught.
+func TestHangupBeforeTheRuntime(t *testing.T) {
+	const starts = 200
+	settings := filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, os.WriteFile(settings, []byte("not: [settings\n"), 0o600))
+	ignoredFirst := 0
+	for range starts {
+		cmd := exec.Command(program)
+		cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+settings)
+		require.NoError(t, cmd.Start())
+		ignored, caught := false, false
+		for !ignored && !caught {
+			ignored, caught = hangupActions(t, cmd.Process.Pid)
+		}
+		require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+		_ = cmd.Wait()
+		require.Equal(t, exitcode.Usage, cmd.ProcessState.ExitCode(), "%s", cmd.ProcessState)
+		if ignored {
+			ignoredFirst++
+		}
+	}
+	require.Positive(t, ignoredFirst, "of %d starts", starts)
+}
+
+// TestHangupIsCaughtOnceTheRuntimeRuns guards against the signal staying ignored: a reload
+// would be lost.
+func TestHangupIsCaughtOnceTheRuntimeRuns(t *testing.T) {
+	pipe := filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, syscall.Mkfifo(pipe, 0o600))
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+pipe)
+	require.NoError(t, cmd.Start())
+	// Returns once the daemon reads.
+	w, err := os.OpenFile(pipe, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	ignored, caught := hangupActions(t, cmd.Process.Pid)
+	require.NoError(t, w.Close())
+	_ = cmd.Wait()
+	require.False(t, ignored)
+	require.True(t, caught)
+}
+
+// hangupActions reports what a process does at SIGHUP. One that has ended counts as
+// catching it.
+func hangupActions(t *testing.T, pid int) (ignored, caught bool) {
+	t.Helper()
+	f, err := os.Open(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err)
+	defer func() { _ = f.Close() }()
+	const hangup = 1 << (syscall.SIGHUP - 1)
+	ended := false
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		name, value, _ := strings.Cut(lines.Text(), ":")
+		value = strings.TrimSpace(value)
+		switch name {
+		case "State":
+			ended = strings.HasPrefix(value, "Z")
+		case "SigIgn", "SigCgt":
+			mask, err := strconv.ParseUint(value, 16, 64)
+			require.NoError(t, err)
+			ignored = ignored || name == "SigIgn" && mask&hangup != 0
+			caught = caught || name == "SigCgt" && mask&hangup != 0
+		}
+	}
+	return ignored, caught || ended
+}
--- a/cmd/dottereltillerd/hangup_test.go
+++ b/cmd/dottereltillerd/hangup_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bufio"
 	"errors"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -37,3 +39,36 @@
 	require.True(t, errors.As(err, &exited), "%v", err)
 	require.Equal(t, exitcode.Usage, exited.ExitCode(), "%v", err)
 }
+
+// killAfter ends a daemon that a signal was to end.
+const killAfter = 10 * time.Second
+
+// TestHangupEndsADaemonOfItsOwnSettings guards against the action that is ignored while the
+// program starts being taken for the inherited one.
+func TestHangupEndsADaemonOfItsOwnSettings(t *testing.T) {
+	path := write(t, `{`+valid+`, "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0"}}`)
+	for name, ignored := range map[string]bool{"started as usual": false, "started with SIGHUP ignored": true} {
+		t.Run(name, func(t *testing.T) {
+			cmd := exec.Command(program, "--settings", path)
+			out, err := cmd.StderrPipe()
+			require.NoError(t, err)
+			if ignored {
+				signal.Ignore(syscall.SIGHUP)
+			}
+			err = cmd.Start()
+			// What is caught here has its default action in programs started from here.
+			signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+			require.NoError(t, err)
+			defer time.AfterFunc(killAfter, func() { _ = cmd.Process.Kill() }).Stop()
+			awaitLine(t, bufio.NewReader(out), "daemon started")
+			require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+			if ignored {
+				require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+				require.NoError(t, cmd.Wait())
+				return
+			}
+			_ = cmd.Wait()
+			require.Equal(t, syscall.SIGHUP, cmd.ProcessState.Sys().(syscall.WaitStatus).Signal(), "%s", cmd.ProcessState)
+		})
+	}
+}
--- a/cmd/internal/hangup/hangup.go
+++ b/cmd/internal/hangup/hangup.go
@@ -1,5 +1,8 @@
 // Package hangup catches SIGHUP from the start of the process on. The signal asks for the
 // settings to be read again, and would end a process that does not catch it yet.
+//
+// In a program built with cgo the signal is ignored from before the Go runtime starts until
+// the runtime catches it.
 package hangup
 
 import (
@@ -17,5 +20,9 @@
 	return c
 }
 
-// Release has the signal end the process again.
-func Release() { signal.Reset(syscall.SIGHUP) }
+// Release has the signal do again what it would have done when the process was started: end
+// it, unless whoever started it ignores the signal.
+func Release() {
+	signal.Reset(syscall.SIGHUP)
+	restore()
+}
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -82,8 +82,11 @@
 		plan:  poisons, want: "poison",
 	},
 	"a reload ends the process": {
-		edits: []edits.Edit{edits.New("cmd/internal/hangup/hangup.go", "signal.Notify(c, syscall.SIGHUP)", "signal.Notify(c, syscall.SIGUSR1)")},
-		plan:  reloads, want: "ended",
+		edits: []edits.Edit{
+			edits.New("cmd/internal/hangup/hangup.go", "signal.Notify(c, syscall.SIGHUP)", "signal.Notify(c, syscall.SIGUSR1)"),
+			edits.New("cmd/internal/hangup/early_cgo.go", "inherited = signal(SIGHUP, SIG_IGN);", "inherited = SIG_DFL;"),
+		},
+		plan: reloads, want: "ended",
 	},
 	"a refusal tells no time to come back": {
 		edits: []edits.Edit{edits.New("sidecar/entry.go", "if a.Outcome.RetryAfter > 0 {", "if a.Outcome.RetryAfter < 0 {")},
