One line for many upstreams learned at once

295 daemons that start together wrote 87,000 lines `peer state`: each daemon one about each other one, 295 * 294. The line says that an upstream, of which nothing was known, is ready. The upstream's own daemon writes that as `upstream state`, which is always kept.

Of the upstreams that are first known to be ready, 16 within a second have lines of their own as before, so that a restart, a replacement or a few new VMs read as they did. The rest share one line `peers learned` a second later: how many they were, how many upstreams are ready, how many daemons are known, and which of them, up to 16 by name, have no upstream known yet. Which upstream a daemon knew when a request was refused thus still follows from its own log, by what is missing; the time at which it learned of one is known to a second. Not shared are lines that take an upstream away or change one that was known (draining, gone, stopping, another life, none any more), nor `peer lost`.

`dottereltiller why REQUEST` shows the line for the request's daemons. The counter of decisions by kind counts shared ones once.

Lines of a daemon about 294 that start beside it, counted by TestLinesOfAMassStart in virtual time: 294 before, 17 now; for 1,699: 17. The tests fail with every line written.

Not changed: a zone that restarts is told line by line by the daemons of the other zones, as those change what they knew.

--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -34,6 +34,7 @@
 	UpstreamTrusted Kind = "upstream trusted"
 	ReportRefused   Kind = "report refused"
 	PeerState       Kind = "peer state"
+	PeersLearned    Kind = "peers learned"
 	PeerLost        Kind = "peer lost"
 	PeerRegained    Kind = "peer regained"
 	ConfigInForce   Kind = "configuration in force"
@@ -90,6 +91,7 @@
 		{UpstreamTrusted, State, "It no longer does.", []string{"upstream", "failing"}},
 		{ReportRefused, State, "A report of an upstream could not be used.", []string{"upstream", "error"}},
 		{PeerState, State, "The upstream of another daemon changed its state.", []string{"peer", "upstream", "born", "state", "stopping"}},
+		{PeersLearned, State, "Many upstreams of other daemons became known as ready within a second; those in `learned` have no line of their own. Of the daemons in `missing`, 16 at most, no upstream is known yet.", []string{"learned", "ready", "peers", "unheard", "missing"}},
 		{PeerLost, State, "Another daemon could not be reached.", []string{"peer", "error"}},
 		{PeerRegained, State, "Another daemon was reached again.", []string{"peer"}},
 		{ConfigInForce, State, "A version of the configuration came into force.", []string{"version", "previous", "routes", "from"}},
--- /dev/null
+++ b/sidecar/learned_test.go
@@ -0,0 +1,143 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/bubble"
+	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/decision"
+)
+
+// told is what a daemon believes of others, and the lines that it wrote about that.
+type told struct {
+	*peers
+	out bytes.Buffer
+	log *decision.Log
+}
+
+// newTold returns a daemon that is alone so far. It keeps the time of the bubble.
+func newTold() *told {
+	l := &told{}
+	l.log = decision.New(decision.Options{Handler: slog.NewJSONHandler(&l.out, nil)})
+	began := time.Now()
+	l.peers = newPeers(Record{Address: "own", Incarnation: 1, Sequence: 1}, func() model.Instant { return model.Instant(time.Since(began)) }, l.log)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.ctx = ctx
+	return l
+}
+
+// lines ends the log and returns its lines by their kinds.
+func (l *told) lines(t *testing.T) map[decision.Kind][]map[string]any {
+	t.Helper()
+	l.log.Close(time.Second)
+	out := map[decision.Kind][]map[string]any{}
+	for d := json.NewDecoder(&l.out); d.More(); {
+		var line map[string]any
+		require.NoError(t, d.Decode(&line))
+		kind := decision.Kind(line["msg"].(string))
+		out[kind] = append(out[kind], line)
+	}
+	return out
+}
+
+// tells returns the record of a peer in a state. One that is unknown has no upstream yet.
+func tells(n int, sequence uint64, s lifecycle.State) []Record {
+	r := Record{Address: fmt.Sprintf("d%03d", n), Incarnation: 1, Sequence: sequence, State: s}
+	if s != lifecycle.Unknown {
+		r.Upstream = lifecycle.Incarnation{ID: model.UpstreamID(fmt.Sprintf("u%03d", n)), Born: 1}
+	}
+	return []Record{r}
+}
+
+// TestLinesOfAMassStart guards against each daemon of a deployment that starts as a whole
+// writing a line about each other one: their number grew with the square of the daemons.
+func TestLinesOfAMassStart(t *testing.T) {
+	for _, daemons := range []int{10, 100, 295, 1700} {
+		bubble.Run(t, func(t *testing.T) {
+			l := newTold()
+			const within = 500 * time.Millisecond
+			for _, s := range []lifecycle.State{lifecycle.Unknown, lifecycle.Ready} {
+				for n := range daemons - 1 {
+					l.merge(tells(n, uint64(s)+1, s))
+					time.Sleep(within / time.Duration(daemons))
+				}
+			}
+			time.Sleep(2 * learnedSpan)
+			lines := l.lines(t)
+			alone := min(daemons-1, learnedAlone)
+			require.Len(t, lines[decision.PeerState], alone, daemons)
+			rest := daemons - 1 - alone
+			if rest == 0 {
+				require.Empty(t, lines[decision.PeersLearned])
+				return
+			}
+			require.Len(t, lines[decision.PeersLearned], 1)
+			line := lines[decision.PeersLearned][0]
+			require.EqualValues(t, rest, line["learned"])
+			require.EqualValues(t, daemons-1, line["ready"])
+			require.EqualValues(t, daemons-1, line["peers"])
+			require.Zero(t, line["unheard"])
+		})
+	}
+}
+
+// TestMissingDaemonsAreNamed has a daemon tell whose upstreams it does not know when many
+// have become known.
+func TestMissingDaemonsAreNamed(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		l := newTold()
+		for n := range 100 {
+			s := lifecycle.Ready
+			if n == 40 || n == 90 {
+				s = lifecycle.Unknown
+			}
+			l.merge(tells(n, 1, s))
+		}
+		time.Sleep(2 * learnedSpan)
+		line := l.lines(t)[decision.PeersLearned][0]
+		require.EqualValues(t, 2, line["unheard"])
+		require.Equal(t, "d040 d090", line["missing"])
+		require.EqualValues(t, 98, line["ready"])
+	})
+}
+
+// TestChangesHaveLinesOfTheirOwn has many known upstreams leave, and daemons stop, at once.
+func TestChangesHaveLinesOfTheirOwn(t *testing.T) {
+	for name, change := range map[string]func(*Record){
+		"drained":     func(r *Record) { r.State = lifecycle.Draining },
+		"gone":        func(r *Record) { r.State = lifecycle.Gone },
+		"stopping":    func(r *Record) { r.Stopping = true },
+		"born again":  func(r *Record) { r.Upstream.Born = 2 },
+		"out of view": func(r *Record) { r.State, r.Upstream = lifecycle.Unknown, lifecycle.Incarnation{} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				l := newTold()
+				const daemons = 100
+				for n := range daemons {
+					l.merge(tells(n, 1, lifecycle.Ready))
+				}
+				time.Sleep(2 * learnedSpan)
+				for n := range daemons {
+					r := tells(n, 2, lifecycle.Ready)
+					change(&r[0])
+					l.merge(r)
+				}
+				time.Sleep(2 * learnedSpan)
+				lines := l.lines(t)
+				require.Len(t, lines[decision.PeerState], learnedAlone+daemons)
+				require.Len(t, lines[decision.PeersLearned], 1)
+			})
+		})
+	}
+}
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -118,6 +117,7 @@
 	all        map[string]*peer
 	generation uint64
 	asked      int
+	learned    learned
 	// told is set once the own record has been sent to everybody.
 	told bool
 	ctx  context.Context
@@ -259,10 +259,10 @@
 	restarted := r.Incarnation != q.record.Incarnation && q.record.Incarnation != 0 && q.record.Sequence != 0
 	changed := r.State != q.record.State || r.Upstream != q.record.Upstream || r.Stopping != q.record.Stopping
 	stopped := q.record.Stopping && q.record.Incarnation == r.Incarnation
-	departed := q.record.Departed
+	before := q.record
 	q.record = *r
 	if len(r.Departed) == 0 {
-		q.record.Departed = departed
+		q.record.Departed = before.Departed
 	}
 	q.coldUntil = p.now().Add(time.Duration(r.ColdMS) * time.Millisecond)
 	p.generation++
@@ -276,9 +276,7 @@
 		time.AfterFunc(lookAfter, func() { p.missed(r.Address, errStopped) })
 	}
 	if changed {
-		p.decisions.Write(decision.PeerState, "", slog.String("peer", r.Address),
-			slog.String("upstream", string(r.Upstream.ID)), slog.Int64("born", r.Upstream.Born),
-			slog.String("state", r.State.String()), slog.Bool("stopping", r.Stopping))
+		p.tellState(&before, r)
 	}
 	return true
 }
--- a/why/story.go
+++ b/why/story.go
@@ -101,7 +101,7 @@
 	case decision.UpstreamState, decision.PeerState:
 		return upstreams[upstreamOf(l.Get("upstream"))]
 	case decision.ConfigInForce, decision.ConfigRefused, decision.StoreLost, decision.StoreRegained, decision.Started,
-		decision.Stopping, decision.Stopped, decision.Reloaded, decision.PeerLost, decision.PeerRegained, decision.LinesDropped:
+		decision.Stopping, decision.Stopped, decision.Reloaded, decision.PeersLearned, decision.PeerLost, decision.PeerRegained, decision.LinesDropped:
 		return daemons[l.Daemon]
 	default:
 		return false
--- a/why/why_test.go
+++ b/why/why_test.go
@@ -97,3 +97,17 @@
 		}
 	})
 }
+
+// TestPeersLearnedExplains keeps the line that many upstreams share with the requests of
+// its daemon.
+func TestPeersLearnedExplains(t *testing.T) {
+	l := read(t)
+	const line = `{"time":"2026-01-01T00:00:00.930Z","level":"INFO","msg":"peers learned","learned":278,"ready":294,"peers":294,"unheard":0,"missing":""}`
+	for _, daemon := range []string{"a", "c"} {
+		require.NoError(t, l.Read(daemon, strings.NewReader(line)))
+	}
+	l.Sort()
+	told := kinds(l.Request("r1"))
+	require.Contains(t, told, "a: peers learned")
+	require.NotContains(t, told, "c: peers learned", "no daemon of the request")
+}
