The soak starts daemons again with SIGHUP ignored

What is left before the constructor of package hangup runs cannot be closed by the daemon; whoever starts it can, as OPERATIONS tells: a program that is started with SIGHUP ignored lives through one, and catches the next ones all the same.

The soak stands for the supervisor on the VM and does that for every start after the first. Check and plan are unchanged.

Ignoring lasts for the call of Start. Programs inherit what this process ignores, so starts happen one at a time. After signal.Ignore neither signal.Reset nor signal.Stop has SIGHUP end the process again, as the runtime then takes the ignored action for the inherited one; the process ends itself, with 129, from a channel. A SIGHUP to `dottereltiller soak` itself is lost in the moment of a start.

--- a/soak/vm.go
+++ b/soak/vm.go
@@ -113,6 +113,10 @@
 	m.mu.Lock()
 	text := m.vm.Settings()
 	m.vm.First = false
+	startProgram := startAgain
+	if m.life == 0 {
+		startProgram = startFirst
+	}
 	m.mu.Unlock()
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return err
@@ -120,7 +124,7 @@
 	cmd := exec.Command(m.binary)
 	cmd.Env = []string{platformtest.Env(m.settings)}
 	cmd.Stdout, cmd.Stderr = m.log, m.log
-	if err := cmd.Start(); err != nil {
+	if err := startProgram(cmd); err != nil {
 		return err
 	}
 	m.mu.Lock()
