What daemons tell each other at a mass start, measured by kind

The issue asks where the bytes of mass events go. BenchmarkMassStart starts many daemons in one process, in five zones, and reports what each has sent 8 s after all know each other.

member.knows of the tests takes a benchmark, too.

--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -340,7 +340,7 @@
 }
 
 // knows waits until a daemon has so many candidates of a service.
-func (m *member) knows(t *testing.T, service model.ServiceName, n int) {
+func (m *member) knows(t testing.TB, service model.ServiceName, n int) {
 	t.Helper()
 	eventually(t, "candidates", func() bool {
 		ups, _ := m.peers.candidates(service)
--- /dev/null
+++ b/sidecar/massstart_test.go
@@ -0,0 +1,60 @@
+package sidecar
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+// BenchmarkMassStart starts many daemons at once, in five zones, and reports what each
+// sends until all know each other and comparisons have settled, by kind.
+func BenchmarkMassStart(b *testing.B) {
+	const (
+		zones = 5
+		// reported is how long after its start an upstream reports, and settled how long
+		// comparisons are counted once all know each other.
+		reported = 200 * time.Millisecond
+		settled  = 8 * time.Second
+	)
+	for _, n := range []int{30, 90, 180} {
+		b.Run(fmt.Sprint(n, " daemons"), func(b *testing.B) {
+			for range b.N {
+				s := newStore(documentOf(1, "b"))
+				members := make([]*member, n)
+				var wg sync.WaitGroup
+				for i := range n {
+					wg.Go(func() {
+						id := fmt.Sprint("u", i)
+						o := optionsFor(b, s, newUpstream(b, id), "b")
+						o.Zone = model.AvailabilityZone(fmt.Sprint("z", i%zones))
+						members[i] = start(b, o, s)
+						time.Sleep(reported)
+						members[i].Report(ready(id, 1, 1, "b"))
+					})
+				}
+				wg.Wait()
+				for _, m := range members {
+					m.knows(b, "b", n)
+				}
+				time.Sleep(settled)
+				names := slices.Concat(slices.Collect(maps.Values(kindNames)), slices.Collect(maps.Values(pathNames)))
+				total := int64(0)
+				for _, kind := range names {
+					sent := controlBytes(members, kind, "sent") / int64(n)
+					b.ReportMetric(float64(sent), kind+"-B")
+					total += sent
+				}
+				b.ReportMetric(float64(total), "all-B")
+				for _, m := range members {
+					wg.Go(m.stop)
+				}
+				wg.Wait()
+			}
+		})
+	}
+}
