--- a/ablation/doc.go
+++ b/ablation/doc.go
@@ -12,5 +12,6 @@
 // ABLATION_DAYS and ABLATION_SEEDS name days and seeds, ABLATION_ONLY the mechanisms,
 // ABLATION_JOBS how many plays run at once (4), and ABLATION_OUT the file of the results
 // (ablation.jsonl in the temporary directory), a JSON line for each play. Plays that it holds are not
-// repeated, so that a run goes on where it was stopped.
+// repeated, so that a run goes on where it was stopped. ABLATION_JOURNAL names a directory
+// that keeps the journal entries of the plays.
 package ablation
--- a/ablation/play_test.go
+++ b/ablation/play_test.go
@@ -62,7 +62,11 @@
 // measure plays a day in a scratch copy.
 func measure(ctx context.Context, bench, dir, site string, p play) (cell, error) {
 	file := filepath.Join(dir, fmt.Sprintf("report-%s-%s-%s.json", p.site, p.day, p.seed))
-	cmd := exec.CommandContext(ctx, bench, "run", site, p.day, "--seed", p.seed, "--no-cpu", "--report", file)
+	why := "ablation: the code as it is"
+	if p.mechanism != unchanged {
+		why = "trial of the ablation, off: " + p.mechanism
+	}
+	cmd := exec.CommandContext(ctx, bench, "run", site, p.day, "--seed", p.seed, "--no-cpu", "--report", file, "--why", why)
 	cmd.Dir = dir
 	out, runErr := cmd.CombinedOutput()
 	text, err := os.ReadFile(file)
@@ -81,6 +85,37 @@
 	return c, nil
 }
 
+// keepJournal copies the journal entries that plays wrote in a scratch copy to a directory.
+// What its last commit holds is left out; an entry that was copied while its play ran is
+// replaced by the finished one.
+func keepJournal(ctx context.Context, dir, to string) error {
+	cmd := exec.CommandContext(ctx, "git", "ls-tree", "--name-only", "HEAD", "journal/")
+	cmd.Dir = dir
+	committed, err := cmd.Output()
+	if err != nil {
+		return err
+	}
+	old := strings.Fields(string(committed))
+	files, err := filepath.Glob(filepath.Join(dir, "journal", "*.json"))
+	if err != nil {
+		return err
+	}
+	for _, file := range files {
+		name := filepath.Base(file)
+		if slices.Contains(old, "journal/"+name) {
+			continue
+		}
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(to, name), text, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // dayName matches the name of a day of a site file.
 var dayName = regexp.MustCompile(`(?m)^\[\[day\]\]\nname = "([^"]+)"`)
 
@@ -169,6 +204,7 @@
 	if out == "" {
 		out = filepath.Join(os.TempDir(), "ablation.jsonl")
 	}
+	journal := os.Getenv("ABLATION_JOURNAL")
 	done, err := openResults(out)
 	require.NoError(t, err)
 	plays, files, err := planned(list("ABLATION_SITES", ""))
@@ -194,6 +230,12 @@
 				if err := done.add(c); err != nil {
 					t.Errorf("%+v: %v", p, err)
 				}
+				if journal == "" {
+					continue
+				}
+				if err := keepJournal(t.Context(), dir, journal); err != nil {
+					t.Errorf("%+v: %v", p, err)
+				}
 			}
 		})
 	}
@@ -212,3 +254,33 @@
 		fmt.Println(r.String())
 	}
 }
+
+// TestJournalIsKept copies what plays added to the journal of a scratch copy, and nothing
+// that its commit holds.
+func TestJournalIsKept(t *testing.T) {
+	dir, to := t.TempDir(), t.TempDir()
+	git := func(arguments ...string) {
+		cmd := exec.CommandContext(t.Context(), "git", arguments...)
+		cmd.Dir = dir
+		out, err := cmd.CombinedOutput()
+		require.NoError(t, err, string(out))
+	}
+	write := func(name, text string) {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, "journal", name), []byte(text), 0o600))
+	}
+	require.NoError(t, os.Mkdir(filepath.Join(dir, "journal"), 0o700))
+	write("old.json", "{}")
+	git("init", "-q")
+	git("add", ".")
+	git("-c", "user.name=t", "-c", "user.email=t@example.org", "commit", "-q", "-m", "old")
+	write("new.json", "begun")
+	require.NoError(t, keepJournal(t.Context(), dir, to))
+	write("new.json", "ended")
+	require.NoError(t, keepJournal(t.Context(), dir, to))
+	kept, err := os.ReadDir(to)
+	require.NoError(t, err)
+	require.Len(t, kept, 1)
+	text, err := os.ReadFile(filepath.Join(to, "new.json"))
+	require.NoError(t, err)
+	require.Equal(t, "ended", string(text))
+}
