Hold the spread of Retry-After by a load that needs it

Change: the model of replay has callers that come in one tick and refused ones that come back up to three times, when they were told. The function moved from sidecar to core/retry, so that the model and the product share it; what callers are told is the same as before.

With adviceSpread 0 the test and core/retry TestAdviceIsSpread fail. go test ./replay ./sidecar ./core/retry ./ablation passes.

--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -84,3 +84,12 @@
 		})
 	}
 }
+
+// TestAdviceIsSpread has callers that are refused together told times around the one meant.
+func TestAdviceIsSpread(t *testing.T) {
+	const after = 100 * time.Millisecond
+	first, last := Advice(after, 0), Advice(after, 0.999)
+	require.Less(t, first, after*4/5)
+	require.Greater(t, last, after*6/5)
+	require.Equal(t, after, Advice(after, 0.5))
+}
--- a/replay/mesh_guard_test.go
+++ b/replay/mesh_guard_test.go
@@ -69,7 +69,7 @@
 			m.start(n, j)
 		case slots.Hopeless:
 			m.done(j, n, nil)
-			m.turned++
+			m.refuse(j)
 		default:
 			m.giveBack(j, d.Exit == slots.Overdue)
 		}
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -62,6 +62,12 @@
 	queue int
 	// perZone is the number of upstreams of a zone. Default: upstreamsPerZone.
 	perZone int
+	// together callers come in one tick every togetherEvery, besides the rate.
+	together int
+	// returns is how often a refused caller comes back, at the time it was told, or
+	// as told without the spread of the advice.
+	returns  int
+	unspread bool
 	// recorded replaces the rate, the upstreams and the kinds of requests by those
 	// of a day.
 	recorded *recordedService
@@ -104,6 +110,8 @@
 	givenBack int
 	full      int
 	tried     map[string]bool
+	// returned counts how often its caller has come back.
+	returned int
 }
 
 type mesh struct {
@@ -212,6 +220,11 @@
 		for range m.arrivals() {
 			m.arrive()
 		}
+		if m.ticks%togetherEvery == togetherEvery/2 {
+			for range m.together {
+				m.arrive()
+			}
+		}
 	}
 	return float64(m.inTime) / float64(m.sent)
 }
@@ -277,16 +290,20 @@
 
 // place sends a request to an upstream or turns it away.
 func (m *mesh) place(j *job) {
-	if j.full >= placement.MaxFull || m.now.Sub(j.began) >= j.deadline {
+	if m.now.Sub(j.began) >= j.deadline {
 		m.turned++
 		return
 	}
+	if j.full >= placement.MaxFull {
+		m.refuse(j)
+		return
+	}
 	if len(j.tried) == len(m.nodes) {
 		clear(j.tried)
 	}
 	to, alternative, ticks, ok := m.choose(j)
 	if !ok {
-		m.turned++
+		m.refuse(j)
 		return
 	}
 	j.at = to
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -12,6 +12,7 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/retry"
 	"github.com/dottereltiller/dottereltiller/decision"
 )
 
@@ -22,8 +23,6 @@
 	// refusedRetry is the advice after upstreams refused a request although their
 	// guards held them below what they take: such refusals come and go.
 	refusedRetry = 50 * time.Millisecond
-	// retrySpread spreads the returns of callers that were refused together.
-	retrySpread = 0.5
 )
 
 // errMute is why a daemon that does not show that it gets calls is looked for.
@@ -323,6 +322,4 @@
 }
 
 // spread returns a time drawn around d.
-func spread(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - retrySpread/2 + retrySpread*rand.Float64()))
-}
+func spread(d time.Duration) time.Duration { return retry.Advice(d, rand.Float64()) }
