Hold early refusal by the callers that it spares a wait

Found: a guard with a free slot runs a request even where it is known to end past its deadline.

Change: the condition stood in sidecar and again in the model; it is placement.Choice. Unservable now, which both use, and core/placement TestUnservable holds it: slots free, all upstreams too slow, refused; old knowledge, or one that is fast, not. It fails with the age set to 0.

Conclusion: early refusal stays. A request known not to be servable is refused at once.

--- a/ablation/mechanisms_test.go
+++ b/ablation/mechanisms_test.go
@@ -58,7 +58,7 @@
 	kept("sidecar TestBudgetWhenDaemonsForget", off("the budget's part after starts", edits.New(resends, "return min(1, (1/resendMargin-1)/started)", "return min(1, 1+started)"))),
 	kept("sidecar TestResendsCountTheCallsTheyCause", off("calls in the budget", edits.New(resends, "for _, o := range e.others(s) {", "for _, o := range e.others(s)[:0] {"))),
 	off("the budget's margin", edits.New(resends, "resendMargin = 0.75", "resendMargin = 0.999")),
-	off("early refusal", edits.New(figures, "SurelyFull = 30 * time.Millisecond", "SurelyFull = 0 * time.Millisecond")),
+	kept("core/placement TestUnservable", off("early refusal", edits.New(figures, "surelyFull = 30 * time.Millisecond", "surelyFull = 0 * time.Millisecond"))),
 	off("refusal after a full guard", edits.New(placer, "return full > 0 && target != 0 && c.Expected > target", "return full > 99 && target != 0 && c.Expected > target")),
 	off("the urgent's longer wait", edits.New(admit, "share = urgentShare", "share = usefulShare + 0*urgentShare")),
 	kept("replay TestCallersRefusedTogether", off("the spread of advice", edits.New("core/retry/advice.go", "adviceSpread = 0.5", "adviceSpread = 0.0"))),
--- a/core/placement/figures.go
+++ b/core/placement/figures.go
@@ -21,8 +21,7 @@
 	// MaxFull is how many guards without room make a request be refused, whatever is
 	// expected of others.
 	MaxFull = 2
-	// SurelyFull is how old the knowledge may be by which a request is refused
-	// without asking any guard. Older, and nobody would learn that there is room
-	// again.
-	SurelyFull = 30 * time.Millisecond
+	// surelyFull is the age from which knowledge refuses no request: older, and nobody
+	// would learn that there is room again.
+	surelyFull = 30 * time.Millisecond
 )
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -268,3 +268,23 @@
 		})
 	}
 }
+
+// TestUnservable has a request known to end past its deadline wherever it goes, although
+// slots are free, refused by the entry: no guard would.
+func TestUnservable(t *testing.T) {
+	const slow, left = 20, time.Second
+	p := newPlacer("own", "own")
+	p.Learn(at(0), "a", idle(slow))
+	p.Learn(at(0), "b", idle(slow))
+	c := choose(t, p, at(1))
+	require.True(t, c.Unservable(left))
+	require.False(t, c.Unservable(slow*2*work))
+
+	c = choose(t, p, at(100))
+	require.False(t, c.Unservable(left), "old knowledge")
+
+	p.Learn(at(200), "a", idle(slow))
+	p.Learn(at(200), "b", idle(1))
+	c = choose(t, p, at(201))
+	require.False(t, c.Unservable(left), "one is fast")
+}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -86,6 +86,13 @@
 	return full > 0 && target != 0 && c.Expected > target
 }
 
+// Unservable reports whether a request is known to end past its deadline, of which so much
+// time is left, wherever it is sent. A guard with a free slot would run it all the same and
+// keep its caller waiting.
+func (c *Choice) Unservable(left time.Duration) bool {
+	return c.Age < surelyFull && c.Expected > left
+}
+
 // Placer chooses among the upstreams of one service. It is not safe for
 // concurrent use.
 type Placer struct {
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -344,7 +344,7 @@
 		return nil, 0, 0, false
 	}
 	took := m.now.Sub(j.began)
-	if c.Age < placement.SurelyFull && c.Expected > j.deadline-took || c.OutOfReach(j.full, j.target-took) {
+	if c.Unservable(j.deadline-took) || c.OutOfReach(j.full, j.target-took) {
 		p.Done(m.now, c.Upstream.Key, nil)
 		return nil, 0, 0, false
 	}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -273,7 +273,7 @@
 		taken.refund(now)
 		return r.final()
 	}
-	if r.launch == 0 && t.choice.Age < placement.SurelyFull && t.choice.Expected > r.req.deadline.Sub(now) {
+	if r.launch == 0 && t.choice.Unservable(r.req.deadline.Sub(now)) {
 		r.release(t)
 		return refuse(outcome.ReasonQueueFull, spread(max(t.choice.Expected/2, busyRetry)))
 	}
