--- a/ablation/play_test.go
+++ b/ablation/play_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -85,31 +86,42 @@
 	return c, nil
 }
 
-// keepJournal copies the journal entries that plays wrote in a scratch copy to a directory.
-// What its last commit holds is left out; an entry that was copied while its play ran is
-// replaced by the finished one.
-func keepJournal(ctx context.Context, dir, to string) error {
-	cmd := exec.CommandContext(ctx, "git", "ls-tree", "--name-only", "HEAD", "journal/")
-	cmd.Dir = dir
-	committed, err := cmd.Output()
-	if err != nil {
+// journalOf returns the files of the journal of a copy, by their paths in it.
+func journalOf(dir string) ([]string, error) {
+	root := filepath.Join(dir, "journal")
+	var out []string
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		name, err := filepath.Rel(root, path)
+		out = append(out, name)
 		return err
-	}
-	old := strings.Fields(string(committed))
-	files, err := filepath.Glob(filepath.Join(dir, "journal", "*.json"))
+	})
+	return out, err
+}
+
+// keepJournal copies what plays added to the journal of a scratch copy, entries and the
+// sources that they name, to a directory. An entry that was copied while its play ran is
+// replaced by the finished one.
+func keepJournal(c scratchCopy, to string) error {
+	names, err := journalOf(c.dir)
 	if err != nil {
 		return err
 	}
-	for _, file := range files {
-		name := filepath.Base(file)
-		if slices.Contains(old, "journal/"+name) {
+	for _, name := range names {
+		if slices.Contains(c.journal, name) {
 			continue
 		}
-		text, err := os.ReadFile(file)
+		text, err := os.ReadFile(filepath.Join(c.dir, "journal", name))
 		if err != nil {
 			return err
 		}
-		if err := os.WriteFile(filepath.Join(to, name), text, 0o600); err != nil {
+		kept := filepath.Join(to, name)
+		if err := os.MkdirAll(filepath.Dir(kept), 0o755); err != nil {
+			return err
+		}
+		if err := os.WriteFile(kept, text, 0o644); err != nil {
 			return err
 		}
 	}
@@ -167,18 +179,25 @@
 	return out, files, nil
 }
 
+// scratchCopy is one of the source.
+type scratchCopy struct {
+	dir string
+	// journal holds the files of its journal before any play.
+	journal []string
+}
+
 // copies makes the scratch copy of each mechanism once.
 type copies struct {
 	mu  sync.Mutex
 	dir string
-	of  map[string]string
+	of  map[string]scratchCopy
 }
 
-func (c *copies) get(ctx context.Context, name string) (string, error) {
+func (c *copies) get(ctx context.Context, name string) (scratchCopy, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if dir, ok := c.of[name]; ok {
-		return dir, nil
+	if made, ok := c.of[name]; ok {
+		return made, nil
 	}
 	var off []edits.Edit
 	for _, m := range mechanisms {
@@ -186,12 +205,16 @@
 			off = m.off
 		}
 	}
-	dir := filepath.Join(c.dir, strconv.Itoa(len(c.of)))
-	if err := scratch(ctx, dir, off); err != nil {
-		return "", err
+	made := scratchCopy{dir: filepath.Join(c.dir, strconv.Itoa(len(c.of)))}
+	if err := scratch(ctx, made.dir, off); err != nil {
+		return made, err
+	}
+	var err error
+	if made.journal, err = journalOf(made.dir); err != nil {
+		return made, err
 	}
-	c.of[name] = dir
-	return dir, nil
+	c.of[name] = made
+	return made, nil
 }
 
 // TestPlays plays every day with each mechanism off, and prints the table.
@@ -211,18 +234,18 @@
 	require.NoError(t, err)
 	jobs, err := strconv.Atoi(list("ABLATION_JOBS", "4")[0])
 	require.NoError(t, err)
-	scratches := &copies{dir: t.TempDir(), of: make(map[string]string)}
+	scratches := &copies{dir: t.TempDir(), of: make(map[string]scratchCopy)}
 	began, queue := time.Now(), make(chan play)
 	var wg sync.WaitGroup
 	for range jobs {
 		wg.Go(func() {
 			for p := range queue {
-				dir, err := scratches.get(t.Context(), p.mechanism)
+				made, err := scratches.get(t.Context(), p.mechanism)
 				if err != nil {
 					t.Errorf("%+v: %v", p, err)
 					continue
 				}
-				c, err := measure(t.Context(), bench, dir, files[p.site], p)
+				c, err := measure(t.Context(), bench, made.dir, files[p.site], p)
 				if err != nil {
 					t.Errorf("%+v: %v", p, err)
 					continue
@@ -233,7 +256,7 @@
 				if journal == "" {
 					continue
 				}
-				if err := keepJournal(t.Context(), dir, journal); err != nil {
+				if err := keepJournal(made, journal); err != nil {
 					t.Errorf("%+v: %v", p, err)
 				}
 			}
@@ -256,31 +279,32 @@
 }
 
 // TestJournalIsKept copies what plays added to the journal of a scratch copy, and nothing
-// that its commit holds.
+// that it held before.
 func TestJournalIsKept(t *testing.T) {
-	dir, to := t.TempDir(), t.TempDir()
-	git := func(arguments ...string) {
-		cmd := exec.CommandContext(t.Context(), "git", arguments...)
-		cmd.Dir = dir
-		out, err := cmd.CombinedOutput()
-		require.NoError(t, err, string(out))
-	}
+	dir, other := t.TempDir(), t.TempDir()
+	to := filepath.Join(other, "journal")
 	write := func(name, text string) {
 		require.NoError(t, os.WriteFile(filepath.Join(dir, "journal", name), []byte(text), 0o600))
 	}
-	require.NoError(t, os.Mkdir(filepath.Join(dir, "journal"), 0o700))
+	require.NoError(t, os.MkdirAll(filepath.Join(dir, "journal", "blobs"), 0o700))
 	write("old.json", "{}")
-	git("init", "-q")
-	git("add", ".")
-	git("-c", "user.name=t", "-c", "user.email=t@example.org", "commit", "-q", "-m", "old")
+	write("blobs/old.txt", "old")
+	held, err := journalOf(dir)
+	require.NoError(t, err)
+	c := scratchCopy{dir: dir, journal: held}
 	write("new.json", "begun")
-	require.NoError(t, keepJournal(t.Context(), dir, to))
+	require.NoError(t, keepJournal(c, to))
 	write("new.json", "ended")
-	require.NoError(t, keepJournal(t.Context(), dir, to))
-	kept, err := os.ReadDir(to)
-	require.NoError(t, err)
-	require.Len(t, kept, 1)
-	text, err := os.ReadFile(filepath.Join(to, "new.json"))
+	write("blobs/new.txt", "new")
+	require.NoError(t, keepJournal(c, to))
+
+	names, err := journalOf(other)
 	require.NoError(t, err)
-	require.Equal(t, "ended", string(text))
+	kept := make(map[string]string)
+	for _, name := range names {
+		text, err := os.ReadFile(filepath.Join(to, name))
+		require.NoError(t, err)
+		kept[filepath.ToSlash(name)] = string(text)
+	}
+	require.Equal(t, map[string]string{"new.json": "ended", "blobs/new.txt": "new"}, kept)
 }
