--- a/ablation/play_test.go
+++ b/ablation/play_test.go
@@ -1,11 +1,10 @@
 package ablation
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
-	"math"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -25,135 +24,6 @@
 // unchanged is the name of the code as it is among the mechanisms.
 const unchanged = ""
 
-// cell is one play.
-type cell struct {
-	// Mechanism is the one that is off, empty for the code as it is.
-	Mechanism string `json:"mechanism"`
-	Site      string `json:"site"`
-	Day       string `json:"day"`
-	Seed      string `json:"seed"`
-	// Worth is what the day's program counts: credit less prices.
-	Worth float64 `json:"worth"`
-	// Broken are the rules that the play broke.
-	Broken []string `json:"broken,omitempty"`
-}
-
-// play names a cell.
-type play struct{ mechanism, site, day, seed string }
-
-func (c *cell) play() play { return play{c.Mechanism, c.Site, c.Day, c.Seed} }
-
-// results are the cells of a file that is appended to. They are safe for concurrent use.
-type results struct {
-	mu    sync.Mutex
-	path  string
-	cells map[play]cell
-}
-
-func openResults(path string) (*results, error) {
-	r := &results{path: path, cells: make(map[play]cell)}
-	f, err := os.Open(path)
-	if os.IsNotExist(err) {
-		return r, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = f.Close() }()
-	s := bufio.NewScanner(f)
-	for s.Scan() {
-		var c cell
-		// The last line of a run that was stopped may be cut.
-		if json.Unmarshal(s.Bytes(), &c) == nil {
-			r.cells[c.play()] = c
-		}
-	}
-	return r, s.Err()
-}
-
-func (r *results) has(p play) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_, ok := r.cells[p]
-	return ok
-}
-
-func (r *results) add(c cell) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cells[c.play()] = c
-	line, err := json.Marshal(c)
-	if err != nil {
-		return err
-	}
-	f, err := os.OpenFile(r.path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = f.Close() }()
-	_, err = f.Write(append(line, '\n'))
-	return err
-}
-
-// row is what a mechanism is worth on a site: the mean of the differences in pairs when it
-// is off, with its standard error.
-type row struct {
-	mechanism, site string
-	pairs           int
-	mean, deviation float64
-	broken          []string
-}
-
-// rows compares each mechanism with the code as it is.
-func (r *results) rows() []row {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	type key struct{ mechanism, site string }
-	diffs := make(map[key][]float64)
-	broken := make(map[key][]string)
-	for p, c := range r.cells {
-		base, ok := r.cells[play{unchanged, p.site, p.day, p.seed}]
-		if p.mechanism == unchanged || !ok {
-			continue
-		}
-		k := key{p.mechanism, p.site}
-		diffs[k] = append(diffs[k], c.Worth-base.Worth)
-		for _, rule := range c.Broken {
-			if !slices.Contains(base.Broken, rule) && !slices.Contains(broken[k], rule) {
-				broken[k] = append(broken[k], rule)
-			}
-		}
-	}
-	var out []row
-	for k, d := range diffs {
-		mean, deviation := meanOf(d)
-		out = append(out, row{mechanism: k.mechanism, site: k.site, pairs: len(d), mean: mean, deviation: deviation, broken: broken[k]})
-	}
-	slices.SortFunc(out, func(a, b row) int {
-		return strings.Compare(a.mechanism+"\x00"+a.site, b.mechanism+"\x00"+b.site)
-	})
-	return out
-}
-
-// meanOf returns the mean and its standard error, which is 0 for a single figure.
-func meanOf(d []float64) (mean, deviation float64) {
-	for _, x := range d {
-		mean += x / float64(len(d))
-	}
-	if len(d) < 2 {
-		return mean, 0
-	}
-	var sum float64
-	for _, x := range d {
-		sum += (x - mean) * (x - mean)
-	}
-	return mean, math.Sqrt(sum / float64(len(d)-1) / float64(len(d)))
-}
-
-func (r *row) String() string {
-	return fmt.Sprintf("| %s | %s | %d | %+.4f ± %.4f | %s |", r.mechanism, r.site, r.pairs, r.mean, r.deviation, strings.Join(r.broken, " "))
-}
-
 // list returns the parts of an environment variable, or a default.
 func list(name, otherwise string) []string {
 	text := os.Getenv(name)
@@ -193,7 +63,11 @@
 // measure plays a day in a scratch copy.
 func measure(ctx context.Context, bench, dir, site string, p play) (cell, error) {
 	file := filepath.Join(dir, fmt.Sprintf("report-%s-%s-%s.json", p.site, p.day, p.seed))
-	cmd := exec.CommandContext(ctx, bench, "run", site, p.day, "--seed", p.seed, "--no-cpu", "--report", file)
+	why := "ablation: the code as it is"
+	if p.mechanism != unchanged {
+		why = "trial of the ablation, off: " + p.mechanism
+	}
+	cmd := exec.CommandContext(ctx, bench, "run", site, p.day, "--seed", p.seed, "--no-cpu", "--report", file, "--why", why)
 	cmd.Dir = dir
 	out, runErr := cmd.CombinedOutput()
 	text, err := os.ReadFile(file)
@@ -212,6 +86,48 @@
 	return c, nil
 }
 
+// journalOf returns the files of the journal of a copy, by their paths in it.
+func journalOf(dir string) ([]string, error) {
+	root := filepath.Join(dir, "journal")
+	var out []string
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		name, err := filepath.Rel(root, path)
+		out = append(out, name)
+		return err
+	})
+	return out, err
+}
+
+// keepJournal copies what plays added to the journal of a scratch copy, entries and the
+// sources that they name, to a directory. An entry that was copied while its play ran is
+// replaced by the finished one.
+func keepJournal(c scratchCopy, to string) error {
+	names, err := journalOf(c.dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if slices.Contains(c.journal, name) {
+			continue
+		}
+		text, err := os.ReadFile(filepath.Join(c.dir, "journal", name))
+		if err != nil {
+			return err
+		}
+		kept := filepath.Join(to, name)
+		if err := os.MkdirAll(filepath.Dir(kept), 0o755); err != nil {
+			return err
+		}
+		if err := os.WriteFile(kept, text, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // dayName matches the name of a day of a site file.
 var dayName = regexp.MustCompile(`(?m)^\[\[day\]\]\nname = "([^"]+)"`)
 
@@ -263,18 +179,25 @@
 	return out, files, nil
 }
 
+// scratchCopy is one of the source.
+type scratchCopy struct {
+	dir string
+	// journal holds the files of its journal before any play.
+	journal []string
+}
+
 // copies makes the scratch copy of each mechanism once.
 type copies struct {
 	mu  sync.Mutex
 	dir string
-	of  map[string]string
+	of  map[string]scratchCopy
 }
 
-func (c *copies) get(ctx context.Context, name string) (string, error) {
+func (c *copies) get(ctx context.Context, name string) (scratchCopy, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if dir, ok := c.of[name]; ok {
-		return dir, nil
+	if made, ok := c.of[name]; ok {
+		return made, nil
 	}
 	var off []edits.Edit
 	for _, m := range mechanisms {
@@ -282,12 +205,16 @@
 			off = m.off
 		}
 	}
-	dir := filepath.Join(c.dir, strconv.Itoa(len(c.of)))
-	if err := scratch(ctx, dir, off); err != nil {
-		return "", err
+	made := scratchCopy{dir: filepath.Join(c.dir, strconv.Itoa(len(c.of)))}
+	if err := scratch(ctx, made.dir, off); err != nil {
+		return made, err
+	}
+	var err error
+	if made.journal, err = journalOf(made.dir); err != nil {
+		return made, err
 	}
-	c.of[name] = dir
-	return dir, nil
+	c.of[name] = made
+	return made, nil
 }
 
 // TestPlays plays every day with each mechanism off, and prints the table.
@@ -300,24 +227,25 @@
 	if out == "" {
 		out = filepath.Join(os.TempDir(), "ablation.jsonl")
 	}
+	journal := os.Getenv("ABLATION_JOURNAL")
 	done, err := openResults(out)
 	require.NoError(t, err)
 	plays, files, err := planned(list("ABLATION_SITES", ""))
 	require.NoError(t, err)
 	jobs, err := strconv.Atoi(list("ABLATION_JOBS", "4")[0])
 	require.NoError(t, err)
-	scratches := &copies{dir: t.TempDir(), of: make(map[string]string)}
+	scratches := &copies{dir: t.TempDir(), of: make(map[string]scratchCopy)}
 	began, queue := time.Now(), make(chan play)
 	var wg sync.WaitGroup
 	for range jobs {
 		wg.Go(func() {
 			for p := range queue {
-				dir, err := scratches.get(t.Context(), p.mechanism)
+				made, err := scratches.get(t.Context(), p.mechanism)
 				if err != nil {
 					t.Errorf("%+v: %v", p, err)
 					continue
 				}
-				c, err := measure(t.Context(), bench, dir, files[p.site], p)
+				c, err := measure(t.Context(), bench, made.dir, files[p.site], p)
 				if err != nil {
 					t.Errorf("%+v: %v", p, err)
 					continue
@@ -325,6 +253,12 @@
 				if err := done.add(c); err != nil {
 					t.Errorf("%+v: %v", p, err)
 				}
+				if journal == "" {
+					continue
+				}
+				if err := keepJournal(made, journal); err != nil {
+					t.Errorf("%+v: %v", p, err)
+				}
 			}
 		})
 	}
@@ -344,36 +278,33 @@
 	}
 }
 
-func TestMeanOf(t *testing.T) {
-	mean, deviation := meanOf([]float64{1, 2, 3})
-	require.InDelta(t, 2, mean, 1e-9)
-	require.InDelta(t, 1/math.Sqrt(3), deviation, 1e-9)
-	_, alone := meanOf([]float64{4})
-	require.Zero(t, alone)
-}
+// TestJournalIsKept copies what plays added to the journal of a scratch copy, and nothing
+// that it held before.
+func TestJournalIsKept(t *testing.T) {
+	dir, other := t.TempDir(), t.TempDir()
+	to := filepath.Join(other, "journal")
+	write := func(name, text string) {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, "journal", name), []byte(text), 0o600))
+	}
+	require.NoError(t, os.MkdirAll(filepath.Join(dir, "journal", "blobs"), 0o700))
+	write("old.json", "{}")
+	write("blobs/old.txt", "old")
+	held, err := journalOf(dir)
+	require.NoError(t, err)
+	c := scratchCopy{dir: dir, journal: held}
+	write("new.json", "begun")
+	require.NoError(t, keepJournal(c, to))
+	write("new.json", "ended")
+	write("blobs/new.txt", "new")
+	require.NoError(t, keepJournal(c, to))
 
-// TestResultsGoOn reads a file whose last line was cut, and compares in pairs.
-func TestResultsGoOn(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "out.jsonl")
-	r, err := openResults(path)
+	names, err := journalOf(other)
 	require.NoError(t, err)
-	for _, c := range []cell{
-		{Site: "s", Day: "d", Seed: "1", Worth: 0.5}, {Site: "s", Day: "d", Seed: "2", Worth: 0.6},
-		{Mechanism: "m", Site: "s", Day: "d", Seed: "1", Worth: 0.4, Broken: []string{"TWICE"}},
-		{Mechanism: "m", Site: "s", Day: "d", Seed: "2", Worth: 0.4}, {Mechanism: "m", Site: "other", Day: "d", Seed: "2", Worth: 1},
-	} {
-		require.NoError(t, r.add(c))
+	kept := make(map[string]string)
+	for _, name := range names {
+		text, err := os.ReadFile(filepath.Join(to, name))
+		require.NoError(t, err)
+		kept[filepath.ToSlash(name)] = string(text)
 	}
-	f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(t, err)
-	_, err = f.WriteString(`{"mechanism":"m","si`)
-	require.NoError(t, err)
-	require.NoError(t, f.Close())
-	again, err := openResults(path)
-	require.NoError(t, err)
-	require.True(t, again.has(play{"m", "s", "d", "2"}))
-	require.False(t, again.has(play{"m", "s", "d", "3"}))
-	rows := again.rows()
-	require.Len(t, rows, 1)
-	require.Equal(t, "| m | s | 2 | -0.1500 ± 0.0500 | TWICE |", rows[0].String())
+	require.Equal(t, map[string]string{"new.json": "ended", "blobs/new.txt": "new"}, kept)
 }
