The soak starts a replaced VM with its new service

Logs: vm-2's daemon stopped at 12:22:20 and was started at 12:22:56 with service a; its VM had been replaced, and belonged to b, in between. The start had taken the settings before and waited for the machine (kernel: workqueue lockups of 30 to 60 s). A start that finds the VM changed is ended, and the next one takes the new settings. The check is unchanged.

--- a/soak/vm.go
+++ b/soak/vm.go
@@ -111,7 +111,7 @@
 // start starts the daemon, and again whenever it ends.
 func (m *machine) start() error {
 	m.mu.Lock()
-	text := m.vm.Settings()
+	text, service := m.vm.Settings(), m.vm.Service
 	m.vm.First = false
 	startProgram := startAgain
 	if m.life == 0 {
@@ -130,6 +130,11 @@
 	m.mu.Lock()
 	m.process, m.stopping, m.killed, m.started = cmd, false, false, time.Now()
 	m.life++
+	if m.vm.Service != service {
+		// The VM was replaced meanwhile; the next start takes the new settings.
+		m.killed = true
+		_ = cmd.Process.Kill()
+	}
 	m.mu.Unlock()
 	go m.await(cmd)
 	return nil
