--- a/sidecar/guardstop.go
+++ b/sidecar/guardstop.go
@@ -55,8 +55,9 @@
 func (g *guard) stopIdle() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.closed = g.closed || g.queue.Running() == 0 && g.queue.Waiting() == 0
-	return g.queue.Running() == 0 && g.queue.Waiting() == 0
+	idle := g.queue.Running() == 0 && g.queue.Waiting() == 0
+	g.closed = g.closed || idle
+	return idle
 }
 
 // giveAllBack hands back every call that waits. g.mu is held.
--- a/sidecar/unanswered_test.go
+++ b/sidecar/unanswered_test.go
@@ -112,9 +112,10 @@
 	require.EqualValues(t, 1, m.scope.Snapshot().Counters()["handlers_panicked+"].Value())
 }
 
-// TestRequestsThatAreCutAreLogged ends the servers of a daemon while it has a request in
-// hand.
-func TestRequestsThatAreCutAreLogged(t *testing.T) {
+// withRequestInHand returns a daemon, its log, and a connection whose request runs until the
+// end of the test.
+func withRequestInHand(t *testing.T) (*member, *lines, *kept) {
+	t.Helper()
 	l := &lines{}
 	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", l)
 	release := make(chan struct{})
@@ -123,6 +124,13 @@
 	k := dialCallers(t, m)
 	k.send(t, "one")
 	eventually(t, "it runs", func() bool { return len(m.up.requests()) == 1 })
+	return m, l, k
+}
+
+// TestRequestsThatAreCutAreLogged ends the servers of a daemon while it has a request in
+// hand.
+func TestRequestsThatAreCutAreLogged(t *testing.T) {
+	m, l, k := withRequestInHand(t)
 	m.callers.close()
 	_, err := k.answer()
 	require.Error(t, err)
@@ -136,14 +144,7 @@
 
 // TestCallersThatLeaveAreNotCut has the caller close its connection.
 func TestCallersThatLeaveAreNotCut(t *testing.T) {
-	l := &lines{}
-	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", l)
-	release := make(chan struct{})
-	t.Cleanup(func() { close(release) })
-	m.up.set(func(w http.ResponseWriter, _ *http.Request) { <-release; answerWell(w, "a1") })
-	k := dialCallers(t, m)
-	k.send(t, "one")
-	eventually(t, "it runs", func() bool { return len(m.up.requests()) == 1 })
+	_, l, k := withRequestInHand(t)
 	require.NoError(t, k.conn.Close())
 	eventually(t, "the line", func() bool { return len(l.of(decision.Failed)) == 1 })
 	require.Equal(t, false, l.of(decision.Failed)[0]["cut"])
