Pass nothing on for callers that have left

Callers' requests reached upstreams seconds after the callers had left (GONE) where daemons were starved of processor time: a request that has waited in the socket counts from when it is read, and the close that lies behind it is seen only once the goroutine by which net/http reads ahead has its turn.

Before each attempt the entry, and before each run the guard, looks at the connection that the request came by: one system call that does not wait. A call whose sender has left has not run, also one that must not run twice; its sender may still ask.

TestRequestsOfCallersThatHaveLeftAreNotPassedOn and TestCallsOfSendersThatHaveLeftAreNotRun failed before.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 )
 
 // conn is a connection that tells whether this side has closed it.
@@ -52,3 +53,28 @@
 	c, ok := ctx.Value(connKey{}).(*conn)
 	return ok && c.closed.Load()
 }
+
+// Left reports whether the other side has closed the connection of a request whose context
+// is given. net/http ends the context once a goroutine of its own has read that, which takes
+// long where the processor is busy.
+func Left(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err == nil {
+			left = n == 0
+		} else {
+			left = err != syscall.EAGAIN && err != syscall.EINTR
+		}
+	})
+	return left || err != nil
+}
--- a/inbound/conn_test.go
+++ b/inbound/conn_test.go
@@ -1,11 +1,14 @@
 package inbound
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -41,6 +44,44 @@
 	}
 }
 
+// pair returns the context of a request on a connection, and the other side's end of it.
+func pair(t *testing.T) (context.Context, *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	other, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	c, err := Listener(ln).Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _, _ = c.Close(), other.Close() })
+	return Context(t.Context(), c), other.(*net.TCPConn)
+}
+
+func TestLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(*net.TCPConn) error
+		want bool
+	}{
+		"open":          {func(*net.TCPConn) error { return nil }, false},
+		"bytes to read": {func(c *net.TCPConn) error { _, err := c.Write([]byte("x")); return err }, false},
+		"closed":        {(*net.TCPConn).Close, true},
+		"reset":         {func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, other := pair(t)
+			require.False(t, Left(ctx))
+			require.NoError(t, c.do(other))
+			if c.want {
+				require.Eventually(t, func() bool { return Left(ctx) }, time.Minute, time.Millisecond)
+			} else {
+				require.False(t, Left(ctx))
+			}
+		})
+	}
+	require.False(t, Left(t.Context()), "no connection is known")
+}
+
 func TestConnectionsOfOtherListenersAreOpen(t *testing.T) {
 	require.False(t, Closed(t.Context()))
 	a, b := net.Pipe()
--- a/inbound/doc.go
+++ b/inbound/doc.go
@@ -1,5 +1,8 @@
-// Package inbound tells whether a server has closed the connection of a request that it has
-// read. net/http does not: a server may close a connection as unused or idle just when a
-// request on it has been read. Its handler would pass the request on, and the caller would
-// get no answer.
+// Package inbound tells whether the connection of a request that a server has read is closed,
+// by this side or by the other.
+//
+// A server may close a connection as unused or idle just when a request on it has been read.
+// net/http does not tell: its handler would pass the request on, and the caller would get no
+// answer. The other side's close net/http tells late where the processor is busy: the
+// request would be passed on for nobody.
 package inbound
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -14,6 +14,7 @@
 	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/core/retry"
 	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/inbound"
 )
 
 const (
@@ -279,6 +280,9 @@
 	if r.req.ctx.Err() != nil {
 		return r.timeout()
 	}
+	if inbound.Left(r.req.ctx) {
+		return unknown(outcome.ReasonCancelled)
+	}
 	if r.e.d.isEnding() {
 		return r.finalAtEnd()
 	}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -14,6 +14,7 @@
 	"github.com/dottereltiller/dottereltiller/core/quarantine"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/hop"
+	"github.com/dottereltiller/dottereltiller/inbound"
 )
 
 const (
@@ -36,10 +37,12 @@
 func (g *guard) run(ctx context.Context, c *Call, at *attempt, arrived model.Instant) *Answer {
 	left := c.Deadline - g.now().Sub(arrived)
 	a := notRun(outcome.ReasonDeadline)
-	if left >= minDeadline && at.start() {
-		a = contain(c.ID, g.panicked, func() *Answer { return g.send(ctx, c, left, g.now().Sub(arrived)) })
-	} else if left >= minDeadline {
+	switch {
+	case left < minDeadline:
+	case inbound.Left(ctx), !at.start():
 		a = notRun(outcome.ReasonWithdrawn)
+	default:
+		a = contain(c.ID, g.panicked, func() *Answer { return g.send(ctx, c, left, g.now().Sub(arrived)) })
 	}
 	g.mu.Lock()
 	g.queue.Finish()
--- a/sidecar/server_test.go
+++ b/sidecar/server_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dottereltiller/dottereltiller/bubble"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/inbound"
 )
@@ -65,22 +67,61 @@
 	require.Error(t, conn.SetDeadline(time.Time{}), "it is closed")
 }
 
-// TestRequestsOnClosedConnectionsAreNotPassedOn guards against a request that is passed on
-// though its caller can get no answer: its connection was closed just after it was read.
-func TestRequestsOnClosedConnectionsAreNotPassedOn(t *testing.T) {
-	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", &lines{})
+// accepted returns the context of a request on a connection, and both ends of that.
+func accepted(t *testing.T) (ctx context.Context, conn, other net.Conn) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = ln.Close() }()
-	caller, err := net.Dial("tcp", ln.Addr().String())
+	other, err = net.Dial("tcp", ln.Addr().String())
 	require.NoError(t, err)
-	defer func() { _ = caller.Close() }()
-	conn, err := inbound.Listener(ln).Accept()
+	conn, err = inbound.Listener(ln).Accept()
 	require.NoError(t, err)
-	r := httptest.NewRequestWithContext(inbound.Context(t.Context(), conn), http.MethodGet, "/safe/", nil)
+	t.Cleanup(func() { _, _ = conn.Close(), other.Close() })
+	return inbound.Context(t.Context(), conn), conn, other
+}
+
+func safeRequest(ctx context.Context) *http.Request {
+	r := httptest.NewRequestWithContext(ctx, http.MethodGet, "/safe/", nil)
 	r.Host = "h"
 	r.Header.Set("T-Id", "one")
+	return r
+}
+
+// TestRequestsOnClosedConnectionsAreNotPassedOn guards against a request that is passed on
+// though its caller can get no answer: its connection was closed just after it was read.
+func TestRequestsOnClosedConnectionsAreNotPassedOn(t *testing.T) {
+	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", &lines{})
+	ctx, conn, _ := accepted(t)
 	require.NoError(t, conn.Close())
-	require.PanicsWithValue(t, http.ErrAbortHandler, func() { m.callers.http.Handler.ServeHTTP(httptest.NewRecorder(), r) })
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() {
+		m.callers.http.Handler.ServeHTTP(httptest.NewRecorder(), safeRequest(ctx))
+	})
 	require.Empty(t, m.up.requests())
 }
+
+// TestRequestsOfCallersThatHaveLeftAreNotPassedOn guards against requests that reach an
+// upstream long after their callers have left: a busy processor has net/http see the close
+// late.
+func TestRequestsOfCallersThatHaveLeftAreNotPassedOn(t *testing.T) {
+	m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", &lines{})
+	ctx, _, caller := accepted(t)
+	require.NoError(t, caller.Close())
+	eventually(t, "the close is there", func() bool { return inbound.Left(ctx) })
+	m.entry.ServeHTTP(httptest.NewRecorder(), safeRequest(ctx))
+	require.Empty(t, m.up.requests())
+}
+
+// TestCallsOfSendersThatHaveLeftAreNotRun is the same at the guard, for a call that waited.
+func TestCallsOfSendersThatHaveLeftAreNotRun(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		m := joinWithLog(t, newStore(documentOf(1, "a")), "a1", &lines{})
+		ctx, _, sender := accepted(t)
+		require.NoError(t, sender.Close())
+		eventually(t, "the close is there", func() bool { return inbound.Left(ctx) })
+		c := ordinary()
+		c.Service, c.Upstream.ID, c.Idempotent = "a", "a1", idempotent
+		require.Equal(t, outcome.NotRun, m.guard.Do(ctx, c).Outcome.Kind)
+		require.Empty(t, m.up.requests())
+	}
+}
