--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -240,7 +240,7 @@
 	partsWait = 150 * time.Millisecond
 	// logWait bounds the wait for lines to be written.
 	logWait = 100 * time.Millisecond
-	// refusing is how long a daemon that takes nothing more still answers before it closes
+	// refusing is how long a daemon that passes nothing more on still answers before it closes
 	// its connections: requests that are on their way to it are told that they have not run.
 	refusing = 50 * time.Millisecond
 	// cutWait bounds the wait for the lines of requests that were cut.
@@ -345,7 +345,7 @@
 }
 
 // awaitIdle waits until callers have had the time to leave and nothing is in hand, or until
-// the end. From then on nothing is taken that would be cut.
+// the end. From then on nothing is passed on that would be cut.
 func (d *Daemon) awaitIdle(began, end time.Time) {
 	for time.Now().Before(end) {
 		if time.Until(end) < lastStart {
--- a/sidecar/kept_test.go
+++ b/sidecar/kept_test.go
@@ -23,19 +23,19 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 )
 
-// rogue is an upstream that answers most requests and fails the others in every way that
+// faultyUpstream is an upstream that answers most requests and fails the others in every way that
 // bytes on a connection can.
-type rogue struct {
+type faultyUpstream struct {
 	id string
 	ln net.Listener
 }
 
-func startRogue(t *testing.T, id string) *rogue {
+func startFaulty(t *testing.T, id string) *faultyUpstream {
 	t.Helper()
 	ln, err := net.Listen("tcp", freePort(t))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
-	r := &rogue{id: id, ln: ln}
+	r := &faultyUpstream{id: id, ln: ln}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -48,7 +48,7 @@
 	return r
 }
 
-func (r *rogue) serve(c net.Conn) {
+func (r *faultyUpstream) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for {
@@ -70,7 +70,7 @@
 }
 
 // reply writes an answer with headers of its own and more.
-func (r *rogue) reply(c net.Conn, req *http.Request, status, more string) {
+func (r *faultyUpstream) reply(c net.Conn, req *http.Request, status, more string) {
 	const body = "some text"
 	text := body
 	if req.Method == http.MethodHead {
@@ -81,7 +81,7 @@
 }
 
 // misbehave answers, or not, and reports whether the connection is to serve again.
-func (r *rogue) misbehave(c net.Conn, req *http.Request) bool {
+func (r *faultyUpstream) misbehave(c net.Conn, req *http.Request) bool {
 	id := req.Header.Get("T-Id")
 	switch rand.IntN(60) {
 	case 0:
@@ -221,7 +221,7 @@
 	var members []*member
 	for i := range daemons {
 		id := fmt.Sprintf("u%d", i)
-		up := startRogue(t, id)
+		up := startFaulty(t, id)
 		o := optionsFor(t, s, &upstream{server: &httptest.Server{Listener: up.ln}}, "a")
 		o.Tunables.Resends = ResendBudget{Ratio: 1, Slack: 1e6, Span: time.Second}
 		m := start(t, o, s)
--- a/sidecar/unanswered_test.go
+++ b/sidecar/unanswered_test.go
@@ -230,7 +230,7 @@
 	require.Empty(t, m.up.requests())
 }
 
-// TestNothingIsTakenOnceAStopFoundNothingInHand lets no request in between the look and the
+// TestNothingIsTakenOnceAStopFoundNothingInHand lets no request in between the check and the
 // end.
 func TestNothingIsTakenOnceAStopFoundNothingInHand(t *testing.T) {
 	var h inHand
@@ -246,7 +246,7 @@
 	require.False(t, h.begin())
 }
 
-// TestStoppedGuardsTakeNothing lets no call in between the look and the end.
+// TestStoppedGuardsTakeNothing lets no call in between the check and the end.
 func TestStoppedGuardsTakeNothing(t *testing.T) {
 	now := model.Instant(time.Hour)
 	g := newIdleGuard(&now)
