One copy of what both daemons put around their handlers

The check for connections that have been closed stood in sidecar and in daemon, and reporting a handler's panic was written again in sidecar beside daemon's protect: both are handlers of package inbound now. No behaviour changes, and the tests keep their assertions.

--- a/cmd/dottereltillerd/early_test.go
+++ b/cmd/dottereltillerd/early_test.go
@@ -47,14 +47,7 @@
 // TestHangupIsCaughtOnceTheRuntimeRuns guards against the signal staying ignored: a reload
 // would be lost.
 func TestHangupIsCaughtOnceTheRuntimeRuns(t *testing.T) {
-	pipe := filepath.Join(t.TempDir(), "settings.yaml")
-	require.NoError(t, syscall.Mkfifo(pipe, 0o600))
-	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+pipe)
-	require.NoError(t, cmd.Start())
-	// Returns once the daemon reads.
-	w, err := os.OpenFile(pipe, os.O_WRONLY, 0)
-	require.NoError(t, err)
+	cmd, w := startReadingSettings(t)
 	ignored, caught := hangupActions(t, cmd.Process.Pid)
 	require.NoError(t, w.Close())
 	_ = cmd.Wait()
--- a/cmd/dottereltillerd/hangup_test.go
+++ b/cmd/dottereltillerd/hangup_test.go
@@ -17,21 +17,28 @@
 	"github.com/dottereltiller/dottereltiller/platform"
 )
 
-// TestHangupAtTheStart sends SIGHUP to a daemon that is still reading its settings, which
-// come through a pipe: it goes on.
-func TestHangupAtTheStart(t *testing.T) {
+// startReadingSettings starts a daemon that reads its settings from a pipe, and returns it
+// once it reads.
+func startReadingSettings(t *testing.T) (*exec.Cmd, *os.File) {
+	t.Helper()
 	pipe := filepath.Join(t.TempDir(), "settings.yaml")
 	require.NoError(t, syscall.Mkfifo(pipe, 0o600))
 	cmd := exec.Command(program)
 	cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+pipe)
 	require.NoError(t, cmd.Start())
-	// Returns once the daemon reads.
 	w, err := os.OpenFile(pipe, os.O_WRONLY, 0)
 	require.NoError(t, err)
+	return cmd, w
+}
+
+// TestHangupAtTheStart sends SIGHUP to a daemon that is still reading its settings, which
+// come through a pipe: it goes on.
+func TestHangupAtTheStart(t *testing.T) {
+	cmd, w := startReadingSettings(t)
 	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
 	// Long enough for a process that does not catch the signal to end by it.
 	time.Sleep(50 * time.Millisecond)
-	_, err = w.WriteString("not: [settings\n")
+	_, err := w.WriteString("not: [settings\n")
 	require.NoError(t, err)
 	require.NoError(t, w.Close())
 	err = cmd.Wait()
--- a/daemon/conns.go
+++ b/daemon/conns.go
@@ -7,8 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/dottereltiller/dottereltiller/inbound"
 )
 
 // connTracker follows the connections of one server, which net/http does not
@@ -70,13 +68,9 @@
 }
 
 // handler counts the requests in flight and, while leaving, asks connections to
-// end after their answer: by Connection: close, or GOAWAY on HTTP/2. It hands on
-// none whose connection was closed just after it was read.
+// end after their answer: by Connection: close, or GOAWAY on HTTP/2.
 func (t *connTracker) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if inbound.Closed(r.Context()) {
-			panic(http.ErrAbortHandler)
-		}
 		t.active.Add(1)
 		defer t.active.Add(-1)
 		if t.leaving.Load() {
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -74,7 +74,7 @@
 		address:  o.listener.Addr().String(),
 		listener: o.listener,
 		http: &http.Server{
-			Handler:           conns.handler(o.handler),
+			Handler:           inbound.Handler(conns.handler(o.handler)),
 			ReadHeaderTimeout: o.headerTimeout,
 			IdleTimeout:       o.idleTimeout,
 			MaxHeaderBytes:    o.maxHeaderBytes,
--- a/daemon/tree.go
+++ b/daemon/tree.go
@@ -19,6 +19,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/invariant"
 	"github.com/dottereltiller/dottereltiller/exitcode"
+	"github.com/dottereltiller/dottereltiller/inbound"
 )
 
 // part is a long-lived part of the daemon. Serve runs until the context ends;
@@ -209,19 +210,7 @@
 // invariant, which stops the process.
 func (t *tree) protect(name string, next http.Handler) http.Handler {
 	panics := t.scope.Tagged(map[string]string{"part": name}).Counter("handler_panics")
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer func() {
-			v := recover()
-			if v == nil {
-				return
-			}
-			if v != http.ErrAbortHandler {
-				t.handlerFailed(name, panics, v)
-			}
-			panic(http.ErrAbortHandler)
-		}()
-		next.ServeHTTP(w, r)
-	})
+	return inbound.Recover(next, func(_ *http.Request, v any) { t.handlerFailed(name, panics, v) })
 }
 
 func (t *tree) handlerFailed(name string, panics tally.Counter, v any) {
--- a/inbound/doc.go
+++ b/inbound/doc.go
@@ -1,5 +1,6 @@
-// Package inbound tells whether the connection of a request that a server has read is closed,
-// by this side or by the other.
+// Package inbound holds what the HTTP servers of all daemons need around their handlers. It
+// tells whether the connection of a request that has been read is closed, by this side or by
+// the other, and has panics of handlers told.
 //
 // A server may close a connection as unused or idle just when a request on it has been read.
 // net/http does not tell: its handler would pass the request on, and the caller would get no
--- /dev/null
+++ b/inbound/handler.go
@@ -0,0 +1,32 @@
+package inbound
+
+import "net/http"
+
+// Handler hands on no request whose connection this side has closed since it was read: its
+// sender would get no answer. It needs Listener and Context.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if Closed(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Recover tells of a panic of a handler before net/http closes the connection. Those by which
+// a handler closes it itself are passed over.
+func Recover(next http.Handler, panicked func(r *http.Request, v any)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			v := recover()
+			if v == nil {
+				return
+			}
+			if v != http.ErrAbortHandler {
+				panicked(r, v)
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
--- a/sidecar/ending_test.go
+++ b/sidecar/ending_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -102,12 +101,7 @@
 // closed though callers have been promised a longer time: its timer had fired and waited for
 // the lock under which the promise came.
 func TestIdleTimersKeepAPromiseThatCameAsTheyFired(t *testing.T) {
-	s := newServer("callers", http.NotFoundHandler())
-	s.limit(route.Limits{IdleTimeout: time.Hour})
-	conn, other := net.Pipe()
-	defer func() { _ = other.Close() }()
-	s.state(conn, http.StateIdle)
-	due := s.idle[conn]
+	s, conn, due := idleForAnHour(t)
 	require.True(t, due.close.Stop(), "as if it had fired")
 	s.limit(route.Limits{IdleTimeout: 2 * time.Hour})
 	s.closeIdle(conn, due)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -21,7 +21,7 @@
 	settled   tally.Counter
 	// cut counts the requests whose connection this daemon closed before the answer.
 	cut tally.Counter
-	// aborted counts the handlers that panicked.
+	// aborted counts panics while requests were served, of handlers and beside them.
 	aborted  tally.Counter
 	outcomes *telemetry.OutcomeCounter
 	traffic  *traffic
--- a/sidecar/panics.go
+++ b/sidecar/panics.go
@@ -8,6 +8,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/inbound"
 )
 
 // attemptPart names, in lines of panics, what runs beside the handlers.
@@ -16,19 +17,9 @@
 // reportPanics has a handler's panic logged and counted before net/http closes the
 // connection.
 func (d *Daemon) reportPanics(server string, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer func() {
-			v := recover()
-			if v == nil {
-				return
-			}
-			if v != http.ErrAbortHandler {
-				attempt, _ := d.opts.Edge.Attempt(r.Header)
-				d.panicked(server, attempt.ID, v)
-			}
-			panic(http.ErrAbortHandler)
-		}()
-		next.ServeHTTP(w, r)
+	return inbound.Recover(next, func(r *http.Request, v any) {
+		attempt, _ := d.opts.Edge.Attempt(r.Header)
+		d.panicked(server, attempt.ID, v)
 	})
 }
 
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -50,7 +50,7 @@
 func newServer(name string, h http.Handler) *server {
 	s := &server{name: name, idle: make(map[net.Conn]*idleConn), active: make(map[net.Conn]struct{})}
 	s.http = &http.Server{
-		Handler:                      refuseClosed(h),
+		Handler:                      inbound.Handler(h),
 		ReadHeaderTimeout:            headerTimeout,
 		MaxHeaderBytes:               headerBytes,
 		ErrorLog:                     log.New(io.Discard, "", 0),
@@ -153,14 +153,3 @@
 		_ = s.listener.Close()
 	}
 }
-
-// refuseClosed hands on no request whose connection has been closed since it was read: its
-// sender would get no answer.
-func refuseClosed(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if inbound.Closed(r.Context()) {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/sidecar/server_test.go
+++ b/sidecar/server_test.go
@@ -48,15 +48,22 @@
 	}
 }
 
-// TestIdleTimersCloseNoConnectionInUse guards against a request that is passed on and cut:
-// its connection's idle timer is due, and fires only after the request has been read.
-func TestIdleTimersCloseNoConnectionInUse(t *testing.T) {
+// idleForAnHour returns a server that keeps idle connections for an hour, one of them, and
+// its timer.
+func idleForAnHour(t *testing.T) (*server, net.Conn, *idleConn) {
+	t.Helper()
 	s := newServer("callers", http.NotFoundHandler())
 	s.limit(route.Limits{IdleTimeout: time.Hour})
 	conn, other := net.Pipe()
-	defer func() { _ = other.Close() }()
+	t.Cleanup(func() { _ = other.Close() })
 	s.state(conn, http.StateIdle)
-	due := s.idle[conn]
+	return s, conn, s.idle[conn]
+}
+
+// TestIdleTimersCloseNoConnectionInUse guards against a request that is passed on and cut:
+// its connection's idle timer is due, and fires only after the request has been read.
+func TestIdleTimersCloseNoConnectionInUse(t *testing.T) {
+	s, conn, due := idleForAnHour(t)
 	s.state(conn, http.StateActive)
 	s.closeIdle(conn, due)
 	require.NoError(t, conn.SetDeadline(time.Time{}), "it is in use")
--- a/sidecar/stalledlog_test.go
+++ b/sidecar/stalledlog_test.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -19,7 +18,7 @@
 
 func newStalled(t *testing.T) *stalled {
 	s := &stalled{release: make(chan struct{})}
-	t.Cleanup(sync.OnceFunc(func() { close(s.release) }))
+	t.Cleanup(func() { close(s.release) })
 	return s
 }
 
