sidecar: close the datagram socket once, and wait for it in every caller

Callers saw: a daemon restarted at its address failed with "listen udp4: bind: address already in use". Cause: the context of the component and closeSockets both close the socket. Of two net.UDPConn.Close only the first waits until a send in progress has let go; the second returns at once, so Serve could return while the kernel held the port. Ruled out: other processes (addresses are the test's own). TestDatagramSocketIsClosedOnce holds the socket as a send does; without the change the second close returns and binding fails, with it it waits.

--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -24,8 +24,9 @@
 // reach the configuration store learns of a newer version from the header. The body depends on
 // the kind. The kind constants describe it.
 type datagrams struct {
-	d    *Daemon
-	conn *net.UDPConn
+	d         *Daemon
+	conn      *net.UDPConn
+	closeOnce sync.Once
 
 	mu      sync.Mutex
 	nextID  uint32
@@ -139,7 +140,9 @@
 	}
 }
 
-func (a *datagrams) close() { _ = a.conn.Close() }
+// close closes the socket. When it returns, to any of its callers, the address is free: of
+// several calls of net.UDPConn.Close, only the first waits for sends in progress.
+func (a *datagrams) close() { a.closeOnce.Do(func() { _ = a.conn.Close() }) }
 
 // announceVersion announces the version of the configuration in force to some of the other
 // daemons. Each of them announces the version in turn once it has put it into force.
--- a/sidecar/datagrams_test.go
+++ b/sidecar/datagrams_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"net"
+	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,3 +100,40 @@
 		})
 	}
 }
+
+// TestDatagramSocketIsClosedOnce guards against a restarted daemon that cannot bind its address:
+// of two callers of close, the second one returned while a send of the first still held the socket.
+func TestDatagramSocketIsClosedOnce(t *testing.T) {
+	o := optionsFor(t, newStore(documentOf(1, "a")), newUpstream(t, "a1"), "a")
+	o.Addresses.PeerBind = o.Addresses.Peers
+	a, err := newDatagrams(&Daemon{opts: o})
+	require.NoError(t, err)
+	raw, err := a.conn.SyscallConn()
+	require.NoError(t, err)
+	inUse, released := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	defer release()
+	go func() { _ = raw.Control(func(uintptr) { close(inUse); <-released }) }()
+	<-inUse
+	go a.close()
+	eventually(t, "the first close has begun", func() bool {
+		_, err := a.conn.WriteToUDPAddrPort(nil, netip.MustParseAddrPort(o.Addresses.Peers))
+		return errors.Is(err, net.ErrClosed)
+	})
+	bindErr := make(chan error, 1)
+	go func() {
+		a.close()
+		next, err := newDatagrams(&Daemon{opts: o})
+		if err == nil {
+			next.close()
+		}
+		bindErr <- err
+	}()
+	select {
+	case err = <-bindErr:
+	case <-time.After(50 * time.Millisecond): // the second close waits, as it should
+		release()
+		err = <-bindErr
+	}
+	require.NoError(t, err)
+}
