--- a/sidecar/abort_test.go
+++ b/sidecar/abort_test.go
@@ -36,15 +36,18 @@
 // the response.
 func TestBufferedPeerResponsesAreInFlight(t *testing.T) {
 	s := newStore(documentOf(1, "b"))
-	a, b := startReady(t, s, "a", "a1"), startReady(t, s, "b", "b1")
-	a.waitForCandidates(t, "b", 1)
-	next, closed := b.peerServer.http.Handler, make(chan bool, 1)
-	b.peerServer.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(w, r)
-		if r.Header.Get(callHeader) != "" {
-			closed <- b.stopForwardingIfIdle()
-		}
+	a, closed := startReady(t, s, "a", "a1"), make(chan bool, 1)
+	b := startPrepared(t, optionsFor(t, s, newUpstream(t, "b1"), "b"), s, func(d *Daemon) {
+		next := d.peerServer.http.Handler
+		d.peerServer.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			next.ServeHTTP(w, r)
+			if r.Header.Get(callHeader) != "" {
+				closed <- d.stopForwardingIfIdle()
+			}
+		})
 	})
+	b.Report(readyReport("b1", 1, 1, "b"))
+	a.waitForCandidates(t, "b", 1)
 	status, _ := a.get(t, "/unsafe/")
 	require.Equal(t, http.StatusOK, status)
 	require.False(t, <-closed, "the response is not written yet")
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -317,12 +317,19 @@
 
 // startDaemon starts a daemon and waits until it is ready. The daemon is killed after the test.
 func startDaemon(t testing.TB, o Options, s *store) *member {
+	t.Helper()
+	return startPrepared(t, o, s, func(*Daemon) {})
+}
+
+// startPrepared does the same as startDaemon, but calls prepare before the daemon serves.
+func startPrepared(t testing.TB, o Options, s *store, prepare func(*Daemon)) *member {
 	t.Helper()
 	m := &member{source: &source{store: s}, scope: tally.NewTestScope("", nil)}
 	o.Source, o.Scope = m.source, m.scope
 	d, err := New(o)
 	require.NoError(t, err)
 	m.Daemon = d
+	prepare(d)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
