--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -245,37 +245,6 @@
 	readinessWait = 1500 * time.Millisecond
 	// restartBackoff is the pause before a component that keeps failing is restarted.
 	restartBackoff = time.Second
-	// minDrainTime is how long a stopping daemon continues to accept requests, even if none is in
-	// flight. Callers poll its readiness once a second and leave after two failed polls.
-	minDrainTime = 2200 * time.Millisecond
-	// graceMargin is the part of the grace period that is reserved for shutting down after
-	// draining.
-	graceMargin = 400 * time.Millisecond
-	// drainPollInterval is how often a stopping daemon checks whether all requests in flight have
-	// ended.
-	drainPollInterval = 25 * time.Millisecond
-	// queueFlushMargin is how long before the end of draining a stopping daemon rejects the
-	// requests that wait for the local upstream. Their senders then learn in time that the
-	// requests have not run.
-	queueFlushMargin = 300 * time.Millisecond
-	// componentStopTimeout bounds the wait for the components to stop. It is shorter than
-	// graceMargin, so that a component that hangs does not keep the process alive.
-	componentStopTimeout = 150 * time.Millisecond
-	// logFlushTimeout bounds the wait for log lines to be written at the end.
-	logFlushTimeout = 100 * time.Millisecond
-	// refusalPeriod is the shortest time between the end of forwarding and the closing of the
-	// connections. It is cut short at the end of the grace period. Requests that arrive in this
-	// time are refused. Their senders then learn that the requests have not run.
-	refusalPeriod = 50 * time.Millisecond
-	// closedConnLogWait bounds the wait, after all connections have been closed, for the log
-	// lines of requests that got no response.
-	closedConnLogWait = 20 * time.Millisecond
-	// connectionCloseMargin is how long before the end of the grace period the daemon stops
-	// waiting for responses to be written.
-	connectionCloseMargin = 200 * time.Millisecond
-	// responsePollInterval is how often the daemon checks whether connections still wait for
-	// a response.
-	responsePollInterval = time.Millisecond
 )
 
 // Serve runs the daemon until the context ends. It then lets the requests in flight end, for as
@@ -316,31 +285,6 @@
 	return nil
 }
 
-// isAborting reports whether the daemon is aborting the requests in flight.
-func (d *Daemon) isAborting() bool {
-	select {
-	case <-d.aborting:
-		return true
-	default:
-		return false
-	}
-}
-
-// stopForwardingIfIdle stops forwarding requests if none is in flight, and reports whether it
-// did. A request counts as in flight until net/http has written its response.
-func (d *Daemon) stopForwardingIfIdle() bool {
-	return d.inFlight.closeIfIdle(func() bool {
-		return d.callerServer.numActiveConns() == 0 && d.peerServer.numActiveConns() == 0 && d.guard.stopIfIdle()
-	})
-}
-
-// awaitResponses waits until no connection waits for a response, or until the deadline.
-func (d *Daemon) awaitResponses(deadline time.Time) {
-	for d.callerServer.numActiveConns()+d.peerServer.numActiveConns() > 0 && time.Now().Before(deadline) {
-		time.Sleep(responsePollInterval)
-	}
-}
-
 // logSupervisorEvent logs an event of the supervisor, such as the failure of a component. It does
 // not log that a component stops too slowly.
 func (d *Daemon) logSupervisorEvent(e suture.Event) {
@@ -348,53 +292,3 @@
 		d.opts.Logger.Error("component failed", "event", e.String())
 	}
 }
-
-// drain announces that the daemon is stopping and waits for the requests in flight, until
-// graceMargin before the end of the grace period at the latest. It then aborts those that remain.
-// If the local upstream is gone, it also removes the daemon's entry from the directory. It returns
-// the end of the grace period.
-func (d *Daemon) drain() (deadline time.Time) {
-	drainStart := time.Now()
-	deadline = drainStart.Add(d.tunables.Load().GracePeriod)
-	drainEnd := deadline.Add(-graceMargin)
-	d.guard.setStopDeadline(d.now().Add(drainEnd.Sub(drainStart)))
-	d.stopping.Store(true)
-	d.opts.Decisions.Write(decision.Stopping, "", slog.Int("in_flight", d.inFlight.count()))
-	currentReport, _ := d.guard.reportAndDeparted()
-	if currentReport.State == lifecycle.Gone {
-		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
-		go func() {
-			defer cancel()
-			_ = d.opts.Directory.Remove(ctx, d.opts.Addresses.Peers)
-		}()
-	}
-	d.peers.updateLocal(func(r *Record) { r.Stopping = true })
-	d.awaitIdle(drainStart, drainEnd)
-	d.opts.Decisions.Write(decision.Stopped, "", slog.Int("in_flight", d.inFlight.count()), slog.Int64("took_ms", time.Since(drainStart).Milliseconds()))
-	close(d.aborting)
-	time.Sleep(min(refusalPeriod, time.Until(deadline)))
-	d.awaitResponses(deadline.Add(-connectionCloseMargin))
-	return deadline
-}
-
-// awaitIdle waits until minDrainTime has passed since drainStart and no request is in flight, but
-// until drainEnd at the latest. After minDrainTime, it accepts no more connections of callers.
-// From queueFlushMargin before drainEnd on, it rejects the requests that wait for the local
-// upstream. When it returns, the daemon has stopped forwarding requests.
-func (d *Daemon) awaitIdle(drainStart, drainEnd time.Time) {
-	for time.Now().Before(drainEnd) {
-		if time.Until(drainEnd) < queueFlushMargin {
-			d.guard.stopAdmitting()
-		}
-		if time.Since(drainStart) > minDrainTime {
-			d.callerServer.stopAccepting()
-			if d.stopForwardingIfIdle() {
-				return
-			}
-		}
-		time.Sleep(drainPollInterval)
-	}
-	// The connection of a request that is forwarded later would be closed without a response.
-	d.inFlight.close()
-	d.guard.stopAdmitting()
-}
