sidecar: a departure that a peer remembers takes effect before the daemon is ready

Callers and other daemons saw: after a restart right behind an acknowledged leave, the upstream was a candidate again, for good in one way of events. The departed incarnations of a peer's record were applied in a goroutine, while the exchange already counted as done, so a report or the health check of the start came first. 2. They changed only the tracker: the record of the daemon went on saying ready, and what waited was not handed back. 3. An upstream known from a health check has no start time, and did not match. The guard refused all along, so no request ran (DRAIN held); callers paid with rejected attempts. merge now applies departures before it returns, the daemon announces what they change, an unknown start time matches any. TestRestoredDepartureIsAnnounced and TestRestoreMatchesUnknownStartTime failed before. TestRestartWithStoreDown waits until both peers know of the leave: the daemon is ready after the first of them, and what neither knows nobody can tell.

--- a/core/lifecycle/lifecycle.go
+++ b/core/lifecycle/lifecycle.go
@@ -54,6 +54,12 @@
 	Born int64
 }
 
+// Matches reports whether i and j may be the same incarnation. An unknown start time
+// matches any.
+func (i Incarnation) Matches(j Incarnation) bool {
+	return i.ID == j.ID && (i.Born == j.Born || i.Born == 0 || j.Born == 0)
+}
+
 // Report is a status report of an upstream about itself.
 type Report struct {
 	Incarnation
@@ -153,14 +159,18 @@
 func (t *Tracker) Departed() []Incarnation { return t.departed }
 
 // Restore adds departed incarnations that other daemons have stored. If the
-// current incarnation is among them and ready, it becomes draining.
-func (t *Tracker) Restore(departed []Incarnation) {
+// current incarnation is among them and ready, it becomes draining, and Restore
+// returns Changed. Otherwise Restore returns Same.
+func (t *Tracker) Restore(departed []Incarnation) Effect {
+	effect := Same
 	for _, i := range departed {
 		t.markDeparted(i)
-		if i == t.current.Incarnation && t.current.State == Ready {
-			t.current.State = Draining
+		if t.current.State == Ready && i.Matches(t.current.Incarnation) {
+			t.current.State, t.current.Born = Draining, max(t.current.Born, i.Born)
+			effect = Changed
 		}
 	}
+	return effect
 }
 
 // update applies a report of the current incarnation.
@@ -195,7 +205,7 @@
 // an unknown start time matches every incarnation with the same id.
 func (t *Tracker) hasDeparted(i Incarnation) bool {
 	for _, d := range t.departed {
-		if d.ID == i.ID && (d.Born == i.Born || d.Born == 0 || i.Born == 0) {
+		if d.Matches(i) {
 			return true
 		}
 	}
--- a/core/lifecycle/lifecycle_test.go
+++ b/core/lifecycle/lifecycle_test.go
@@ -87,8 +87,21 @@
 	require.Equal(t, Unknown, tr.Current().State)
 	require.Equal(t, Stale, tr.Observe(report("a", 0, 0, Ready)), "a health check response without start time")
 	tr.Observe(report("b", 2, 1, Ready))
-	tr.Restore([]Incarnation{{ID: "b", Born: 2}})
+	require.Equal(t, Changed, tr.Restore([]Incarnation{{ID: "b", Born: 2}}))
 	require.Equal(t, Draining, tr.Current().State)
+	require.Equal(t, Same, tr.Restore([]Incarnation{{ID: "b", Born: 2}}))
+}
+
+// TestRestoreMatchesUnknownStartTime guards against a leaving upstream that stays ready because
+// its restarted daemon knows it from a health check, which states no start time. A later
+// incarnation under the same id must still become ready.
+func TestRestoreMatchesUnknownStartTime(t *testing.T) {
+	var tr Tracker
+	tr.Observe(report("a", 0, 0, Ready))
+	require.Equal(t, Changed, tr.Restore([]Incarnation{{ID: "a", Born: 1}}))
+	require.Equal(t, Draining, tr.Current().State)
+	require.Equal(t, Stale, tr.Observe(report("a", 1, 5, Ready)))
+	require.Equal(t, Started, tr.Observe(report("a", 2, 1, Ready)))
 }
 
 // TestOrderDoesNotMatter observes the reports of two incarnations in random order,
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -89,7 +89,7 @@
 	}, d.now, o.Decisions)
 	d.peers.configVersion = d.config.version
 	d.peers.onVersion = d.onPeerVersion
-	d.peers.restoreDeparted = d.guard.restoreDeparted
+	d.peers.restoreDeparted = d.restoreDeparted
 	d.guard.slotsFromPeers = d.peers.inferSlots
 	d.follower = newConfigFollower(d)
 	d.relay = &relay{zonePeers: d.peers.zonePeers, send: func(address string, b []byte) { d.datagrams.sendOneWay(kindRelayedRecords, address, b) }}
@@ -219,6 +219,14 @@
 	return effect
 }
 
+// restoreDeparted handles the departed incarnations of the local upstream that another daemon holds
+// in a record of this daemon.
+func (d *Daemon) restoreDeparted(departed []lifecycle.Incarnation) {
+	if d.guard.restoreDeparted(departed) == lifecycle.Changed {
+		d.announceState()
+	}
+}
+
 // LogInvalidReport implements Registry.
 func (d *Daemon) LogInvalidReport(id string, err error) {
 	d.opts.Decisions.Write(decision.ReportRefused, "", slog.String("upstream", id), slog.String("error", err.Error()))
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -138,11 +138,17 @@
 }
 
 // restoreDeparted marks as departed the incarnations that the records of other daemons list as
-// departed.
-func (g *guard) restoreDeparted(departed []lifecycle.Incarnation) {
+// departed. It returns the effect on the state of the upstream.
+func (g *guard) restoreDeparted(departed []lifecycle.Incarnation) lifecycle.Effect {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.tracker.Restore(departed)
+	effect := g.tracker.Restore(departed)
+	current := g.tracker.Current()
+	g.mu.Unlock()
+	if effect == lifecycle.Changed {
+		g.logUpstreamState(current, "departed according to a peer")
+		g.dispatch()
+	}
+	return effect
 }
 
 // logUpstreamState logs the state of the upstream and the cause of the change.
@@ -281,7 +287,7 @@
 	switch {
 	case g.closed, !g.endsBeforeStop(c):
 		return outcome.ReasonDraining
-	case current.State == lifecycle.Unknown, current.Service != c.Service, !mayBeSameIncarnation(current.Incarnation, c.Upstream):
+	case current.State == lifecycle.Unknown, current.Service != c.Service, !current.Incarnation.Matches(c.Upstream):
 		return outcome.ReasonNoUpstream
 	case current.State != lifecycle.Ready:
 		return outcome.ReasonDraining
@@ -290,12 +296,6 @@
 	}
 }
 
-// mayBeSameIncarnation reports whether a and b may be the same incarnation. An unknown start time,
-// which is zero, matches any.
-func mayBeSameIncarnation(a, b lifecycle.Incarnation) bool {
-	return a.ID == b.ID && (a.Born == b.Born || a.Born == 0 || b.Born == 0)
-}
-
 // recordRejection counts and logs the rejection of a call. expectedTime is how long the call was
 // expected to take here, zero for a call that was rejected while it waited.
 func (g *guard) recordRejection(c *Call, reason string, expectedTime time.Duration) {
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -169,8 +168,9 @@
 		firstContact:  make(chan struct{}),
 		directoryRead: make(chan struct{}),
 
-		onReachable: func() {},
-		onFullSync:  func(string) {},
+		onReachable:     func() {},
+		onFullSync:      func(string) {},
+		restoreDeparted: func([]lifecycle.Incarnation) {},
 	}
 }
 
@@ -249,29 +249,34 @@
 	return hop.NewPool(address, hop.PoolOptions{IdleTimeout: peerIdleTimeout, DialTimeout: peerDialTimeout})
 }
 
-// merge merges received records and returns those that superseded the records held.
+// merge merges received records and returns those that superseded the records held. Before it
+// returns, it passes the departed incarnations in records of this daemon to restoreDeparted.
 func (p *peers) merge(records []Record) []Record {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	var newerRecords []Record
+	var departed []lifecycle.Incarnation
+	p.mu.Lock()
 	for i := range records {
 		r := &records[i]
 		switch {
 		case r.Address == "":
 		case r.Address == p.local.Address:
 			p.mergeLocal(r)
+			departed = append(departed, r.Departed...)
 		case p.mergePeer(r):
 			newerRecords = append(newerRecords, *r)
 		}
 	}
+	p.mu.Unlock()
+	if len(departed) > 0 {
+		p.restoreDeparted(departed)
+	}
 	return newerRecords
 }
 
 // mergeLocal merges a record of this daemon that another daemon holds. A previous daemon at this
 // address may have written it. If the incarnation of the record is higher than that of this
 // daemon, the clock of the previous daemon was ahead. This daemon then raises its own incarnation
-// above that of the record and announces its record. Departed incarnations in the record are
-// passed to restoreDeparted. The caller holds p.mu.
+// above that of the record and announces its record. The caller holds p.mu.
 func (p *peers) mergeLocal(held *Record) {
 	if held.Incarnation > p.local.Incarnation {
 		p.local.Incarnation = held.Incarnation + 1
@@ -280,10 +285,6 @@
 	if held.supersedes(&p.predecessor) && held.Incarnation != p.local.Incarnation {
 		p.predecessor = *held
 	}
-	departed := held.Departed
-	if len(departed) > 0 && p.restoreDeparted != nil {
-		go p.restoreDeparted(slices.Clone(departed))
-	}
 }
 
 // mergePeer merges a record of another daemon and reports whether it superseded the one held.
--- a/sidecar/peers_test.go
+++ b/sidecar/peers_test.go
@@ -73,7 +73,9 @@
 		m.waitForCandidates(t, "b", 2)
 	}
 	b.Leave(lifecycle.Incarnation{ID: "b1", Born: 1})
+	// The restarted daemon is ready after the first exchange, with either of the two.
 	a.waitForCandidates(t, "b", 1)
+	c.waitForCandidates(t, "b", 1)
 	s.setDown(true)
 	b.kill()
 	a.peers.reportUnreachable(b.opts.Addresses.Peers, errStoreDown) // as a failed call would
@@ -210,3 +212,19 @@
 		})
 	}
 }
+
+// TestRestoredDepartureIsAnnounced guards against a leaving upstream that stays a candidate. Its
+// daemon restarts and hears first from a daemon that does not know of the leave, so the upstream
+// becomes ready again. A record from another daemon then tells of the leave.
+func TestRestoredDepartureIsAnnounced(t *testing.T) {
+	s := newStore(documentOf(1, "b"))
+	a, b := startReady(t, s, "a", "a1"), startReady(t, s, "b", "b1")
+	a.waitForCandidates(t, "b", 1)
+	held := b.peers.localRecord()
+	held.Incarnation--
+	held.Departed = []lifecycle.Incarnation{{ID: "b1", Born: 1}}
+	b.peers.merge([]Record{held})
+	require.Equal(t, lifecycle.Stale, b.Report(readyReport("b1", 1, 9, "b")), "before merge has returned")
+	b.waitForCandidates(t, "b", 0)
+	a.waitForCandidates(t, "b", 0)
+}
