soak: hold a drained upstream to the arrival of requests, not to a starved handler

Hypotheses: a paused or restarted daemon sends late; a late report revives the upstream; a proxy holds bytes back; the process of the test is starved. Evidence (12 plays of all plans, 4 processes beside 40 busy loops, load over 60, logs kept): 11 of 11 such requests had been sent before the drain, and 10 had been given up by their daemon ("run failed", deadline) up to 17 s before the stand-in started them, e.g. r6: sent 35.09, given up 37.58, drained 38.13, started 45.92. The stand-ins and proxies run in the process of the test, which had a fraction of a core for 60 machines. So the daemon keeps its word and the check measured itself. A canary request a tenth of a second takes the same way through the process; the check subtracts the longest that one has taken. On a machine that keeps up that is milliseconds, and the bound stays 2 s.

--- a/soak/check.go
+++ b/soak/check.go
@@ -57,6 +57,9 @@
 type checker struct {
 	// safetyOnly turns off the checks that depend on the speed of the machine.
 	safetyOnly bool
+	// handlingDelay returns how long before now a request that an upstream starts now may have
+	// arrived, see canary.
+	handlingDelay func() time.Duration
 
 	mu sync.Mutex
 	// recordsByAttempt holds the records by attempt id.
@@ -100,7 +103,10 @@
 )
 
 func newChecker() *checker {
-	return &checker{recordsByAttempt: make(map[string]*requestRecord), drainTimes: make(map[string]time.Time), crashCounts: make(map[string]*crashCount)}
+	return &checker{
+		handlingDelay:    func() time.Duration { return 0 },
+		recordsByAttempt: make(map[string]*requestRecord), drainTimes: make(map[string]time.Time), crashCounts: make(map[string]*crashCount),
+	}
 }
 
 // addViolationLocked records a violation, unless maxViolations are recorded already. The caller
@@ -160,8 +166,9 @@
 	if caller != rec.callerService {
 		c.addViolationLocked("caller: %s was sent by service %s and reached the upstream as sent by %s", attempt, rec.callerService, caller)
 	}
-	if drainedAt, ok := c.drainTimes[u.Incarnation()]; ok && time.Since(drainedAt) > drainAllowance {
-		c.addViolationLocked("drain: %s ran at %s %s after the drain was acknowledged", attempt, u.ID(), time.Since(drainedAt).Round(time.Millisecond))
+	if drainedAt, ok := c.drainTimes[u.Incarnation()]; ok && time.Since(drainedAt)-c.handlingDelay() > drainAllowance {
+		c.addViolationLocked("drain: %s ran at %s %s after the drain was acknowledged, with a delay of %s in the test", attempt, u.ID(),
+			time.Since(drainedAt).Round(time.Millisecond), c.handlingDelay().Round(time.Millisecond))
 	}
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -71,6 +71,7 @@
 	checker *checker
 	store   *platformtest.Store
 	server  *http.Server // the server of the store
+	canary  *canary
 	vms     []*vm
 	// loopbackNet is the number of the loopback network that the soak uses.
 	loopbackNet int
@@ -96,8 +97,9 @@
 	if o.Out == nil {
 		o.Out = io.Discard
 	}
-	h := &harness{plan: p, opts: o, checker: newChecker(), store: platformtest.NewStore()}
+	h := &harness{plan: p, opts: o, checker: newChecker(), store: platformtest.NewStore(), canary: newCanary()}
 	defer h.close()
+	h.checker.handlingDelay = func() time.Duration { return h.canary.delay(time.Now()) }
 	h.checker.safetyOnly = o.SafetyOnly
 	if err := h.startAll(ctx); err != nil {
 		return Result{}, err
@@ -140,6 +142,9 @@
 	storeAddress := ln.Addr().String()
 	h.server = &http.Server{Handler: h.store}
 	go func() { _ = h.server.Serve(ln) }()
+	if err := h.canary.start(ctx, fmt.Sprintf("%s:%d", h.ip(0), portUpstream), fmt.Sprintf("%s:%d", h.ip(0), portUpstreamProxy)); err != nil {
+		return err
+	}
 	h.publish()
 	for i := 1; i <= h.plan.VMs; i++ {
 		m, err := newVM(i, groupCount(h.plan.VMs), h.ip(i), h.opts.Dir, h.opts.Binary, storeAddress, h.checker)
@@ -199,31 +204,6 @@
 	return nil
 }
 
-// publish publishes a new version of the configuration.
-func (h *harness) publish() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.version++
-	h.publishedAt = time.Now()
-	h.store.PutConfig(h.configLocked())
-}
-
-// configLocked returns the newest configuration. The caller must hold h.mu.
-func (h *harness) configLocked() []byte {
-	var calledServices []string
-	for g := range groupCount(h.plan.VMs) {
-		calledServices = append(calledServices, serviceOf(g, 0))
-	}
-	return platformtest.Document(h.version, calledServices...)
-}
-
-// latestPublication returns the newest version of the configuration and when it was published.
-func (h *harness) latestPublication() (int, time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.version, h.publishedAt
-}
-
 // executePlan sends requests and injects faults for the length of the plan, then checks recovery.
 func (h *harness) executePlan(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, h.plan.Length)
@@ -327,37 +307,6 @@
 	return true
 }
 
-// checkConfigInForce regularly checks the version of the configuration in force at a daemon. A new
-// version must be in force within maxConfigDelay. A process must not return to an older version.
-// Version n adds a route for /vn/, so daemons with an older version respond with status 404.
-func (h *harness) checkConfigInForce(ctx context.Context, m *vm) {
-	seenVersion, seenIncarnation := 0, 0
-	for i := 0; ctx.Err() == nil; i++ {
-		time.Sleep(configCheckInterval)
-		if m.replacing.Load() {
-			continue
-		}
-		version, publishedAt := h.latestPublication()
-		overdue := time.Since(publishedAt) > maxConfigDelay && m.undisturbed()
-		incarnation, stoppingOrExited := m.processState()
-		attempt := fmt.Sprintf("probe-%s-%d", m.config.Name, i)
-		h.checker.recordSent(attempt, m.service(), false)
-		r, err := m.caller.Send(ctx, fmt.Sprintf("/v%d/x", version), attempt, false, requestDeadline)
-		if incarnationAfter, _ := m.processState(); err != nil || stoppingOrExited || incarnation != incarnationAfter {
-			continue
-		}
-		h.checker.checkResponse(attempt, r)
-		switch {
-		case r.Status == http.StatusNotFound && incarnation == seenIncarnation && seenVersion >= version:
-			h.checker.addViolation("back: %s no longer had version %d in force", m.config.Name, version)
-		case r.Status == http.StatusNotFound && overdue && m.undisturbed() && !h.opts.SafetyOnly:
-			h.checker.addViolation("late: %s did not have version %d in force %s after its publication", m.config.Name, version, time.Since(publishedAt).Round(time.Millisecond))
-		case r.Status != http.StatusNotFound && r.Status != http.StatusServiceUnavailable:
-			seenVersion, seenIncarnation = version, incarnation
-		}
-	}
-}
-
 // stopDaemons stops all daemons and checks that they exit cleanly within the grace period.
 func (h *harness) stopDaemons() {
 	for _, m := range h.vms {
@@ -386,6 +335,7 @@
 		m.stopForGood(syscall.SIGKILL)
 		m.close()
 	}
+	h.canary.close()
 	if h.server != nil {
 		_ = h.server.Close()
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -129,6 +129,18 @@
 			c.drainTimes[up.Incarnation()] = time.Now().Add(-2 * drainAllowance)
 			c.RequestStarted(up, "x", "a")
 		}, "drain"},
+		"request that arrived before a drain": {func(c *checker) {
+			c.recordSent("x", "a", false)
+			c.drainTimes[up.Incarnation()] = time.Now().Add(-2 * drainAllowance)
+			c.handlingDelay = func() time.Duration { return drainAllowance + time.Second }
+			c.RequestStarted(up, "x", "a")
+		}, ""},
+		"request after a drain beside other work": {func(c *checker) {
+			c.recordSent("x", "a", false)
+			c.drainTimes[up.Incarnation()] = time.Now().Add(-2 * drainAllowance)
+			c.handlingDelay = func() time.Duration { return drainAllowance / 2 }
+			c.RequestStarted(up, "x", "a")
+		}, "drain"},
 		"retry budget exceeded": {func(c *checker) {
 			c.recordSent("x", "a", false)
 			for range int(retryBudgetSlack) + 3 {
