Limit the rate of requests to cold upstreams, exactly and at the guard

Cause: nothing knew what a cold upstream tolerates.

Change: core/warmup counts the starts in a sliding window of a second plus the transit time. The count is exact; a token bucket with rate r and b tokens lets b+r pass in a window. A start counts until a later health check proves that the upstream is warm, so what is sent before the guard knows is bounded too, as is what a predecessor may have sent (a guard that starts assumes a full window unless the cold phase began later). Entries learn the wait in two bytes that load replies had to spare, and plan with it. A guard without a configuration lets nothing start. The rate and duration come with the configuration, overage and slack from the settings; wrong values are refused with their field, and a wrong header or report keeps the last valid state.

--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -20,6 +20,9 @@
 	Slowdown float64
 	// SlowdownAge is how old Slowdown already was when the guard reported the Load.
 	SlowdownAge time.Duration
+	// StartDelay is how long a new request waits because the upstream is cold and the rate of its
+	// requests is limited. Zero if the rate is not limited or the request could start at once.
+	StartDelay time.Duration
 	// FailureRate is the share of recent requests that failed, from 0 to 1.
 	FailureRate float64
 }
@@ -65,13 +68,15 @@
 // ExpectedTime returns the time until a request is expected to complete at an upstream.
 // serviceTime is the usual service time of the request. ahead is the number of requests at the
 // upstream that run now or start before the request. slowdown, limit and failureRate are the
-// estimates for the upstream; limit must be at least 1.
-func ExpectedTime(serviceTime time.Duration, slowdown float64, ahead, limit int, failureRate float64) time.Duration {
+// estimates for the upstream; limit must be at least 1. startDelay is the shortest wait for the start
+// of the request.
+func ExpectedTime(serviceTime time.Duration, slowdown float64, ahead, limit int, startDelay time.Duration, failureRate float64) time.Duration {
 	runTime := float64(serviceTime) * slowdown
 	wait := 0.0
 	if excess := ahead + 1 - limit; excess > 0 {
 		wait = float64(excess) * runTime / float64(limit)
 	}
+	wait = max(wait, float64(startDelay))
 	return time.Duration((runTime + wait) / (1 - min(failureRate, maxFailureRate)))
 }
 
@@ -136,6 +141,17 @@
 	return DefaultLimit(c.upstream.Slots)
 }
 
+// startDelay returns how long a request has to wait now because the rate of requests to the
+// upstream is limited. This entry's own requests since the load was received come first.
+func (c *candidate) startDelay(now model.Instant) time.Duration {
+	if !c.hasLoad || c.load.StartDelay <= 0 || c.upstream.ColdRate <= 0 {
+		return 0
+	}
+	sent := float64(max(c.inFlight-c.inFlightAtLoad, 0))
+	delay := c.load.StartDelay + time.Duration(sent/c.upstream.ColdRate*float64(time.Second))
+	return max(delay-now.Sub(c.loadReceivedAt), 0)
+}
+
 // failureRate returns the failure rate to expect of the upstream now. It is 0 until a load has
 // been received.
 func (c *candidate) failureRate(now model.Instant) float64 {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -310,3 +310,23 @@
 	c = choose(t, p, at(201))
 	require.False(t, c.MissesDeadline(untilDeadline), "one upstream is fast")
 }
+
+// TestColdUpstreamsFillAtTheirRate sends requests to two idle upstreams, one of which is cold and
+// lets a new request wait. The warm one must be chosen until it is the busier one.
+func TestColdUpstreamsFillAtTheirRate(t *testing.T) {
+	p := New(Options{Zone: "z", Rand: func() float64 { return 0 }})
+	p.SetUpstreams([]Upstream{{Key: "cold", Zone: "z", Slots: 9, ColdRate: 10}, {Key: "warm", Zone: "z", Slots: 9}})
+	p.UpdateLoad(0, "cold", Load{Limit: 7, Slowdown: 1, StartDelay: 150 * time.Millisecond})
+	p.UpdateLoad(0, "warm", Load{Limit: 7, Slowdown: 1})
+	chosen := map[string]int{}
+	for range 12 {
+		choice, ok := p.Choose(0, Request{ServiceTime: 100 * time.Millisecond})
+		require.True(t, ok)
+		chosen[choice.Upstream.Key]++
+	}
+	require.Equal(t, 12, chosen["warm"])
+	first, _ := p.Choose(model.Instant(160*time.Millisecond), Request{ServiceTime: 100 * time.Millisecond})
+	require.Equal(t, "cold", first.Upstream.Key, "the wait there is over")
+	second, _ := p.Choose(model.Instant(160*time.Millisecond), Request{ServiceTime: 100 * time.Millisecond})
+	require.Equal(t, 90*time.Millisecond, second.Expected-first.Expected, "the second one has to wait")
+}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -21,6 +21,9 @@
 	Slots int
 	// ColdUntil is the expected end of the slow phase after the start of the upstream.
 	ColdUntil model.Instant
+	// ColdRate is the number of requests per second that the upstream gets while it is cold.
+	// Zero means that the rate is not limited.
+	ColdRate float64
 	// Stopping is set if the upstream's daemon is about to stop. The upstream still serves
 	// requests, but is chosen only if all other upstreams are stopping, unreachable or excluded.
 	Stopping bool
@@ -306,7 +309,7 @@
 // expected returns the expected time until the request completes at the candidate, including
 // the round trip to its zone.
 func (p *Placer) expected(now model.Instant, req Request, c *candidate) time.Duration {
-	return p.rttByZone[c.upstream.Zone] + ExpectedTime(req.ServiceTime, c.slowdown(now, p.meanSlowdown), c.expectedRequests(now), c.limit(), c.failureRate(now))
+	return p.rttByZone[c.upstream.Zone] + ExpectedTime(req.ServiceTime, c.slowdown(now, p.meanSlowdown), c.expectedRequests(now), c.limit(), c.startDelay(now), c.failureRate(now))
 }
 
 // ObserveRTT records rtt, the round-trip time of a load query to the guard of the upstream with
--- a/core/route/document.go
+++ b/core/route/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
@@ -56,6 +57,12 @@
 	// MaxConns is the largest number of connections that each upstream of the
 	// service accepts. Zero means that the configuration sets none.
 	MaxConns int
+	// ColdRate is the number of requests per second that a cold upstream of the service
+	// tolerates (see package warmup). Zero means that the configuration sets none.
+	ColdRate float64
+	// ColdDuration is how long an upstream stays cold. Zero means that the configuration
+	// sets none.
+	ColdDuration time.Duration
 }
 
 // Limits are the limits on callers' requests and connections. Zero means no
@@ -81,6 +88,34 @@
 	return fmt.Sprintf("configuration %s: route %q: %s: %s", e.Version, e.Route, e.Field, e.Problem)
 }
 
+// ServiceError reports an invalid field of a service in a configuration. The
+// configuration cannot be put in force.
+type ServiceError struct {
+	Version model.Version
+	Service model.ServiceName
+	Field   string
+	Problem string
+}
+
+// Error implements error.
+func (e *ServiceError) Error() string {
+	return fmt.Sprintf("configuration %s: service %q: %s: %s", e.Version, e.Service, e.Field, e.Problem)
+}
+
+// validate returns a *ServiceError for the first invalid field of the service, or nil.
+func (s *Service) validate(version model.Version) error {
+	newError := func(field, problem string) error {
+		return &ServiceError{Version: version, Service: s.Name, Field: field, Problem: problem}
+	}
+	switch {
+	case !(s.ColdRate >= 0 && s.ColdRate <= math.MaxFloat64):
+		return newError("cold rate", fmt.Sprintf("must be a number that is not negative, is %v", s.ColdRate))
+	case s.ColdDuration < 0:
+		return newError("cold duration", fmt.Sprintf("is negative: %v", s.ColdDuration))
+	}
+	return nil
+}
+
 // validate returns an *Error for the first invalid field of the route, or nil. It reports
 // a negative TargetLatency as field "timeout".
 func (r *Route) validate(version model.Version) error {
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -19,8 +19,8 @@
 	largestRank int
 }
 
-// New checks a configuration and returns its Table. If a route is invalid, New returns an
-// *Error for the first invalid route.
+// New checks a configuration and returns its Table. If a service or a route is invalid, New
+// returns a *ServiceError or an *Error for the first one.
 func New(doc Document) (*Table, error) {
 	t := &Table{
 		doc:           doc,
@@ -28,7 +28,11 @@
 		serviceByName: make(map[model.ServiceName]*Service, len(doc.Services)),
 	}
 	for i := range doc.Services {
-		t.serviceByName[doc.Services[i].Name] = &t.doc.Services[i]
+		s := &t.doc.Services[i]
+		if err := s.validate(doc.Version); err != nil {
+			return nil, err
+		}
+		t.serviceByName[s.Name] = s
 	}
 	for i := range doc.Routes {
 		r := &t.doc.Routes[i]
--- a/core/slots/admit.go
+++ b/core/slots/admit.go
@@ -74,7 +74,9 @@
 // the caller must pass to Add after setting its ID. In every case, the duration is the expected
 // time until the request would complete here.
 func (q *Queue) Admit(now model.Instant, a Arrival, p Performance) (Item, Admission, time.Duration) {
-	expected := placement.ExpectedTime(a.ServiceTime, p.Slowdown, q.Ahead(a.Rank, a.Kind), q.limit, p.FailureRate)
+	ahead := q.Ahead(a.Rank, a.Kind)
+	startDelay := q.StartDelay(now, ahead-q.running)
+	expected := placement.ExpectedTime(a.ServiceTime, p.Slowdown, ahead, q.limit, startDelay, p.FailureRate)
 	if a.Alternative > 0 && expected > time.Duration(slowerFactor*float64(a.Alternative))+slowerMargin {
 		return Item{}, SlowerHere, expected
 	}
@@ -83,7 +85,7 @@
 		share = urgentDeadlineShare
 	}
 	usefulTime := max(a.UntilTarget, time.Duration(share*float64(a.UntilDeadline)))
-	if q.running >= q.limit && expected > usefulTime {
+	if (q.running >= q.limit || startDelay > 0) && expected > usefulTime {
 		return Item{}, Full, expected
 	}
 	item := Item{Rank: a.Rank, Kind: a.Kind, ServiceTime: a.ServiceTime, Arrived: now, Deadline: now.Add(a.UntilDeadline), UsefulUntil: now.Add(usefulTime)}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -96,10 +96,43 @@
 	starts int
 	// items holds the waiting requests in the order in which they were added.
 	items []Item
+	// limiter limits the rate of starts. Nil means that only limit counts.
+	limiter StartLimiter
 	// sharesByRank holds the service time shares of the kinds of requests of each rank.
 	sharesByRank map[int]*fairShares
 }
 
+// StartLimiter limits the rate at which requests start, for example those at a cold upstream.
+type StartLimiter interface {
+	// NextStart returns the earliest instant, not before now, at which a request may start.
+	NextStart(now model.Instant) model.Instant
+	// Delay returns how long a request has to wait if ahead other requests start before it.
+	Delay(now model.Instant, ahead int) time.Duration
+	// RecordStart records that a request starts.
+	RecordStart(now model.Instant)
+}
+
+// SetStartLimiter sets a limiter of the rate of starts.
+func (q *Queue) SetStartLimiter(l StartLimiter) { q.limiter = l }
+
+// StartDelay returns how long a new request has to wait because of the limiter of the rate of
+// starts, if ahead waiting requests start before it.
+func (q *Queue) StartDelay(now model.Instant, ahead int) time.Duration {
+	if q.limiter == nil {
+		return 0
+	}
+	return q.limiter.Delay(now, ahead)
+}
+
+// nextStart returns the earliest instant, not before now, at which the limiter of the rate of
+// starts lets a request start.
+func (q *Queue) nextStart(now model.Instant) model.Instant {
+	if q.limiter == nil {
+		return now
+	}
+	return q.limiter.NextStart(now)
+}
+
 // New returns a Queue that lets up to limit requests run concurrently.
 func New(limit int) *Queue { return &Queue{limit: max(limit, 1), sharesByRank: map[int]*fairShares{}} }
 
@@ -162,21 +195,28 @@
 // call Finish when a started request ends. slowdown is the current service time divided by the
 // usual service time.
 func (q *Queue) Next(now model.Instant, slowdown float64) (Dequeued, bool) {
+	if len(q.items) == 0 {
+		return Dequeued{}, false
+	}
+	blocked := q.running >= q.limit || q.nextStart(now) > now
 	for i := range q.items {
 		item := &q.items[i]
 		if now.Add(scale(item.ServiceTime, slowdown)/2) >= item.Deadline {
 			return q.dequeue(i, DeadlineUnreachable), true
 		}
-		if q.running >= q.limit && item.UsefulUntil != 0 && now.Add(scale(item.ServiceTime, slowdown)) > item.UsefulUntil {
+		if blocked && item.UsefulUntil != 0 && now.Add(scale(item.ServiceTime, slowdown)) > item.UsefulUntil {
 			return q.dequeue(i, TooLate), true
 		}
-		if item.WaitUntil != 0 && now >= item.WaitUntil && q.running >= q.limit {
+		if item.WaitUntil != 0 && now >= item.WaitUntil && blocked {
 			return q.dequeue(i, QueueTimeoutExpired), true
 		}
 	}
-	if q.running >= q.limit || len(q.items) == 0 {
+	if blocked {
 		return Dequeued{}, false
 	}
+	if q.limiter != nil {
+		q.limiter.RecordStart(now)
+	}
 	best := q.nextIndex(now, slowdown)
 	q.running++
 	q.starts++
@@ -187,8 +227,11 @@
 // NextWakeup returns when Next must be called again after it has returned false. Before that
 // instant, no request leaves the queue unless a request arrives or ends. Zero means that no
 // request is waiting. slowdown is the current service time divided by the usual service time.
-func (q *Queue) NextWakeup(slowdown float64) model.Instant {
+func (q *Queue) NextWakeup(now model.Instant, slowdown float64) model.Instant {
 	var wakeup model.Instant
+	if next := q.nextStart(now); len(q.items) > 0 && q.running < q.limit && next > now {
+		wakeup = next
+	}
 	for i := range q.items {
 		item := &q.items[i]
 		leaveBy := item.Deadline.Add(-scale(item.ServiceTime, slowdown) / 2)
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -224,7 +224,7 @@
 			item := newItem(1, 0, 100, 500)
 			c.change(&item)
 			q := newBusyQueue(item)
-			wakeup := q.NextWakeup(c.slowdown)
+			wakeup := q.NextWakeup(0, c.slowdown)
 			require.LessOrEqual(t, wakeup, at(c.now), "the queue wakes up in time")
 			_, early := q.Next(wakeup.Add(-2*ms), c.slowdown)
 			require.False(t, early)
@@ -254,7 +254,7 @@
 	require.False(t, q.Remove(1))
 	_, ok := q.Next(at(0), 1)
 	require.False(t, ok)
-	require.Zero(t, q.NextWakeup(1))
+	require.Zero(t, q.NextWakeup(0, 1))
 }
 
 // TestEveryRequestLeavesOnce has requests arrive, end and be removed at random. No request
@@ -305,3 +305,47 @@
 		require.Zero(t, q.Waiting())
 	})
 }
+
+// pacedStarts is a StartLimiter that allows one start in each interval.
+type pacedStarts struct {
+	interval time.Duration
+	next     model.Instant
+}
+
+func (p *pacedStarts) NextStart(now model.Instant) model.Instant { return max(now, p.next) }
+func (p *pacedStarts) RecordStart(now model.Instant)             { p.next = now.Add(p.interval) }
+
+func (p *pacedStarts) Delay(now model.Instant, ahead int) time.Duration {
+	return p.NextStart(now).Sub(now) + time.Duration(ahead)*p.interval
+}
+
+// TestStartLimiterHoldsBack has requests wait at an upstream with free slots that is cold. They must
+// start at the pace of the limiter, the most urgent first, and what would end too late is refused.
+func TestStartLimiterHoldsBack(t *testing.T) {
+	q := New(8)
+	q.SetStartLimiter(&pacedStarts{interval: 100 * ms})
+	for id, rank := range []int{2, 1, 2} {
+		item := newItem(uint64(id), rank, 10, 2000)
+		q.Add(item)
+	}
+	var started []uint64
+	now := at(1)
+	for len(started) < 3 {
+		for {
+			d, ok := q.Next(now, 1)
+			if !ok {
+				break
+			}
+			require.Equal(t, Start, d.Reason)
+			started = append(started, d.ID)
+		}
+		next := q.NextWakeup(now, 1)
+		require.True(t, len(started) == 3 || next == now.Add(100*ms))
+		now = next
+	}
+	require.EqualValues(t, 1, started[0], "the most urgent")
+	now = at(1).Add(200 * ms)
+	_, admission, expected := q.Admit(now, Arrival{ServiceTime: 10 * ms, UntilTarget: 50 * ms, UntilDeadline: 150 * ms}, Performance{Slowdown: 1})
+	require.Equal(t, Full, admission, "a slot is free, but the start is too late")
+	require.Equal(t, 110*ms, expected)
+}
--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -100,7 +100,7 @@
 		{UpstreamState, State, "The upstream of this VM changed its state.", []string{"upstream", "born", "sequence", "state", "cause"}},
 		{UpstreamFailing, State, "The upstream of this VM fails most requests, so other upstreams are preferred.", []string{"upstream", "failing"}},
 		{UpstreamRecovered, State, "The upstream of this VM no longer fails most requests.", []string{"upstream", "failing"}},
-		{ReportRefused, State, "A report of the upstream was invalid and was ignored.", []string{"upstream", "error"}},
+		{ReportRefused, State, "A report of the upstream, or a field of it, was invalid and was ignored.", []string{"upstream", "error"}},
 		{PeerState, State, "The upstream of another daemon changed its state.", []string{"peer", "upstream", "born", "state", "stopping"}},
 		{PeersLearned, State, "Many upstreams of other daemons became known as ready within a second; `learned` of them have no line of their own. `missing` lists up to 16 daemons whose upstream is not known yet.", []string{"learned", "ready", "peers", "unheard", "missing"}},
 		{PeerUnreachable, State, "Another daemon became unreachable.", []string{"peer", "error"}},
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -154,7 +154,8 @@
 	}, nil
 }
 
-// resultFieldCount is the number of fields of an encoded result.
+// resultFieldCount is the number of fields of an encoded result. A field for Load.StartDelay in
+// milliseconds follows if that is not zero.
 const resultFieldCount = 11
 
 // encode returns the fields of the result that are not part of the HTTP response itself,
@@ -168,9 +169,13 @@
 	if reason == "" {
 		reason = "-"
 	}
-	return fmt.Sprintf("%s %s %t %d %d %d %d %d %d %d %d/%d",
+	encoded := fmt.Sprintf("%s %s %t %d %d %d %d %d %d %d %d/%d",
 		r.Outcome.Kind, reason, r.Delivered, load.Running, load.Waiting, load.Limit,
 		int(load.Slowdown*ratioScale), load.SlowdownAge.Milliseconds(), int(load.FailureRate*ratioScale), int(r.CallsPerRun*ratioScale), r.ServiceTime.Microseconds(), r.Version)
+	if load.StartDelay > 0 {
+		encoded += " " + strconv.FormatInt(load.StartDelay.Milliseconds(), 10)
+	}
+	return encoded
 }
 
 // ratioScale is the factor by which slowdowns, failure rates and calls per run are multiplied
@@ -181,6 +186,11 @@
 // invalid.
 func decodeResult(s string) (*Result, error) {
 	fields := strings.Split(s, " ")
+	startDelay := "0"
+	if len(fields) == resultFieldCount+1 {
+		startDelay = fields[resultFieldCount]
+		fields = fields[:resultFieldCount]
+	}
 	if len(fields) != resultFieldCount {
 		return nil, &FieldError{Field: "answer", Value: s}
 	}
@@ -190,7 +200,7 @@
 	if !ok || err != nil || !found {
 		return nil, &FieldError{Field: "answer", Value: s}
 	}
-	ints, err := parseInts(fields[3], fields[4], fields[5], fields[6], fields[7], fields[8], serviceTime, version, fields[9])
+	ints, err := parseInts(fields[3], fields[4], fields[5], fields[6], fields[7], fields[8], serviceTime, version, fields[9], startDelay)
 	if err != nil {
 		return nil, err
 	}
@@ -208,7 +218,7 @@
 		result.Load = &placement.Load{
 			Running: int(ints[0]), Waiting: int(ints[1]), Limit: int(ints[2]),
 			Slowdown: float64(ints[3]) / ratioScale, SlowdownAge: time.Duration(ints[4]) * time.Millisecond,
-			FailureRate: float64(ints[5]) / ratioScale,
+			FailureRate: float64(ints[5]) / ratioScale, StartDelay: time.Duration(ints[9]) * time.Millisecond,
 		}
 	}
 	return result, nil
--- a/sidecar/candidates.go
+++ b/sidecar/candidates.go
@@ -11,8 +11,8 @@
 
 // candidates returns the ready upstreams of a service, sorted by key, and a map from their keys
 // to their endpoints. The local upstream is included. Upstreams of unreachable daemons are left
-// out.
-func (p *peers) candidates(service model.ServiceName) ([]placement.Upstream, map[string]endpoint) {
+// out. coldRate is the Upstream.ColdRate of the service.
+func (p *peers) candidates(service model.ServiceName, coldRate float64) ([]placement.Upstream, map[string]endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var upstreams []placement.Upstream
@@ -23,7 +23,7 @@
 		}
 		up := placement.Upstream{
 			Key: upstreamKey(r.Address, r.Upstream.ID), Daemon: model.DaemonID(r.Address),
-			Zone: r.Zone, Slots: r.Slots, ColdUntil: coldUntil, Stopping: r.Stopping,
+			Zone: r.Zone, Slots: r.Slots, ColdUntil: coldUntil, ColdRate: coldRate, Stopping: r.Stopping,
 		}
 		upstreams = append(upstreams, up)
 		endpoints[up.Key] = endpoint{address: r.Address, daemonIncarnation: r.Incarnation, upstream: r.Upstream}
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -50,6 +50,20 @@
 	return nil
 }
 
+// coldRate returns the number of requests per second that a cold upstream of the service tolerates,
+// zero if the configuration sets none.
+func (c *configuration) coldRate(service model.ServiceName) float64 {
+	t := c.table()
+	if t == nil {
+		return 0
+	}
+	s, ok := t.Service(service)
+	if !ok {
+		return 0
+	}
+	return s.ColdRate
+}
+
 // timeInForce returns how long the configuration has been in force, zero if there is none.
 func (c *configuration) timeInForce() time.Duration {
 	if active := c.current.Load(); active != nil {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -121,6 +121,7 @@
 	d.tunables.Store(&t)
 	d.entry.setRetryBudget(t.Retries)
 	d.guard.setService(t.Service)
+	d.updateColdLimits(d.config.table())
 	d.config.recheckWaiters()
 }
 
@@ -172,7 +173,7 @@
 		return err
 	}
 	d.peers.pushByDatagram = d.datagrams.pushRecord
-	d.config.onChange = append(d.config.onChange, func(*route.Table) {
+	d.config.onChange = append(d.config.onChange, d.updateColdLimits, func(*route.Table) {
 		d.datagrams.announceVersion()
 		d.follower.announceVersion()
 	})
--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -274,7 +274,7 @@
 		return resp.StatusCode == http.StatusServiceUnavailable
 	})
 	eventually(t, "others choose it only as a last resort", func() bool {
-		ups, _ := a.peers.candidates("b")
+		ups, _ := a.peers.candidates("b", 0)
 		return len(ups) == 0 || len(ups) == 1 && ups[0].Stopping
 	})
 	close(release)
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -38,6 +38,7 @@
 			currentReport, _ := d.guard.reportAndDeparted()
 			return boolToFloat(currentReport.State == lifecycle.Ready)
 		}},
+		{"upstream_cold", "1 while the own upstream is known to be cold", func() float64 { return boolToFloat(d.guard.isCold()) }},
 		{"resends_left", "re-sends that the tightest budget holds", d.entry.retriesLeft},
 	}
 }
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -48,6 +48,7 @@
 	tracker lifecycle.Tracker
 	pool    *hop.Pool
 	queue   *slots.Queue
+	cold    coldness
 	// waiters holds a channel for each call in the queue, by the id of its queue item. The
 	// channel receives why the call left the queue.
 	waiters    map[uint64]chan slots.DequeueReason
@@ -93,6 +94,7 @@
 		attempts: newAttemptTable(now),
 		crashes:  &crashDetector{address: o.Addresses.Upstream, now: now, onCrash: func(lostRun) {}},
 	}
+	g.queue.SetStartLimiter(&g.cold.limiter)
 	g.wakeTimer = time.AfterFunc(time.Hour, g.dispatch)
 	g.wakeTimer.Stop()
 	g.pool = g.newPool()
@@ -110,7 +112,7 @@
 	g.mu.Lock()
 	previous := g.tracker.Current()
 	effect := g.tracker.Observe(r)
-	g.applyReport(effect)
+	g.applyReport(effect, r.WarmupLeft)
 	current := g.tracker.Current()
 	g.mu.Unlock()
 	if effect == lifecycle.Started && previous.State == lifecycle.Ready {
@@ -160,9 +162,17 @@
 
 // applyReport sets the concurrency limit from the newest report, which had the given effect on
 // the tracker. If a new incarnation has started, applyReport also replaces the connection pool
-// and resets slowdownReported and the failure rate. g.mu is held.
-func (g *guard) applyReport(effect lifecycle.Effect) {
-	if effect != lifecycle.Started && effect != lifecycle.Changed {
+// and resets slowdownReported and the failure rate. warmupLeft is how much longer the upstream
+// stays cold according to the report. g.mu is held.
+func (g *guard) applyReport(effect lifecycle.Effect, warmupLeft time.Duration) {
+	if effect == lifecycle.Stale {
+		return
+	}
+	if effect == lifecycle.Started {
+		g.cold.limiter.Replaced(g.now())
+	}
+	g.cold.limiter.Report(g.now(), warmupLeft)
+	if effect == lifecycle.Same {
 		return
 	}
 	g.queue.SetLimit(placement.DefaultLimit(g.tracker.Current().Slots))
@@ -171,7 +181,7 @@
 	}
 	g.pool.Close()
 	g.pool = g.newPool()
-	g.slowdownReported, g.failures, g.failingLogged = false, placement.FailureRate{}, false
+	g.slowdownReported, g.failures, g.failingLogged, g.cold.invalidLogged = false, placement.FailureRate{}, false, false
 }
 
 // reportAndDeparted returns the newest report of the upstream and the incarnations that have
@@ -291,6 +301,9 @@
 		return outcome.ReasonNoUpstream
 	case current.State != lifecycle.Ready:
 		return outcome.ReasonDraining
+	case g.configVersion() == 0:
+		// What a cold upstream tolerates is not known yet.
+		return outcome.ReasonNotReady
 	default:
 		return outcome.ReasonNone
 	}
@@ -376,7 +389,10 @@
 		g.waiters[d.ID] <- d.Reason
 		delete(g.waiters, d.ID)
 	}
-	if wakeAt := g.queue.NextWakeup(slowdown); wakeAt != 0 {
+	if wakeAt := g.queue.NextWakeup(now, slowdown); wakeAt != 0 {
+		if g.cold.limiter.NeedsProof(now) {
+			wakeAt = min(wakeAt, g.requestProof(now))
+		}
 		g.wakeTimer.Reset(max(wakeAt.Sub(now), time.Millisecond))
 	}
 }
--- a/sidecar/guardload.go
+++ b/sidecar/guardload.go
@@ -57,6 +57,7 @@
 	l := placement.Load{
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
 		Slowdown: g.currentSlowdown(), SlowdownAge: g.now().Sub(g.slowdownAt), FailureRate: g.failures.At(g.now()),
+		StartDelay: g.queue.StartDelay(g.now(), g.queue.Waiting()),
 	}
 	switch {
 	case g.slowdownReported:
--- a/sidecar/healthcheck.go
+++ b/sidecar/healthcheck.go
@@ -20,12 +20,7 @@
 		g.mu.Unlock()
 		return
 	}
-	done := g.healthCheckDone
-	if done == nil {
-		done = make(chan struct{})
-		g.healthCheckDone = done
-		go g.runHealthCheck(done)
-	}
+	done := g.startHealthCheck()
 	g.mu.Unlock()
 	select {
 	case <-done:
@@ -33,13 +28,28 @@
 	}
 }
 
+// startHealthCheck starts a health check unless one is in progress. It returns a channel that is
+// closed at the end of that health check. g.mu is held.
+func (g *guard) startHealthCheck() <-chan struct{} {
+	if g.healthCheckDone == nil {
+		g.healthCheckDone = make(chan struct{})
+		go g.runHealthCheck(g.healthCheckDone)
+	}
+	return g.healthCheckDone
+}
+
 // runHealthCheck sends one health check and closes done.
 func (g *guard) runHealthCheck(done chan struct{}) {
 	g.checkHealth(healthCheckTimeout)
 	g.mu.Lock()
 	g.healthCheckDone = nil
+	waiting := g.queue.Waiting() > 0
 	g.mu.Unlock()
 	close(done)
+	if waiting {
+		// The response may show that the upstream is warm, or cold.
+		g.dispatch()
+	}
 }
 
 // checkHealth sends a health check to the upstream and records the load from the response. It
@@ -56,12 +66,14 @@
 	pool := g.pool
 	g.mu.Unlock()
 	g.metrics.healthChecks.Inc(1)
+	sent := g.now()
 	reply, err := pool.Do(ctx, hop.PoolRequest{Method: http.MethodGet, Target: path, Host: g.opts.Addresses.Upstream, Header: http.Header{}})
 	if err != nil {
 		return ResponseInfo{}, false
 	}
 	r := g.opts.Codec.ReadResponseInfo(reply.Status, reply.Header)
 	g.recordLoad(r.Load)
+	g.recordColdness(sent, r.Coldness)
 	return r, reply.Status == http.StatusOK
 }
 
--- a/sidecar/loadquery.go
+++ b/sidecar/loadquery.go
@@ -178,6 +178,7 @@
 	}
 	l := g.load()
 	l.Waiting = max(g.queue.Ahead(q.rank, q.kind)-l.Running, 0)
+	l.StartDelay = g.queue.StartDelay(g.now(), l.Waiting)
 	return l, true
 }
 
@@ -187,13 +188,15 @@
 )
 
 // appendLoad appends an encoded load to b. Running, Waiting, Limit, the slowdown in hundredths
-// and its age in milliseconds take 16 bits each. A byte for the failure rate in hundredths and
-// two reserved bytes follow. Numbers that do not fit are replaced by the largest that does.
+// and its age in milliseconds take 16 bits each. A byte for the failure rate in hundredths and 16
+// bits for StartDelay in milliseconds follow. Numbers that do not fit are replaced by the largest
+// that does.
 func appendLoad(b []byte, l placement.Load) []byte {
 	for _, n := range []int{l.Running, l.Waiting, l.Limit, int(l.Slowdown * ratioScale), int(l.SlowdownAge.Milliseconds())} {
 		b = binary.BigEndian.AppendUint16(b, uint16(min(max(n, 0), maxUint16)))
 	}
-	return binary.BigEndian.AppendUint16(append(b, uint8(min(max(l.FailureRate*ratioScale, 0), maxUint8))), 0)
+	b = append(b, uint8(min(max(l.FailureRate*ratioScale, 0), maxUint8)))
+	return binary.BigEndian.AppendUint16(b, uint16(min(max(l.StartDelay.Milliseconds(), 0), maxUint16)))
 }
 
 // decodeLoad parses the load in a load reply. b is the whole datagram.
@@ -204,5 +207,6 @@
 		Running: field(0), Waiting: field(1), Limit: field(2),
 		Slowdown: float64(field(3)) / ratioScale, SlowdownAge: time.Duration(field(4)) * time.Millisecond,
 		FailureRate: float64(b[bodyStart+2*5]) / ratioScale,
+		StartDelay:  time.Duration(binary.BigEndian.Uint16(b[bodyStart+2*5+1:])) * time.Millisecond,
 	}
 }
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -48,6 +48,16 @@
 	Retries RetryBudget
 	// GracePeriod is the time from the stop signal to the end of the process.
 	GracePeriod time.Duration
+	// Cold bounds the requests to cold upstreams.
+	Cold ColdBounds
+}
+
+// ColdBounds bounds the requests that a cold upstream gets in any period of one second: Overage
+// times the rate that the configuration states for its service (route.Service.ColdRate), plus
+// Slack.
+type ColdBounds struct {
+	Overage float64
+	Slack   float64
 }
 
 // Addresses holds the addresses that the daemon listens on and the address of the local
@@ -127,7 +137,17 @@
 	// Instance is the upstream that responded. Empty means not stated.
 	Instance model.UpstreamID
 	// Load is the load that the upstream states. Nil means not stated.
-	Load *UpstreamLoad
+	Load     *UpstreamLoad
+	Coldness Coldness
+}
+
+// Coldness is what the response to a health check states about the cold phase of an upstream.
+// Responses to other requests state nothing of it.
+type Coldness struct {
+	// Left is how much longer the upstream stays cold, zero if it is warm.
+	Left time.Duration
+	// Invalid is the stated value if it cannot be parsed.
+	Invalid string
 }
 
 // UpstreamLoad is the load that an upstream reports.
--- a/sidecar/replaced_test.go
+++ b/sidecar/replaced_test.go
@@ -40,7 +40,7 @@
 // attemptTo returns an attempt at the only upstream of service b that a daemon knows.
 func attemptTo(t *testing.T, m *member) *attemptState {
 	t.Helper()
-	upstreams, endpoints := m.peers.candidates("b")
+	upstreams, endpoints := m.peers.candidates("b", 0)
 	require.Len(t, upstreams, 1)
 	return &attemptState{
 		choice: placement.Choice{Upstream: upstreams[0]}, endpoint: endpoints[upstreams[0].Key], acknowledged: make(chan struct{}),
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -117,7 +117,7 @@
 	},
 	"slots missing from the first report stay unknown": {
 		edits: []edits.Edit{
-			edits.New("sidecar/guard.go", "if effect != lifecycle.Started && effect != lifecycle.Changed {", "if effect != lifecycle.Started {"),
+			edits.New("sidecar/guard.go", "if effect == lifecycle.Same {", "if effect != lifecycle.Started {"),
 			edits.New("sidecar/healthcheck.go", "report.Slots = g.slotsFromPeers(report.Incarnation)", "report.Slots = 1"),
 		},
 		plan: planUnreportedSlots, wantViolation: "recovery",
