Evacuate availability zones

Cause: op/evacuate/ZONE was not read.

Change: a State says which zones are evacuated as of an offset of the operator's log, so newer and older need no clock, and an end that leaves no record is part of it. Whoever watches the store reads it with the configuration, in the same calls. It spreads with each exchange of records, with each transferred configuration, by a push after a change, and in the anti-entropy that a change speeds up; a daemon that is sent an older one answers with its own. Entries leave out upstreams of such zones, guards return what waits with proof and start nothing; runs finish. A service with upstreams only there is refused at once, reason evacuated, with a time to come back. A daemon that starts hears of it with its first configuration or exchange, and its guard starts nothing before.

Both ends enforce.

Datagrams grow by nothing; a new kind carries 8 bytes and the names.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -58,6 +58,7 @@
 	ReasonShed             Reason = "over-share"
 	ReasonCeiling          Reason = "over-ceiling"
 	ReasonDeadline         Reason = "deadline"
+	ReasonEvacuated        Reason = "evacuated"
 	ReasonDraining         Reason = "draining"
 	ReasonWithdrawn        Reason = "withdrawn"
 	ReasonUpstreamRefused  Reason = "upstream-refused"
--- a/core/outcome/reason.go
+++ b/core/outcome/reason.go
@@ -19,6 +19,7 @@
 	ReasonShed:             "Too many requests wait, and the group is furthest over its share.",
 	ReasonCeiling:          "The group is at its rate or concurrency ceiling.",
 	ReasonDeadline:         "The deadline passed, or could not have been met.",
+	ReasonEvacuated:        "All upstreams of the service are in evacuated availability zones.",
 	ReasonDraining:         "The upstream or the daemon is about to leave.",
 	ReasonWithdrawn:        "The request was taken back while it still waited.",
 	ReasonUpstreamRefused:  "The upstream refused before it started on the request.",
--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -44,6 +44,7 @@
 	PeerReachable     Kind = "peer regained"
 	ConfigInForce     Kind = "configuration in force"
 	ConfigRefused     Kind = "configuration refused"
+	Evacuated         Kind = "zones evacuated"
 	StoreUnreachable  Kind = "store lost"
 	StoreReachable    Kind = "store regained"
 	StoreWatched      Kind = "store watched"
@@ -107,6 +108,7 @@
 		{PeerReachable, State, "Another daemon is reachable again.", []string{"peer"}},
 		{ConfigInForce, State, "A version of the configuration came into force.", []string{"version", "previous", "routes", "from"}},
 		{ConfigRefused, State, "A configuration was invalid; the one in force stays.", []string{"version", "in_force", "from", "error"}},
+		{Evacuated, State, "The availability zones in `zones`, possibly none, are evacuated from now on: their upstreams get no requests.", []string{"zones", "version", "from"}},
 		{StoreUnreachable, State, "The store was unreachable or returned an error.", []string{"call", "error"}},
 		{StoreReachable, State, "The store responds again.", []string{"call", "away_ms"}},
 		{StoreWatched, State, "This daemon started or stopped watching the store for the daemons of its cell.", []string{"watches", "cell"}},
--- a/sidecar/candidates.go
+++ b/sidecar/candidates.go
@@ -10,15 +10,16 @@
 )
 
 // candidates returns the ready upstreams of a service, sorted by key, and a map from their keys
-// to their endpoints. The local upstream is included. Upstreams of unreachable daemons are left
-// out. coldRate is the Upstream.ColdRate of the service.
+// to their endpoints. The local upstream is included. Upstreams of unreachable daemons and of
+// evacuated zones are left out. coldRate is the Upstream.ColdRate of the service.
 func (p *peers) candidates(service model.ServiceName, coldRate float64) ([]placement.Upstream, map[string]endpoint) {
+	evacuated := p.evacuations.current()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var upstreams []placement.Upstream
 	endpoints := make(map[string]endpoint)
 	add := func(r *Record, coldUntil model.Instant) {
-		if r.Service != service || r.State != lifecycle.Ready {
+		if r.Service != service || r.State != lifecycle.Ready || evacuated.Includes(r.Zone) {
 			return
 		}
 		up := placement.Upstream{
@@ -38,6 +39,29 @@
 	return upstreams, endpoints
 }
 
+// isEvacuated reports whether a service has no ready upstream but in evacuated zones, and has one
+// there.
+func (p *peers) isEvacuated(service model.ServiceName) bool {
+	evacuated := p.evacuations.current()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := false
+	records := []*Record{&p.local}
+	for _, other := range p.others {
+		records = append(records, &other.record)
+	}
+	for _, r := range records {
+		if r.Service != service || r.State != lifecycle.Ready {
+			continue
+		}
+		if !evacuated.Includes(r.Zone) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // currentGeneration returns a counter that changes whenever the result of candidates may
 // have changed.
 func (p *peers) currentGeneration() uint64 {
@@ -46,6 +70,13 @@
 	return p.generation
 }
 
+// updateCandidates makes the entries update their candidates.
+func (p *peers) updateCandidates() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.generation++
+}
+
 // upstreamKey returns the key of an upstream among the candidates. address is the address of its
 // daemon.
 func upstreamKey(address string, id model.UpstreamID) string { return address + " " + string(id) }
--- a/sidecar/coldness_test.go
+++ b/sidecar/coldness_test.go
@@ -154,7 +154,7 @@
 }
 
 // TestGuardWaitsForConfiguration guards against calls that a guard lets start before it can know what
-// its upstream tolerates while it is cold.
+// its upstream tolerates while it is cold, and whether its zone is evacuated.
 func TestGuardWaitsForConfiguration(t *testing.T) {
 	o := optionsFor(t, newStore(documentOf(1, "a")), newUpstream(t, "a1"), "a")
 	g := newGuard(&o, func() model.Instant { return 1 }, newMetrics(nil))
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -25,7 +25,9 @@
 type configuration struct {
 	source    Source
 	decisions *decision.Log
-	current   atomic.Pointer[activeConfig]
+	// evacuations receives the state that comes with a configuration from another daemon.
+	evacuations *evacuations
+	current     atomic.Pointer[activeConfig]
 	// history holds the newest documents, for computing deltas.
 	history documentHistory
 	// mu serializes changes of the configuration and guards the field changed.
@@ -38,8 +40,8 @@
 	changed chan struct{}
 }
 
-func newConfiguration(source Source, decisions *decision.Log) *configuration {
-	return &configuration{source: source, decisions: decisions, changed: make(chan struct{})}
+func newConfiguration(source Source, decisions *decision.Log, e *evacuations) *configuration {
+	return &configuration{source: source, decisions: decisions, evacuations: e, changed: make(chan struct{})}
 }
 
 // table returns the routing table in force, or nil if there is none.
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -36,6 +36,7 @@
 	startedAt   time.Time
 	metrics     *metrics
 	config      *configuration
+	evacuations *evacuations
 	follower    *configFollower
 	peers       *peers
 	relay       *relay
@@ -75,7 +76,9 @@
 	}
 	d := &Daemon{opts: o, startedAt: time.Now(), metrics: newMetrics(o.Scope), aborting: make(chan struct{})}
 	d.tunables.Store(&o.Tunables)
-	d.config = newConfiguration(o.Source, o.Decisions)
+	d.evacuations = newEvacuations(o.Decisions)
+	d.evacuations.onChange = d.onEvacuationsChange
+	d.config = newConfiguration(o.Source, o.Decisions, d.evacuations)
 	d.guard = newGuard(&d.opts, d.now, d.metrics)
 	d.guard.configVersion = d.config.version
 	d.guard.healthPath = d.healthPath
@@ -88,6 +91,7 @@
 		Address: o.Addresses.Peers, Incarnation: d.startedAt.UnixMilli(), Sequence: 1, Zone: o.Zone, Service: o.Service,
 	}, d.now, o.Decisions)
 	d.peers.configVersion = d.config.version
+	d.peers.evacuations = d.evacuations
 	d.peers.onVersion = d.onPeerVersion
 	d.peers.restoreDeparted = d.restoreDeparted
 	d.guard.slotsFromPeers = d.peers.inferSlots
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -94,6 +94,9 @@
 	kindRecordRequest = 11
 	// kindMissingRecords carries records that the receiver lacks or has in an older version.
 	kindMissingRecords = 12
+	// kindEvacuations carries the newest state of the evacuations that the sender knows, encoded
+	// by package evacuation.
+	kindEvacuations = 13
 
 	// datagramHeaderBytes is the length of the header, which every datagram starts with.
 	datagramHeaderBytes = 13
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -31,6 +31,9 @@
 	// noUpstreamRetryAfter is the Retry-After value while no upstream is known or while the
 	// daemon stops. An upstream that starts reports within a second or two.
 	noUpstreamRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After value, before it is jittered, while all upstreams of a
+	// service are in evacuated zones. Evacuations last for seconds at least.
+	evacuatedRetryAfter = time.Second
 	// minRetryAfter is the least Retry-After value, before it is jittered, while all upstreams
 	// are at capacity or the memory for bodies is exhausted.
 	minRetryAfter = 100 * time.Millisecond
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/core/evacuation"
 	"github.com/dottereltiller/dottereltiller/core/gossip"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/watch"
@@ -70,6 +71,9 @@
 // Receive implements ConfigConsumer.
 func (f *configFollower) Receive(raw []byte, from string) bool { return f.d.config.apply(raw, from) }
 
+// ReceiveEvacuations implements ConfigConsumer.
+func (f *configFollower) ReceiveEvacuations(s evacuation.State) { f.d.evacuations.apply(s, "store") }
+
 // AwaitElection implements ConfigConsumer. It returns nil once this daemon watches the store, or an
 // error when the context ends.
 func (f *configFollower) AwaitElection(ctx context.Context) error {
@@ -210,11 +214,12 @@
 	if pool == nil {
 		return
 	}
-	reply, err := sendSync(ctx, pool, syncMessage{From: f.d.peers.localRecord(), Version: f.d.config.version()})
+	reply, err := sendSync(ctx, pool, syncMessage{From: f.d.peers.localRecord(), Version: f.d.config.version(), Evacuations: f.d.evacuations.message()})
 	if err != nil {
 		f.d.peers.reportUnreachable(m.Address, err)
 		return
 	}
 	f.d.peers.merge([]Record{reply.From})
+	f.d.evacuations.receiveMessage(reply.Evacuations, m.Address)
 	f.d.onPeerVersion(m.Address, reply.Version)
 }
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -387,6 +387,9 @@
 	if f.bestFailure != nil {
 		return refusalResult(f.bestFailure.Outcome.Reason, jittered(max(f.serviceTime, minRetryAfter)))
 	}
+	if f.entry.daemon.peers.isEvacuated(f.request.service) {
+		return refusalResult(outcome.ReasonEvacuated, jittered(evacuatedRetryAfter))
+	}
 	return refusalResult(outcome.ReasonNoUpstream, noUpstreamRetryAfter)
 }
 
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -78,6 +78,8 @@
 	// stopDeadline is when a stopping daemon ends at the latest, zero if the daemon is not
 	// stopping.
 	stopDeadline model.Instant
+	// evacuated is set while the zone of the upstream is evacuated.
+	evacuated bool
 	// closed is set when no further call may start.
 	closed   bool
 	attempts *attemptTable
@@ -299,10 +301,10 @@
 		return outcome.ReasonDraining
 	case current.State == lifecycle.Unknown, current.Service != c.Service, !current.Incarnation.Matches(c.Upstream):
 		return outcome.ReasonNoUpstream
-	case current.State != lifecycle.Ready:
+	case current.State != lifecycle.Ready, g.evacuated:
 		return outcome.ReasonDraining
 	case g.configVersion() == 0:
-		// What a cold upstream tolerates is not known yet.
+		// Neither evacuations nor what a cold upstream tolerates are known yet.
 		return outcome.ReasonNotReady
 	default:
 		return outcome.ReasonNone
@@ -370,13 +372,13 @@
 
 // dispatch starts waiting calls as long as slots are free. It rejects waiting calls that would
 // end too late or whose queue timeout has expired. It sets wakeTimer to the time of the next
-// such decision. If the upstream is no longer ready or the guard is closed, dispatch only rejects
-// all waiting calls.
+// such decision. If the upstream is no longer ready, its zone is evacuated or the guard is closed,
+// dispatch only rejects all waiting calls.
 func (g *guard) dispatch() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if g.tracker.Current().State > lifecycle.Ready || g.closed {
+	if g.tracker.Current().State > lifecycle.Ready || g.closed || g.evacuated {
 		g.rejectAllWaiting()
 		return
 	}
--- a/sidecar/healthcheck.go
+++ b/sidecar/healthcheck.go
@@ -16,7 +16,7 @@
 // load, refreshSlowdown does nothing.
 func (g *guard) refreshSlowdown(ctx context.Context) {
 	g.mu.Lock()
-	if g.tracker.Current().State != lifecycle.Ready || g.loadUnreported() || g.slowdownReported && g.now().Sub(g.slowdownAt) < placement.MaxSlowdownAge {
+	if g.tracker.Current().State != lifecycle.Ready || g.evacuated || g.loadUnreported() || g.slowdownReported && g.now().Sub(g.slowdownAt) < placement.MaxSlowdownAge {
 		g.mu.Unlock()
 		return
 	}
--- a/sidecar/loadquery.go
+++ b/sidecar/loadquery.go
@@ -164,8 +164,8 @@
 }
 
 // loadFor returns the load of the local upstream as the request of the query would find it. It
-// returns false if the query is for another upstream or the local upstream is not ready. It also
-// returns false if the guard lets no further call start.
+// returns false if the query is for another upstream, the local upstream is not ready or its zone is
+// evacuated. It also returns false if the guard lets no further call start.
 func (g *guard) loadFor(q loadQueryMessage) (placement.Load, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 	defer cancel()
@@ -173,7 +173,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	current := g.tracker.Current()
-	if g.closed || current.State != lifecycle.Ready || q.upstreamHash != hashUpstreamKey(upstreamKey(g.opts.Addresses.Peers, current.ID)) {
+	if g.closed || g.evacuated || current.State != lifecycle.Ready || q.upstreamHash != hashUpstreamKey(upstreamKey(g.opts.Addresses.Peers, current.ID)) {
 		return placement.Load{}, false
 	}
 	l := g.load()
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -34,6 +34,9 @@
 	Records []Record `json:"k,omitempty"`
 	// Version is the version of the configuration in force at the sender.
 	Version model.Version `json:"v"`
+	// Evacuations is the newest state of the evacuations that the sender knows, encoded by package
+	// evacuation. It is empty if the sender knows none.
+	Evacuations []byte `json:"e,omitempty"`
 }
 
 const (
@@ -320,7 +323,8 @@
 	}
 	p.d.peers.handleSyncRequest(m.From.Address)
 	p.d.onPeerVersion(m.From.Address, m.Version)
-	reply := syncMessage{From: p.d.peers.localRecord(), Version: p.d.config.version()}
+	p.d.evacuations.receiveMessage(m.Evacuations, m.From.Address)
+	reply := syncMessage{From: p.d.peers.localRecord(), Version: p.d.config.version(), Evacuations: p.d.evacuations.message()}
 	if heldRecord.Sequence > 0 {
 		// The sender may have restarted and lost its state.
 		reply.Records = append(reply.Records, heldRecord)
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/dottereltiller/dottereltiller/core/evacuation"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/decision"
@@ -165,6 +166,9 @@
 	// Receive offers a document and reports whether it is a valid configuration. origin names
 	// the origin of the document in log lines.
 	Receive(raw []byte, origin string) bool
+	// ReceiveEvacuations offers a state of the evacuations. It is called before Receive where both
+	// are read together.
+	ReceiveEvacuations(s evacuation.State)
 	// RecordStoreCall is called after each call to the store. ok states whether that call
 	// succeeded.
 	RecordStoreCall(ok bool)
@@ -173,9 +177,10 @@
 	AwaitElection(ctx context.Context) error
 }
 
-// Source reads the configuration from its store.
+// Source reads the configuration and the evacuations from their store.
 type Source interface {
-	// Watch passes every document that it reads to the consumer until the context ends. It calls
+	// Watch passes every document and every state of the evacuations that it reads to the consumer
+	// until the context ends. It calls
 	// AwaitElection before each call to the store, and RecordStoreCall after it.
 	Watch(ctx context.Context, c ConfigConsumer) error
 	// Decode parses a document as Watch passes it to the consumer.
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -115,6 +115,7 @@
 	decisions *decision.Log
 	// configVersion returns the version of the configuration in force.
 	configVersion func() model.Version
+	evacuations   *evacuations
 	// onVersion is called with the version of the configuration that a daemon has in force.
 	onVersion func(address string, v model.Version)
 	// pushByDatagram sends a record to a daemon without a connection, and reports whether the
@@ -162,6 +163,7 @@
 func newPeers(local Record, now func() model.Instant, d *decision.Log) *peers {
 	return &peers{
 		now: now, decisions: d, local: local,
+		evacuations:   newEvacuations(d),
 		others:        make(map[string]*peer),
 		random:        rand.Float64,
 		ctx:           context.Background(),
--- a/sidecar/receive.go
+++ b/sidecar/receive.go
@@ -35,6 +35,7 @@
 	kindDigest:         func(a *datagrams, m datagram) { a.d.antiEntropy.receiveDigest(m.sender.String(), m.body()) },
 	kindSummary:        func(a *datagrams, m datagram) { a.d.antiEntropy.receiveSummary(m.sender.String(), m.body()) },
 	kindRecordRequest:  func(a *datagrams, m datagram) { a.d.antiEntropy.sendRequestedRecords(m.sender.String(), m.body()) },
+	kindEvacuations:    (*datagrams).handleEvacuations,
 	kindMissingRecords: func(a *datagrams, m datagram) { a.mergeRecords(unpackRecords(m.body())) },
 }
 
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -29,7 +29,7 @@
 			backoff.Reset()
 			continue
 		}
-		message.Version = p.configVersion()
+		message.Version, message.Evacuations = p.configVersion(), p.evacuations.message()
 		reply, err := sendSync(p.ctx, pool, message)
 		if err == nil {
 			p.recordExchange(q, address, reply)
@@ -66,6 +66,7 @@
 		p.onFullSync(address)
 	}
 	p.merge(append([]Record{reply.From}, reply.Records...))
+	p.evacuations.receiveMessage(reply.Evacuations, address)
 	p.onVersion(address, reply.Version)
 	p.firstContactOnce.Do(func() { close(p.firstContact) })
 }
--- a/sidecar/traffic.go
+++ b/sidecar/traffic.go
@@ -20,6 +20,7 @@
 	kindSummary:        "summary",
 	kindRecordRequest:  "wish",
 	kindMissingRecords: "compared",
+	kindEvacuations:    "evacuations",
 }
 
 // messageNameByPath maps the paths of control messages to their names in metrics.
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -130,14 +130,14 @@
 func (c *configuration) fetch(ctx context.Context, pool *hop.Pool, address string) ([]byte, error) {
 	heldVersion := c.version()
 	base := c.history.document(heldVersion)
-	raw, err := fetchSince(ctx, pool, heldVersion, base)
+	raw, err := c.fetchSince(ctx, pool, address, heldVersion, base)
 	if err == nil || base == nil || !errors.As(err, new(*DeltaError)) {
 		return raw, err
 	}
 	// The other daemon probably holds a different document under the same version.
 	c.decisions.Write(decision.ConfigRefused, "", slog.Uint64("version", uint64(heldVersion)),
 		slog.Uint64("in_force", uint64(heldVersion)), slog.String("from", address), slog.String("error", err.Error()))
-	return fetchSince(ctx, pool, 0, nil)
+	return c.fetchSince(ctx, pool, address, 0, nil)
 }
 
 // DeltaError reports that a document could not be restored from a delta.
@@ -153,16 +153,17 @@
 // Unwrap returns the cause of the failure.
 func (e *DeltaError) Unwrap() error { return e.Err }
 
-// fetchSince requests the document that a daemon has in force, or the delta from heldVersion to
+// fetchSince requests the document that the daemon at address has in force, or the delta from heldVersion to
 // it, and returns the document. base is the document of heldVersion, or nil if this daemon does
 // not hold that version.
-func fetchSince(ctx context.Context, pool *hop.Pool, heldVersion model.Version, base []byte) ([]byte, error) {
+func (c *configuration) fetchSince(ctx context.Context, pool *hop.Pool, address string, heldVersion model.Version, base []byte) ([]byte, error) {
 	query := url.Values{heldVersionParam: {strconv.FormatUint(uint64(heldVersion), 10)}}
 	path := pathConfig + "?" + query.Encode()
 	r, err := requestPeer(ctx, pool, http.MethodGet, path, nil)
 	if err != nil {
 		return nil, err
 	}
+	c.evacuations.receiveHeader(r.Header, address)
 	switch r.Status {
 	case http.StatusOK:
 		return r.Body, nil
@@ -187,6 +188,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	p.d.config.evacuations.setEvacuations(w.Header())
 	if d := p.deltaFromParam(r.URL.Query().Get(heldVersionParam)); d != nil {
 		w.WriteHeader(http.StatusIMUsed)
 		_, _ = w.Write(d)
--- a/sidecar/versions_test.go
+++ b/sidecar/versions_test.go
@@ -44,7 +44,7 @@
 // configWithVersions returns a configuration in which the versions 1 to newest have been in
 // force, one after the other.
 func configWithVersions(newest int) *configuration {
-	c := newConfiguration(versionSource{}, nil)
+	c := newConfiguration(versionSource{}, nil, newEvacuations(nil))
 	for v := 1; v <= newest; v++ {
 		c.apply(largeDocument(v), "test")
 	}
