soak: upstreams that are cold, zones that are evacuated

The operator evacuates a zone and takes it back cold. The checker holds both bounds by what upstreams see: 1.5 x 10 + 8 in any second, nothing 5 s after an evacuation where nothing disturbs. A record that names no zone, and one that cannot be read, are among those of an unknown writer.

Three deliberate faults, each found in one play: no limit at the guard (cold), the assumption at a restart left out (cold), evacuations not handed on (evacuation).

--- a/soak/check.go
+++ b/soak/check.go
@@ -72,7 +72,11 @@
 	drainTimes map[string]time.Time
 	// crashCounts holds the number of crashes that each request caused, by requestRecord.crashKey.
 	crashCounts map[string]*crashCount
-	violations  []string
+	// evacuatedZones holds when each zone was evacuated that still is.
+	evacuatedZones map[string]time.Time
+	// inTouch reports whether the VM of an upstream has been undisturbed. It is nil in tests.
+	inTouch    func(u *platformtest.Upstream) bool
+	violations []string
 }
 
 // crashCount counts the crashes caused by one request.
@@ -106,6 +110,7 @@
 	return &checker{
 		handlingDelay:    func() time.Duration { return 0 },
 		recordsByAttempt: make(map[string]*requestRecord), drainTimes: make(map[string]time.Time), crashCounts: make(map[string]*crashCount),
+		evacuatedZones: make(map[string]time.Time), inTouch: func(*platformtest.Upstream) bool { return true },
 	}
 }
 
@@ -166,6 +171,7 @@
 	if caller != rec.callerService {
 		c.addViolationLocked("caller: %s was sent by service %s and reached the upstream as sent by %s", attempt, rec.callerService, caller)
 	}
+	c.checkEvacuation(u, attempt)
 	if drainedAt, ok := c.drainTimes[u.Incarnation()]; ok && time.Since(drainedAt)-c.handlingDelay() > drainAllowance {
 		c.addViolationLocked("drain: %s ran at %s %s after the drain was acknowledged, with a delay of %s in the test", attempt, u.ID(),
 			time.Since(drainedAt).Round(time.Millisecond), c.handlingDelay().Round(time.Millisecond))
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -28,7 +28,9 @@
 
 // plannedKinds are the kinds of faults that must not lose requests: operations that operators
 // plan, and invalid records in the store. Faults of all other kinds are unplanned.
-var plannedKinds = map[string]bool{kindTerm: true, kindReload: true, kindConfig: true, kindDrain: true, kindInvalidRecords: true}
+var plannedKinds = map[string]bool{
+	kindTerm: true, kindReload: true, kindConfig: true, kindDrain: true, kindInvalidRecords: true, kindCold: true, kindEvacuate: true,
+}
 
 // inject injects one fault, waits for the duration of the fault and removes it. A fault without a
 // lasting effect, such as a kill, ends at once. Poison is sent until the plan ends.
@@ -79,11 +81,17 @@
 			x.signal(syscall.SIGKILL)
 		}
 		h.checker.resetCrashCounts()
+	case kindCold:
+		m.upstream.BecomeCold()
+	case kindEvacuate:
+		h.evacuate(m.config.Zone, f.Duration)
 	case kindReplace:
 		h.replaceVM(m, f)
 	case kindInvalidRecords:
 		h.store.Put(platformtest.TopicOperator, platformtest.Record{Key: "config", Value: []byte("\xff{")})
 		h.store.Put(platformtest.TopicOperator, platformtest.Record{Key: "config", Value: []byte(`{"version":"r1","routes":7}`)})
+		h.store.Put(platformtest.TopicOperator, platformtest.Record{Key: "evacuate/", Value: []byte("{}")})
+		h.store.Put(platformtest.TopicOperator, platformtest.Record{Key: "evacuate/nowhere", Value: []byte("\xff")})
 		h.store.Put(platformtest.TopicDaemons, platformtest.Record{Key: "127.0.0.1:1", Value: []byte(`{"address":3}`)})
 	}
 }
@@ -106,6 +114,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.store.PutConfig(h.configLocked())
+		h.repeatEvacuations()
 		return
 	}
 	h.store.SetFault(storeFaults[f.Mode])
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -45,6 +45,9 @@
 	planSilentPeers      = planHeader + "4000 peers 2 silent 1000\n4000 peers 4 silent 1000\n8000 peers 6 silent 1000\n8000 peers 8 silent 1000\n12000 peers 2 silent 1000\n12000 peers 4 silent 1000\n"
 	planUnreportedSlots  = planHeader + "500 upstream 0 untold 29000\n6000 herd 0 - 300\n"
 	planManyPoisons      = planHeader + "2000 poison 0 - 300\n4000 poison 0 - 300\n6000 poison 0 - 300\n8000 poison 0 - 300\n10000 poison 0 - 300\n12000 poison 0 - 300\n"
+	planCold             = planHeader + "3000 cold 2 - 300\n3000 cold 4 - 300\n6000 cold 6 - 300\n6000 cold 8 - 300\n9000 cold 2 - 300\n9000 cold 4 - 300\n12000 cold 6 - 300\n12000 cold 8 - 300\n"
+	planColdRestarts     = planHeader + "2000 drain 2 - 20000\n2000 drain 4 - 20000\n2000 drain 6 - 20000\n5000 cold 8 - 300\n5300 kill 8 - 300\n9000 cold 8 - 300\n9300 kill 8 - 300\n13000 cold 8 - 300\n13300 kill 8 - 300\n"
+	planEvacuations      = planHeader + "3000 evacuate 2 - 8000\n"
 	planNewConfigs       = planHeader + "3000 store 0 silent 3000\n9000 config 0 - 300\n13000 config 0 - 300\n17000 config 0 - 300\n"
 )
 
@@ -101,7 +104,7 @@
 		plan:  planShedding, wantViolation: "advice",
 	},
 	"new configurations are not read": {
-		edits: []edits.Edit{edits.New("platform/source.go", "	s.nextOffset = next\n	deliver(records, consumer)\n", "	s.nextOffset = next\n	deliver(records[:0], consumer)\n")},
+		edits: []edits.Edit{edits.New("platform/source.go", "	s.nextOffset = next\n	s.deliver(records, consumer)\n", "	s.nextOffset = next\n	s.deliver(records[:0], consumer)\n")},
 		plan:  planNewConfigs, wantViolation: "late",
 	},
 	"a new daemon answers for the previous one at its address": {
@@ -130,6 +133,18 @@
 		},
 		plan: planManyPoisons, wantViolation: "control",
 	},
+	"cold upstreams get requests without a limit": {
+		edits: []edits.Edit{edits.New("core/warmup/limiter.go", "return l.limits.Rate > 0 && l.limits.Max <= maxTracked", "return l.limits.Rate < 0")},
+		plan:  planCold, wantViolation: "cold",
+	},
+	"what a cold upstream got is forgotten at a restart": {
+		edits: []edits.Edit{edits.New("sidecar/coldness.go", "	case !g.opts.Bootstrap:", "	case g.opts.Bootstrap:")},
+		plan:  planColdRestarts, wantViolation: "cold",
+	},
+	"evacuations are not relayed": {
+		edits: []edits.Edit{edits.New("sidecar/evacuations.go", "if !s.Supersedes(&e.state) {", "if !s.Supersedes(&e.state) || origin != \"store\" {")},
+		plan:  planEvacuations, wantViolation: "evacuation",
+	},
 	"a wrong caller is forwarded": {
 		edits: []edits.Edit{edits.New("sidecar/run.go", "Caller: c.Caller, Upstream: c.Upstream.ID", "Caller: c.Service + \"x\", Upstream: c.Upstream.ID")},
 		plan:  planShedding, wantViolation: "caller",
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -61,6 +61,8 @@
 	kindInvalidRecords = "foreign"   // an unknown writer puts invalid records into the store
 	kindPoison         = "poison"    // a request that crashes upstreams is sent repeatedly
 	kindKillAll        = "herd"      // all daemons are killed at once
+	kindCold           = "cold"      // an upstream becomes cold
+	kindEvacuate       = "evacuate"  // the zone of a VM is evacuated, and taken back cold
 	kindReplace        = "replace"   // a VM is replaced by one of another service at the same address
 )
 
@@ -86,6 +88,7 @@
 	kindUpstream: {"lose", "shed", "err", "hang", "cut", "double", "slow", "untold"},
 	// The upstream restarts with the same id or with a new id.
 	kindCrash: {"same-id", "new-id"}, kindDrain: {"-"}, kindConfig: {"-"}, kindInvalidRecords: {"-"}, kindPoison: {"-"}, kindKillAll: {"-"},
+	kindCold: {"-"}, kindEvacuate: {"-"},
 	// In mode gone the connections to the old VM break. In mode dark its peer traffic is
 	// dropped.
 	kindReplace: {"gone", "dark"},
@@ -104,7 +107,7 @@
 }{
 	{kindKill, 4}, {kindTerm, 4}, {kindPause, 2}, {kindReload, 2}, {kindPeerProxy, 5}, {kindUpstreamProxy, 2}, {kindStoreProxy, 3},
 	{kindStore, 4}, {kindUpstream, 5}, {kindCrash, 3}, {kindDrain, 3}, {kindConfig, 5}, {kindInvalidRecords, 1}, {kindPoison, 1},
-	{kindKillAll, 1}, {kindReplace, 2},
+	{kindKillAll, 1}, {kindReplace, 2}, {kindCold, 2}, {kindEvacuate, 1},
 }
 
 const (
--- a/soak/run.go
+++ b/soak/run.go
@@ -66,13 +66,14 @@
 
 // harness is the state of a running soak.
 type harness struct {
-	plan    Plan
-	opts    Options
-	checker *checker
-	store   *platformtest.Store
-	server  *http.Server // the server of the store
-	canary  *canary
-	vms     []*vm
+	plan       Plan
+	opts       Options
+	checker    *checker
+	store      *platformtest.Store
+	server     *http.Server // the server of the store
+	canary     *canary
+	vms        []*vm
+	evacuating atomic.Bool // set while a zone is evacuated
 	// loopbackNet is the number of the loopback network that the soak uses.
 	loopbackNet int
 	startedAt   time.Time    // when the callers were started
@@ -99,6 +100,7 @@
 	}
 	h := &harness{plan: p, opts: o, checker: newChecker(), store: platformtest.NewStore(), canary: newCanary()}
 	defer h.close()
+	h.checker.inTouch = h.vmInTouch
 	h.checker.handlingDelay = func() time.Duration { return h.canary.delay(time.Now()) }
 	h.checker.safetyOnly = o.SafetyOnly
 	if err := h.startAll(ctx); err != nil {
@@ -209,6 +211,9 @@
 	ctx, cancel := context.WithTimeout(ctx, h.plan.Length)
 	defer cancel()
 	h.startedAt = time.Now()
+	for _, m := range h.vms {
+		m.upstream.StartCold()
+	}
 	var wg sync.WaitGroup
 	for _, m := range h.vms {
 		wg.Go(func() { h.runCallers(ctx, m) })
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -141,6 +141,24 @@
 			c.handlingDelay = func() time.Duration { return drainAllowance / 2 }
 			c.RequestStarted(up, "x", "a")
 		}, "drain"},
+		"request in an evacuated zone": {func(c *checker) {
+			c.recordSent("x", "a", false)
+			c.evacuatedZones[up.Zone] = time.Now().Add(-2 * evacuationAllowance)
+			c.RequestStarted(up, "x", "a")
+		}, "evacuation"},
+		"request in a zone that has just been evacuated": {func(c *checker) {
+			c.recordSent("x", "a", false)
+			c.recordEvacuation(up.Zone, true)
+			c.RequestStarted(up, "x", "a")
+		}, ""},
+		"request in a zone that was taken back": {func(c *checker) {
+			c.recordSent("x", "a", false)
+			c.evacuatedZones[up.Zone] = time.Now().Add(-2 * evacuationAllowance)
+			c.recordEvacuation(up.Zone, false)
+			c.RequestStarted(up, "x", "a")
+		}, ""},
+		"too many requests to a cold upstream":        {func(c *checker) { c.ColdRequest(up, "x", 24) }, "cold"},
+		"as many requests as a cold upstream may get": {func(c *checker) { c.ColdRequest(up, "x", 23) }, ""},
 		"retry budget exceeded": {func(c *checker) {
 			c.recordSent("x", "a", false)
 			for range int(retryBudgetSlack) + 3 {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -86,6 +86,7 @@
 		Outbound: addressAt(portOutbound), Ready: addressAt(portReady), Control: addressAt(portControl), Upstream: addressAt(portUpstreamProxy), Store: addressAt(portStoreProxy),
 		InternalPort: portInternal, Advertised: addressAt(portPeerProxy), Bootstrap: true,
 		GraceS: gracePeriod.Seconds(), RetryBudgetRatio: retryBudgetRatio, RetryBudgetSlack: retryBudgetSlack, RetryBudgetWindowS: retryBudgetWindow.Seconds(),
+		ColdOverage: coldOverage, ColdSlack: coldSlack,
 	}}
 	m.settingsPath = filepath.Join(dir, m.config.Name+".yaml")
 	var err error
