--- a/cmd/dottereltiller/main.go
+++ b/cmd/dottereltiller/main.go
@@ -37,6 +37,7 @@
 	History  *historyCmd  `arg:"subcommand:history" help:"show the changes on the log and whether they were accepted"`
 	Diff     *diffCmd     `arg:"subcommand:diff" help:"compare documents or versions"`
 	Rollback *rollbackCmd `arg:"subcommand:rollback" help:"publish the documents of an earlier version as a new one"`
+	Evacuate *evacuateCmd `arg:"subcommand:evacuate" help:"keep requests away from the upstreams of an availability zone, or take the zone back"`
 	Status   *statusCmd   `arg:"subcommand:status" help:"show the version in force in every availability zone, and services, groups and upstreams"`
 	Platform *platformCmd `arg:"subcommand:platform" help:"run a fake of the platform's log, for trials and tests"`
 
--- a/cmd/dottereltiller/status_daemon.go
+++ b/cmd/dottereltiller/status_daemon.go
@@ -7,12 +7,16 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/daemon"
 )
 
-// printServices prints a table with the policy, the groups and the upstreams of each service,
-// as known to the daemon.
+// printServices prints the evacuated zones, and a table with the policy, the groups and the upstreams
+// of each service, as known to the daemon.
 func printServices(s daemon.Status) error {
+	if len(s.EvacuatedZones) > 0 {
+		fmt.Printf("\nevacuated zones: %s\n", joinZones(s.EvacuatedZones))
+	}
 	if len(s.Services) == 0 {
 		return nil
 	}
@@ -26,6 +30,15 @@
 	return t.Flush()
 }
 
+// joinZones returns the names of zones, separated by spaces.
+func joinZones(zones []model.AvailabilityZone) string {
+	names := make([]string, len(zones))
+	for i, z := range zones {
+		names[i] = string(z)
+	}
+	return strings.Join(names, " ")
+}
+
 // formatGroups returns the groups of a service with their weights, such as "a:3 b:1".
 func formatGroups(svc daemon.ServiceStatus) string {
 	var out []string
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -47,6 +47,8 @@
 	seq uint64
 	// draining is set once Drain has been called.
 	draining bool
+	// suspended is set between Suspend and Resume.
+	suspended bool
 	// groupConfigs is a buffer that Configure reuses.
 	groupConfigs []fairqueue.GroupConfig
 }
@@ -87,7 +89,7 @@
 // the arriving request.
 func (c *Controller) Arrive(now model.Instant, a Arrival, effects []Effect) []Effect {
 	c.seq++
-	if c.draining {
+	if c.draining || c.suspended {
 		return append(effects, refusal(a.ID, outcome.ReasonDraining))
 	}
 	if a.Request.Deadline <= now {
@@ -150,6 +152,25 @@
 // given slice and returns the slice.
 func (c *Controller) Drain(now model.Instant, effects []Effect) []Effect {
 	c.draining = true
+	return c.refuseWaiting(effects)
+}
+
+// Suspend refuses all waiting requests and every later arrival until Resume is called. These requests
+// did not run. Running requests are not affected. Suspend appends the resulting effects to the given
+// slice and returns the slice.
+func (c *Controller) Suspend(effects []Effect) []Effect {
+	c.suspended = true
+	return c.refuseWaiting(effects)
+}
+
+// Resume ends the effect of Suspend.
+func (c *Controller) Resume() {
+	c.suspended = false
+	c.seq++
+}
+
+// refuseWaiting refuses all waiting requests.
+func (c *Controller) refuseWaiting(effects []Effect) []Effect {
 	c.seq++
 	for {
 		id, ok := c.queue.RemoveAny()
@@ -176,7 +197,7 @@
 		Ahead:       int32(c.queue.Len()),
 		Limit:       int32(c.limit()),
 		ServiceTime: c.queue.MeanSlotTime(),
-		Draining:    c.draining,
+		Draining:    c.draining || c.suspended,
 		Seq:         c.seq,
 	}
 }
--- a/core/policy/compile.go
+++ b/core/policy/compile.go
@@ -77,8 +77,10 @@
 		c.addCaller(d)
 	case KindSharingPolicy:
 		c.addPolicy(d)
+	case KindEvacuation:
+		c.addEvacuation(d)
 	default:
-		c.addProblem(d, "kind", d.Kind, "unknown kind, want Service, Caller or SharingPolicy")
+		c.addProblem(d, "kind", d.Kind, "unknown kind, want Service, Caller, SharingPolicy or Evacuation")
 	}
 }
 
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -84,7 +84,9 @@
 		docs []Document
 		want string
 	}{
-		{"unknown kind", []Document{newDocument("Server", "s", "", `{}`)}, "Server/s: kind: unknown kind, want Service, Caller or SharingPolicy (got Server)"},
+		{"evacuation without a zone", []Document{newDocument("Evacuation", "e", "", `{"zone": ""}`)}, "Evacuation/e: spec.zone: must not be empty (got )"},
+		{"evacuation of something else", []Document{newDocument("Evacuation", "e", "", `{"zone": 7}`)}, "Evacuation/e: spec.zone: want a string (got 7)"},
+		{"unknown kind", []Document{newDocument("Server", "s", "", `{}`)}, "Server/s: kind: unknown kind, want Service, Caller, SharingPolicy or Evacuation (got Server)"},
 		{"no name", []Document{newDocument(KindCaller, "", "", `{}`)}, `Caller/: name: want letters, digits and "-_." (got )`},
 		{"no spec", []Document{{Kind: KindCaller, Name: "c"}}, "Caller/c: spec: must be set (got nothing)"},
 		{"unknown field", []Document{newDocument(KindCaller, "c", "", `{"tokens":[1]}`)}, "Caller/c: spec.tokens: unknown field, want one of certificate_names, token_sha256 (got [1])"},
--- a/core/policy/set.go
+++ b/core/policy/set.go
@@ -31,6 +31,8 @@
 	policies []sharingPolicy
 	// labelsByService holds the labels of each service.
 	labelsByService map[model.ServiceName]model.Labels
+	// evacuatedZones is sorted and holds each zone once.
+	evacuatedZones []model.AvailabilityZone
 }
 
 // Service returns the service with the given name.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -117,8 +117,9 @@
 	tokens := calltoken.NewSigner(s.Peers.Secret)
 	d.Guard = guard.New(guard.Options{
 		Tokens: tokens,
-		Now:    d.now, Groups: d.admissionGroups, MeasuringBudget: d.measuringBudget, Scope: d.scope("guard"),
+		Now:    d.now, Groups: d.admissionGroups, MeasuringBudget: d.measuringBudget, Evacuated: d.isEvacuated, Scope: d.scope("guard"),
 	})
+	d.logEvacuations()
 	d.Config.OnChange(func(*configuration.InForce) { d.Guard.Configure() })
 	remote := &entry.Remote{Client: hop.NewClient(hop.Options{Dial: d.peerDial()}), Secret: s.Peers.Secret, OnUnreachable: d.Members.ReportUnreachable}
 	d.beforeStop = append(d.beforeStop, func(context.Context) { remote.Client.CloseIdle() })
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -11,7 +11,8 @@
 // newRouters returns the routers of this daemon's entry, one for each service. They are
 // updated when the membership view or the configured routing policy changes.
 func (d *Daemon) newRouters() *entry.Routers {
-	routers := entry.NewRouters(d.Members, d.now, routing.Options{
+	view := inServiceView{View: d.Members, evacuatedZones: d.evacuatedZones, configVersion: d.configVersion}
+	routers := entry.NewRouters(view, d.now, routing.Options{
 		Policy:    d.settings.Routing.Policy,
 		Zone:      d.settings.Zone,
 		Self:      d.ID(),
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -25,7 +25,10 @@
 	Loads map[model.UpstreamID]LoadStatus `json:"loads"`
 	// Services holds the services of the configuration in force, with their
 	// upstreams in this daemon's membership view.
-	Services   []ServiceStatus   `json:"services,omitempty"`
+	Services []ServiceStatus `json:"services,omitempty"`
+	// EvacuatedZones are the zones that the configuration in force evacuates.
+	EvacuatedZones []model.AvailabilityZone `json:"evacuated_zones,omitempty"`
+
 	Components []ComponentStatus `json:"parts"`
 }
 
@@ -110,7 +113,7 @@
 	if inForce == nil {
 		return s
 	}
-	s.Version = inForce.Version
+	s.Version, s.EvacuatedZones = inForce.Version, inForce.Set.EvacuatedZones()
 	for _, name := range inForce.Set.Services() {
 		if svc, ok := inForce.Set.Service(name); ok {
 			s.Services = append(s.Services, d.serviceStatus(svc))
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -29,6 +29,9 @@
 	// (time multiplied by slots) that may be spent on polling the upstream's load
 	// report. Nil means DefaultMeasuringBudget for all services.
 	MeasuringBudget func(model.ServiceName) float64
+	// Evacuated reports whether the availability zone of the VM is evacuated. Upstreams then get no
+	// calls. Nil means that it never is.
+	Evacuated func() bool
 	// Tokens signs the call tokens that upstreams pass on in nested calls. A nested
 	// call is a request that an upstream makes while it serves a call. Nil means no
 	// tokens.
@@ -55,6 +58,9 @@
 	if opts.MeasuringBudget == nil {
 		opts.MeasuringBudget = func(model.ServiceName) float64 { return DefaultMeasuringBudget }
 	}
+	if opts.Evacuated == nil {
+		opts.Evacuated = func() bool { return false }
+	}
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
@@ -80,6 +86,7 @@
 	u := newUpstreamProxy(upstream, g.client, g.opts.Now)
 	u.tokens = g.opts.Tokens
 	u.configure(g.opts.Groups(upstream.Service), g.opts.MeasuringBudget(upstream.Service))
+	u.setEvacuated(g.opts.Evacuated())
 	g.upstreams[upstream.ID] = u
 	if previous != nil {
 		go previous.drain()
@@ -94,13 +101,14 @@
 	}
 }
 
-// Configure applies the current results of Options.Groups and
-// Options.MeasuringBudget to all upstreams.
+// Configure applies the current results of Options.Groups, Options.MeasuringBudget and
+// Options.Evacuated to all upstreams.
 func (g *Guard) Configure() {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	for _, u := range g.upstreams {
 		u.configure(g.opts.Groups(u.upstream.Service), g.opts.MeasuringBudget(u.upstream.Service))
+		u.setEvacuated(g.opts.Evacuated())
 	}
 }
 
--- a/guard/queue_timeout_test.go
+++ b/guard/queue_timeout_test.go
@@ -88,3 +88,25 @@
 	assert.NoError(t, response.Body.Close())
 	assert.Equal(t, "/second", <-executed)
 }
+
+// TestEvacuationReturnsWaitingCalls evacuates the zone of an upstream while one call runs and one waits.
+// The waiting call and a later one are refused as not run, the running one ends. After the evacuation
+// calls run again.
+func TestEvacuationReturnsWaitingCalls(t *testing.T) {
+	g, executedPaths, release := newBusyGuard(t)
+	evacuated := false
+	g.opts.Evacuated = func() bool { return evacuated }
+	waiting := make(chan *wire.Result, 1)
+	go func() { waiting <- g.Do(context.Background(), newCall("/waiting")) }()
+	require.Eventually(t, func() bool { return g.Loads("s")["s-1"].Waiting == 1 }, 20*time.Second, time.Millisecond)
+	evacuated = true
+	g.Configure()
+	require.Equal(t, outcome.NotRunBecause(outcome.ReasonDraining), (<-waiting).Outcome)
+	require.Equal(t, outcome.NotRunBecause(outcome.ReasonDraining), g.Do(t.Context(), newCall("/later")).Outcome)
+	require.True(t, g.Loads("s")["s-1"].Draining)
+	release()
+	evacuated = false
+	g.Configure()
+	_, _ = io.Copy(io.Discard, g.Do(t.Context(), newCall("/after")).Body)
+	require.Equal(t, "/after", <-executedPaths)
+}
--- a/guard/upstream_proxy.go
+++ b/guard/upstream_proxy.go
@@ -180,6 +180,19 @@
 	u.dispatch()
 }
 
+// setEvacuated sets whether the zone of the upstream is evacuated. The waiting calls and all calls that
+// arrive meanwhile are refused.
+func (u *upstreamProxy) setEvacuated(evacuated bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !evacuated {
+		u.controller.Resume()
+		return
+	}
+	u.effects = u.controller.Suspend(u.effects[:0])
+	u.dispatch()
+}
+
 // expire refuses the waiting calls whose deadline has passed.
 func (u *upstreamProxy) expire() {
 	u.mu.Lock()
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -25,6 +25,8 @@
 	// key, if there is one. The published change leaves out documents that equal those of the
 	// current version.
 	Documents []policy.Document
+	// Delete holds the keys of documents to delete. Keys of documents that do not exist are ignored.
+	Delete []config.DocumentKey
 	// Prune also deletes every document that is not among Documents.
 	Prune bool
 	// Base is the version that the proposal is based on. Zero means the current version on
@@ -103,6 +105,9 @@
 	if err != nil {
 		return config.Change{}, nil, &InvalidError{Problem: err}
 	}
+	for _, key := range p.Delete {
+		delete(after, key)
+	}
 	next := config.State{Documents: after}
 	if _, problems := policy.Compile(configuration.Documents(next)); len(problems) > 0 {
 		return config.Change{}, nil, &InvalidError{Problem: problems[0]}
