--- /dev/null
+++ b/replay/cold_upstreams_test.go
@@ -0,0 +1,103 @@
+package replay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/warmup"
+)
+
+// Bounds on cold upstreams besides workload.coldRate.
+const (
+	coldOverage = 1.5 // factor on the rate while requests wait
+	coldSlack   = 8   // requests a second on top of that in any second
+)
+
+// becomeCold tells the guard of an upstream that the upstream has just become cold. A rate of zero
+// limits nothing.
+func (n *meshNode) becomeCold(now model.Instant, rate float64) {
+	n.limiter.SetLimits(warmup.Limits{
+		Rate: rate, PeakRate: coldOverage * rate, Max: int(coldOverage*rate) + coldSlack, Duration: coldTicks * tickLength,
+	})
+	n.limiter.Observe(now, now, coldTicks*tickLength)
+}
+
+// mostInSecond returns the largest number of instants within a second.
+func mostInSecond(instants []model.Instant) int {
+	most, first := 0, 0
+	for i := range instants {
+		for instants[i].Sub(instants[first]) > time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// perSecond returns the mean count per second from one second to another one.
+func perSecond(countByTick map[int]int, fromSecond, toSecond int) float64 {
+	const ticksPerSecond = int(time.Second / tickLength)
+	n := 0
+	for tick := fromSecond * ticksPerSecond; tick < toSecond*ticksPerSecond; tick++ {
+		n += countByTick[tick]
+	}
+	return float64(n) / float64(toSecond-fromSecond)
+}
+
+// TestAllUpstreamsColdAtOnce has all upstreams of a service come back cold at the same moment, as after
+// a loss of power, under 1.5 times the load that they bear then (cold cache herd). No upstream may get
+// more than it tolerates, none may be left idle while others are overloaded, and service must be as
+// before a second after they are warm.
+func TestAllUpstreamsColdAtOnce(t *testing.T) {
+	const coldRate, upstreams = 10.0, meshZoneCount * upstreamsPerZone
+	load := workload{rate: 1.5 * coldRate * coldOverage * upstreams, slots: 9, noiseShare: 0.25, restartedUpstreams: upstreams, coldRate: coldRate}
+	for seed := range uint64(3) {
+		m := newMesh(load, usePlacement, seed)
+		finishedByTick, inTimeByTick := map[int]int{}, map[int]int{}
+		m.onFinish = func(r *meshRequest) {
+			finishedByTick[m.tick]++
+			if m.now.Sub(r.arrivedAt) <= r.target {
+				inTimeByTick[m.tick]++
+			}
+		}
+		m.simulate()
+		fewest, most := 1<<30, 0
+		for _, n := range m.nodes {
+			require.LessOrEqual(t, mostInSecond(n.coldStarts), int(coldOverage*coldRate)+coldSlack, n.key)
+			fewest, most = min(fewest, len(n.coldStarts)), max(most, len(n.coldStarts))
+		}
+		require.Greater(t, fewest, most/2, "cold upstreams share the load")
+		before := perSecond(inTimeByTick, 2, 5)
+		require.Greater(t, perSecond(finishedByTick, 6, 8), coldRate*upstreams, "cold upstreams serve their rate")
+		require.Greater(t, perSecond(inTimeByTick, 9, 15), 0.95*before, "a second after all are warm")
+	}
+}
+
+// TestUrgentRequestsFirstWhileCold has all upstreams of a service cold under too much load. Requests of
+// rank 0, which other services wait for, must be served before those of rank 1.
+func TestUrgentRequestsFirstWhileCold(t *testing.T) {
+	const coldRate, upstreams = 10.0, meshZoneCount * upstreamsPerZone
+	load := workload{rate: 1.5 * coldRate * coldOverage * upstreams, slots: 9, restartedUpstreams: upstreams, coldRate: coldRate}
+	m := newMesh(load, usePlacement, 1)
+	servedByRank, sentByRank := map[int]float64{}, map[int]float64{}
+	whileCold := func(arrivedAt model.Instant) bool {
+		return arrivedAt > model.Instant(6*time.Second) && arrivedAt < model.Instant(7500*time.Millisecond)
+	}
+	m.onArrival = func(r *meshRequest) {
+		if whileCold(r.arrivedAt) {
+			sentByRank[r.rank]++
+		}
+	}
+	m.onFinish = func(r *meshRequest) {
+		if whileCold(r.arrivedAt) && m.now.Sub(r.arrivedAt) <= r.target {
+			servedByRank[r.rank]++
+		}
+	}
+	m.simulate()
+	require.Greater(t, servedByRank[0]/sentByRank[0], 1.2*servedByRank[1]/sentByRank[1])
+	require.Less(t, servedByRank[1]/sentByRank[1], 0.75, "there is too much load")
+	require.Greater(t, servedByRank[1], 0.0)
+}
--- a/replay/mesh_guard_test.go
+++ b/replay/mesh_guard_test.go
@@ -1,6 +1,8 @@
 package replay_test
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/placement"
@@ -94,6 +96,9 @@
 		return
 	}
 	n.running = append(n.running, r)
+	if n.coldUntil > m.now {
+		n.coldStarts = append(n.coldStarts, m.now)
+	}
 }
 
 // runUpstream simulates one tick of an upstream. It advances the requests in the
@@ -132,6 +137,9 @@
 func (m *mesh) recordFinish(r *meshRequest) {
 	l := m.load(r.guard)
 	m.attemptDone(r, r.guard, &l)
+	if m.onFinish != nil {
+		m.onFinish(r)
+	}
 	switch took := m.now.Sub(r.arrivedAt); {
 	case took <= r.target:
 		m.inTimeCount++
@@ -139,3 +147,33 @@
 		m.lateCount++
 	}
 }
+
+// updateAvailability stops upstreams whose speed fell to 0 and starts those whose speed rose.
+func (m *mesh) updateAvailability() {
+	changed := false
+	for _, n := range m.nodes {
+		if down := n.speeds[m.tick] == 0; down != n.down {
+			n.down, changed = down, true
+			m.dropRequests(n)
+		}
+	}
+	if changed {
+		m.updateUpstreams()
+	}
+}
+
+// dropRequests ends the requests that an upstream is running and counts them as refused.
+// It rejects the requests that wait in the guard's queue.
+func (m *mesh) dropRequests(n *meshNode) {
+	for _, r := range n.running {
+		n.queue.Finish()
+		m.attemptDone(r, n, nil)
+		m.refusalCount++
+	}
+	n.running = nil
+	for _, id := range slices.Sorted(maps.Keys(n.waitingByID)) {
+		n.queue.Remove(id)
+		m.reject(n.waitingByID[id], false)
+	}
+	clear(n.waitingByID)
+}
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -3,15 +3,14 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/core/slots"
+	"github.com/dottereltiller/dottereltiller/core/warmup"
 )
 
 // The mesh simulates sidecar daemons, each on the VM of one upstream, in steps of one tick.
@@ -45,6 +44,7 @@
 	slots              int     // slots of each upstream
 	noiseShare         float64 // share of time that an upstream has a noisy neighbour
 	restartedUpstreams int     // number of upstreams that restart after five seconds
+	coldRate           float64 // requests a second that restarted upstreams tolerate. Default: no limit
 	hideSlowdown       bool    // guards and entries cannot measure how slow upstreams are
 	// upstreamQueue is the length of the queue in an upstream itself. When all slots
 	// and this queue are full, the upstream resets the connection of a new request.
@@ -75,8 +75,10 @@
 	speeds             []float64 // by tick: 1 is the usual speed, 0 means that the upstream is down
 	placer             *placement.Placer
 	queue              *slots.Queue
-	slowdown           float64       // factor on service times, last measured by the guard
-	slowdownMeasuredAt model.Instant // when the guard measured slowdown
+	limiter            warmup.Limiter
+	coldStarts         []model.Instant // starts of requests while the upstream was cold
+	slowdown           float64         // factor on service times, last measured by the guard
+	slowdownMeasuredAt model.Instant   // when the guard measured slowdown
 	slots              int
 	coldUntil          model.Instant
 	down               bool
@@ -109,11 +111,13 @@
 	nodes           []*meshNode
 	scheduledByTick map[int][]func() // functions to call, by tick
 	lastRequestID   uint64
-	sentCount       int // requests, without retries of callers
-	inTimeCount     int // requests served within their target
-	lateCount       int // requests served after their target
-	refusalCount    int // refusals, including those of callers' retries
-	resetCount      int // connections reset by upstreams
+	onArrival       func(*meshRequest) // called for each request, if set
+	onFinish        func(*meshRequest) // called for each request that is served, if set
+	sentCount       int                // requests, without retries of callers
+	inTimeCount     int                // requests served within their target
+	lateCount       int                // requests served after their target
+	refusalCount    int                // refusals, including those of callers' retries
+	resetCount      int                // connections reset by upstreams
 }
 
 // newMesh returns a mesh before its first tick. Equal arguments give equal simulations.
@@ -146,6 +150,7 @@
 		slots: m.slots, queue: slots.New(placement.DefaultLimit(m.slots)), slowdown: 1,
 		outstandingByNode: map[*meshNode]int{}, waitingByID: map[uint64]*meshRequest{},
 	}
+	n.queue.SetStartLimiter(&n.limiter)
 	n.placer = placement.New(placement.Options{Zone: zone, Rand: m.rng.Float64})
 	m.nodes = append(m.nodes, n)
 }
@@ -164,7 +169,7 @@
 		if n.down {
 			continue
 		}
-		ups = append(ups, placement.Upstream{Key: n.key, Zone: n.zone, Slots: n.slots, ColdUntil: n.coldUntil})
+		ups = append(ups, placement.Upstream{Key: n.key, Zone: n.zone, Slots: n.slots, ColdUntil: n.coldUntil, ColdRate: m.coldRate})
 	}
 	return ups
 }
@@ -237,40 +242,11 @@
 func (m *mesh) restart() {
 	for _, n := range m.nodes[:m.restartedUpstreams] {
 		n.coldUntil = m.now.Add(coldTicks * tickLength)
+		n.becomeCold(m.now, m.coldRate)
 	}
 	m.updateUpstreams()
 }
 
-// updateAvailability stops upstreams whose speed fell to 0 and starts those whose speed rose.
-func (m *mesh) updateAvailability() {
-	changed := false
-	for _, n := range m.nodes {
-		if down := n.speeds[m.tick] == 0; down != n.down {
-			n.down, changed = down, true
-			m.dropRequests(n)
-		}
-	}
-	if changed {
-		m.updateUpstreams()
-	}
-}
-
-// dropRequests ends the requests that an upstream is running and counts them as refused.
-// It rejects the requests that wait in the guard's queue.
-func (m *mesh) dropRequests(n *meshNode) {
-	for _, r := range n.running {
-		n.queue.Finish()
-		m.attemptDone(r, n, nil)
-		m.refusalCount++
-	}
-	n.running = nil
-	for _, id := range slices.Sorted(maps.Keys(n.waitingByID)) {
-		n.queue.Remove(id)
-		m.reject(n.waitingByID[id], false)
-	}
-	clear(n.waitingByID)
-}
-
 // schedule calls f after the given number of ticks.
 func (m *mesh) schedule(ticks int, f func()) {
 	m.scheduledByTick[m.tick+ticks] = append(m.scheduledByTick[m.tick+ticks], f)
@@ -281,6 +257,9 @@
 	r := &meshRequest{entry: m.nodes[m.rng.IntN(len(m.nodes))], arrivedAt: m.now, isRejectedByKey: map[string]bool{}}
 	r.requestKind, r.remainingSeconds = m.drawRequest()
 	m.sentCount++
+	if m.onArrival != nil {
+		m.onArrival(r)
+	}
 	m.place(r)
 }
 
@@ -380,6 +359,7 @@
 		n := m.nodeByKey(up.Key)
 		l := m.load(n)
 		l.Waiting = max(n.queue.Ahead(rank, 0)-l.Running, 0)
+		l.StartDelay = n.queue.StartDelay(m.now, l.Waiting)
 		p.UpdateLoad(m.now, up.Key, l)
 	}
 }
@@ -392,9 +372,11 @@
 		n.slowdownMeasuredAt = m.now
 	} else if m.now.Sub(n.slowdownMeasuredAt) >= placement.MaxSlowdownAge {
 		n.slowdown, n.slowdownMeasuredAt = 1/n.speeds[m.tick], m.now
+		n.limiter.Observe(m.now, m.now, n.coldUntil.Sub(m.now))
 	}
 	return placement.Load{
 		Running: n.queue.Running(), Waiting: n.queue.Waiting(), Limit: n.queue.Limit(),
 		Slowdown: n.slowdown, SlowdownAge: m.now.Sub(n.slowdownMeasuredAt),
+		StartDelay: n.queue.StartDelay(m.now, n.queue.Waiting()),
 	}
 }
