ablation: compare other ways and commits; more of each trial in its line

It takes alternatives and commits now, and each line has the share in time by kind of request, the bytes between zones and the processor time.

--- a/ablation/doc.go
+++ b/ablation/doc.go
@@ -13,7 +13,12 @@
 //
 //	ABLATION_BENCH=PROGRAM ABLATION_SITES=FILE,FILE go test ./ablation -run TestAblation -timeout 0 -v
 //
-// ABLATION_DAYS, ABLATION_SEEDS and ABLATION_ONLY restrict the days, seeds and mechanisms.
+// The same trials compare alternatives: other ways to take a decision, which edits of the source
+// put in place of the current one.
+//
+// ABLATION_DAYS, ABLATION_SEEDS and ABLATION_ONLY restrict the days, seeds and mechanisms or
+// alternatives. ABLATION_ONLY may also name commits to compare with, such as "commit 3f6b52c".
+// ABLATION_FLAGS are flags of the benchmark program (default --no-cpu).
 // ABLATION_JOBS is the number of parallel trials (default 4). ABLATION_OUT is the file of
 // the results (default ablation.jsonl in the temporary directory). It has a JSON line for each
 // trial. Trials that the file already holds are not repeated, so an interrupted run can be
--- a/ablation/mechanisms_test.go
+++ b/ablation/mechanisms_test.go
@@ -1,6 +1,7 @@
 package ablation
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -34,7 +35,6 @@
 	queue      = "core/slots/slots.go"
 	admit      = "core/slots/admit.go"
 	choose     = "sidecar/choose.go"
-	entry      = "sidecar/entry.go"
 	retries    = "sidecar/retries.go"
 )
 
@@ -58,7 +58,7 @@
 	coveredBy("core/slots TestNoRankStarves", disabledBy("the last rank's turn", edits.New(queue, "lastRankFirst := q.starts%lastRankInterval == lastRankInterval-1", "lastRankFirst := q.starts < 0"))),
 	disabledBy("the limit below saturation", edits.New(load, "	return reduced\n}", "	return max(slots, 1)\n}")),
 	disabledBy("cold starts", edits.New(load, "slowdown = max(slowdown, coldSlowdown)", "slowdown = max(slowdown, 1)")),
-	disabledBy("learned work", edits.New(entry, "	e.serviceTimes[routeName] = known\n", "	_ = known\n")),
+	disabledBy("learned work", edits.New("sidecar/servicetime.go", "	e.serviceTimes[routeName] = known\n", "	_ = known\n")),
 	disabledBy("the price of a crossing", edits.New(placer, "DefaultCrossZonePenalty = 40 * time.Millisecond", "DefaultCrossZonePenalty = time.Nanosecond")),
 	disabledBy("avoidance", edits.New(placer, "c.unreachableUntil = now.Add(unreachablePause)", "c.unreachableUntil = now.Add(0 * unreachablePause)")),
 	coveredBy("sidecar TestHealthResponsesDoNotDecideRouting", disabledBy("the failing share", edits.New(load, "maxFailureRate = 0.95", "maxFailureRate = 0.0"))),
@@ -81,7 +81,7 @@
 // mechanisms with the same name.
 func TestEditsApply(t *testing.T) {
 	seenNames := make(map[string]bool)
-	for _, m := range mechanisms {
+	for _, m := range slices.Concat(mechanisms, alternatives) {
 		t.Run(m.name, func(t *testing.T) {
 			require.False(t, seenNames[m.name])
 			seenNames[m.name] = true
--- a/ablation/results_test.go
+++ b/ablation/results_test.go
@@ -26,6 +26,12 @@
 	Seed string `json:"seed"`
 	// Score is the credit of the day minus the costs, as the benchmark program computes it.
 	Score float64 `json:"worth"`
+	// InTime is the share of the requests of each kind that were served within their target.
+	InTime map[string]float64 `json:"in_time,omitempty"`
+	// CrossZoneGB is the traffic between zones in gigabytes.
+	CrossZoneGB float64 `json:"cross_zone_gb,omitempty"`
+	// ProcessorSeconds is the processor time of all daemons, zero if it was not measured.
+	ProcessorSeconds float64 `json:"processor_s,omitempty"`
 	// Violations are the names of the rules that were violated in the trial.
 	Violations []string `json:"broken,omitempty"`
 }
--- a/ablation/trial_test.go
+++ b/ablation/trial_test.go
@@ -34,9 +34,12 @@
 	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' })
 }
 
-// cloneWithEdits clones the last commit of the repository into a directory and applies changes to
-// the clone.
-func cloneWithEdits(ctx context.Context, dir string, changes []edits.Edit) error {
+// revisionPrefix precedes a commit in the name of a mechanism that stands for that commit, unchanged.
+const revisionPrefix = "commit "
+
+// cloneWithEdits clones the repository into a directory, checks out a commit and applies changes to the
+// clone. An empty commit means the last one.
+func cloneWithEdits(ctx context.Context, dir, commit string, changes []edits.Edit) error {
 	source, err := filepath.Abs(root)
 	if err != nil {
 		return err
@@ -44,6 +47,11 @@
 	if out, err := exec.CommandContext(ctx, "git", "clone", "-q", source, dir).CombinedOutput(); err != nil {
 		return fmt.Errorf("%w: %s", err, out)
 	}
+	if commit != "" {
+		if out, err := exec.CommandContext(ctx, "git", "-C", dir, "checkout", "-q", commit).CombinedOutput(); err != nil {
+			return fmt.Errorf("%w: %s", err, out)
+		}
+	}
 	textByFile, err := edits.Apply(dir, changes)
 	if err != nil {
 		return err
@@ -59,10 +67,29 @@
 // trialReport is the report of the benchmark program on one day.
 type trialReport struct {
 	Score float64 `json:"G"`
+	// Kinds has an entry for each kind of request.
+	Kinds []struct {
+		Name   string  `json:"name"`
+		Sent   float64 `json:"n"`
+		InTime float64 `json:"in_aim"`
+	} `json:"classes"`
+	// Costs has a row for each cost: its name, the amount and the share of the score.
+	Costs [][]any `json:"prices"`
 	// Violations has an entry for each violated rule, by the name of the rule.
 	Violations map[string]any `json:"breaks"`
 }
 
+// cost returns the amount of a cost, zero if the report has no row for it.
+func (r *trialReport) cost(name string) float64 {
+	for _, row := range r.Costs {
+		if len(row) > 1 && row[0] == name {
+			amount, _ := row[1].(float64)
+			return amount
+		}
+	}
+	return 0
+}
+
 // runTrial runs the benchmark program at benchPath. The program replays the day of a trial with the
 // source in the scratch copy dir. sitePath is the path of the site file. If the program has written
 // its report, its exit status is ignored.
@@ -70,9 +97,10 @@
 	reportPath := filepath.Join(dir, fmt.Sprintf("report-%s-%s-%s.json", k.site, k.day, k.seed))
 	why := "ablation: the code as it is"
 	if k.mechanism != baseline {
-		why = "trial of the ablation, off: " + k.mechanism
+		why = "trial of the ablation: " + k.mechanism
 	}
-	cmd := exec.CommandContext(ctx, benchPath, "run", sitePath, k.day, "--seed", k.seed, "--no-cpu", "--report", reportPath, "--why", why)
+	args := append([]string{"run", sitePath, k.day, "--seed", k.seed, "--report", reportPath, "--why", why}, envList("ABLATION_FLAGS", "--no-cpu")...)
+	cmd := exec.CommandContext(ctx, benchPath, args...)
 	cmd.Dir = dir
 	out, runErr := cmd.CombinedOutput()
 	text, err := os.ReadFile(reportPath)
@@ -83,7 +111,13 @@
 	if err := json.Unmarshal(text, &report); err != nil {
 		return trialResult{}, err
 	}
-	result := trialResult{Mechanism: k.mechanism, Site: k.site, Day: k.day, Seed: k.seed, Score: report.Score}
+	result := trialResult{
+		Mechanism: k.mechanism, Site: k.site, Day: k.day, Seed: k.seed, Score: report.Score, InTime: make(map[string]float64),
+		CrossZoneGB: report.cost("GB between zones"), ProcessorSeconds: report.cost("processor seconds"),
+	}
+	for _, kind := range report.Kinds {
+		result.InTime[kind.Name] = kind.InTime / max(kind.Sent, 1)
+	}
 	for rule := range report.Violations {
 		result.Violations = append(result.Violations, rule)
 	}
@@ -164,11 +198,16 @@
 	fileBySite := make(map[string]string)
 	mechanismNames := []string{baseline}
 	selectedMechanisms := envList("ABLATION_ONLY", "")
-	for _, m := range mechanisms {
+	for _, m := range slices.Concat(mechanisms, alternatives) {
 		if len(selectedMechanisms) == 0 || slices.Contains(selectedMechanisms, m.name) {
 			mechanismNames = append(mechanismNames, m.name)
 		}
 	}
+	for _, name := range selectedMechanisms {
+		if strings.HasPrefix(name, revisionPrefix) {
+			mechanismNames = append(mechanismNames, name)
+		}
+	}
 	var out []trialKey
 	for _, sitePath := range sitePaths {
 		site := strings.TrimSuffix(filepath.Base(sitePath), filepath.Ext(sitePath))
@@ -215,13 +254,17 @@
 		return scratch, nil
 	}
 	var disableEdits []edits.Edit
-	for _, m := range mechanisms {
+	for _, m := range slices.Concat(mechanisms, alternatives) {
 		if m.name == name {
 			disableEdits = m.edits
 		}
 	}
+	commit := ""
+	if sha, ok := strings.CutPrefix(name, revisionPrefix); ok {
+		commit = sha
+	}
 	scratch := scratchCopy{dir: filepath.Join(c.dir, strconv.Itoa(len(c.byMechanism)))}
-	if err := cloneWithEdits(ctx, scratch.dir, disableEdits); err != nil {
+	if err := cloneWithEdits(ctx, scratch.dir, commit, disableEdits); err != nil {
 		return scratch, err
 	}
 	var err error
