--- a/ablation/alternatives_test.go
+++ b/ablation/alternatives_test.go
@@ -19,7 +19,7 @@
 	alternative("send cold upstreams no more than their rate", edits.New(coldness, "PeakRate: s.ColdRate * b.Overage", "PeakRate: s.ColdRate")),
 	alternative("limit at 0.9 of the slots", edits.New(load, "maxUtilization = 0.8", "maxUtilization = 0.9")),
 	alternative("limit at 0.7 of the slots", edits.New(load, "maxUtilization = 0.8", "maxUtilization = 0.7")),
-	alternative("limit at 0.8 of the slots, rounded up", edits.New(load, "math.Ceil(float64(slots)*maxUtilization)) - 1", "math.Ceil(float64(slots) * maxUtilization))")),
+	alternative("limit at 0.8 of the slots and no less", edits.New(load, "math.Ceil(float64(slots)*maxUtilization)) - 1", "math.Ceil(float64(slots) * maxUtilization))")),
 	alternative("2 local load queries", edits.New(parameters, "MaxLocalQueries = 4", "MaxLocalQueries = 2")),
 	alternative("6 local load queries", edits.New(parameters, "MaxLocalQueries = 4", "MaxLocalQueries = 6")),
 	alternative("2 remote load queries", edits.New(parameters, "MaxRemoteQueries = 3", "MaxRemoteQueries = 2")),
