sidecar: estimates of service times and the limit of body memory become packages

core/servicetime (decision, no clock of its own) and bodylimit have one job each and unit tests that need no daemon; the entry keeps two calls. Nothing changes but where they stand. Tests reach the limit by a held body in place of private fields.

--- a/ablation/mechanisms_test.go
+++ b/ablation/mechanisms_test.go
@@ -58,7 +58,7 @@
 	coveredBy("core/slots TestNoRankStarves", disabledBy("the last rank's turn", edits.New(queue, "lastRankFirst := q.starts%lastRankInterval == lastRankInterval-1", "lastRankFirst := q.starts < 0"))),
 	disabledBy("the limit below saturation", edits.New(load, "	return reduced\n}", "	return max(slots, 1)\n}")),
 	disabledBy("cold starts", edits.New(load, "slowdown = max(slowdown, coldSlowdown)", "slowdown = max(slowdown, 1)")),
-	disabledBy("learned work", edits.New("sidecar/servicetime.go", "	e.serviceTimes[routeName] = known\n", "	_ = known\n")),
+	disabledBy("learned work", edits.New("core/servicetime/estimates.go", "	e.byRoute[route] = known\n", "	_ = known\n")),
 	disabledBy("the price of a crossing", edits.New(placer, "DefaultCrossZonePenalty = 40 * time.Millisecond", "DefaultCrossZonePenalty = time.Nanosecond")),
 	disabledBy("avoidance", edits.New(placer, "c.unreachableUntil = now.Add(unreachablePause)", "c.unreachableUntil = now.Add(0 * unreachablePause)")),
 	coveredBy("sidecar TestHealthResponsesDoNotDecideRouting", disabledBy("the failing share", edits.New(load, "maxFailureRate = 0.95", "maxFailureRate = 0.0"))),
--- a/sidecar/capacity_test.go
+++ b/sidecar/capacity_test.go
@@ -10,6 +10,7 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/core/servicetime"
 )
 
 // The benchmarks in this file provide the values of docs/CAPACITY.md: what a daemon
@@ -71,7 +72,7 @@
 			for i := range n {
 				p.UpdateLoad(0, fmt.Sprint(i), placement.Load{Running: i % 4, Limit: 4, Slowdown: 1})
 			}
-			req := placement.Request{ServiceTime: defaultServiceTime, Target: 4 * defaultServiceTime}
+			req := placement.Request{ServiceTime: servicetime.Default, Target: 4 * servicetime.Default}
 			b.ReportAllocs()
 			for b.Loop() {
 				p.QueryTargets(0, req, true, placement.MaxLoadAge, placement.MaxLocalQueries)
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"github.com/dottereltiller/dottereltiller/bodylimit"
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/route"
@@ -43,7 +44,7 @@
 	antiEntropy *antiEntropy
 	guard       *guard
 	quarantine  *crashQuarantine
-	bodyLimiter *bodyLimiter
+	bodyLimiter *bodylimit.Limiter
 	entry       *entry
 	datagrams   *datagrams
 	servers     []*server
@@ -104,7 +105,7 @@
 		d.antiEntropy.speedUp()
 	}
 	d.peers.onFullSync = d.quarantine.gossip.SendDigest
-	d.bodyLimiter = newBodyLimiter(o.MaxBodyBytes)
+	d.bodyLimiter = bodylimit.New(o.MaxBodyBytes)
 	d.guard.crashes.onCrash = d.quarantine.recordCrash
 	d.entry = newEntry(d)
 	if err := d.listen(); err != nil {
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -12,11 +12,13 @@
 	"sync"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/bodylimit"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/core/quarantine"
 	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/core/servicetime"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/inbound"
 )
@@ -49,7 +51,7 @@
 	service    model.ServiceName
 	body       []byte
 	// buffer holds the body and accounts for its memory.
-	buffer    *bufferedBody
+	buffer    *bodylimit.Body
 	startedAt model.Instant
 	deadline  model.Instant
 	// targetTime is when the target latency of the route is exceeded, zero if the route has none.
@@ -84,13 +86,13 @@
 	// splitter picks the service for a request of a route that is split among services.
 	splitter route.Splitter
 	services map[model.ServiceName]*serviceState
-	// serviceTimes holds the mean service time of each route, by the name of the route.
-	serviceTimes map[string]routeServiceTime
+	// serviceTimes estimates the service times of the routes.
+	serviceTimes servicetime.Estimates
 }
 
 func newEntry(d *Daemon) *entry {
 	return &entry{
-		daemon: d, bootClock: bootTime, services: make(map[model.ServiceName]*serviceState), serviceTimes: make(map[string]routeServiceTime),
+		daemon: d, bootClock: bootTime, services: make(map[model.ServiceName]*serviceState),
 	}
 }
 
@@ -107,7 +109,7 @@
 		return
 	}
 	defer e.daemon.inFlight.end()
-	defer func() { req.buffer.release() }()
+	defer func() { req.buffer.Release() }()
 	refusal := e.matchRoute(req, attempt)
 	if refusal == nil && e.daemon.stopping.Load() {
 		timeLeft := req.deadline.Sub(req.startedAt)
@@ -169,17 +171,17 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := e.daemon.bodyLimiter.read(http.MaxBytesReader(w, req.httpRequest.Body, limit))
+	body, err := e.daemon.bodyLimiter.Read(http.MaxBytesReader(w, req.httpRequest.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge), errors.Is(err, errBodyTooLarge):
+	case errors.As(err, &tooLarge), errors.Is(err, bodylimit.ErrTooLarge):
 		return notRunResult(outcome.ReasonTooLarge)
-	case errors.Is(err, errBodyMemoryExhausted):
+	case errors.Is(err, bodylimit.ErrMemoryExhausted):
 		return refusalResult(outcome.ReasonNoMemory, jittered(minRetryAfter))
 	case err != nil:
 		return notRunResult(outcome.ReasonBadRequest)
 	}
-	req.buffer, req.body = body, body.bytes
+	req.buffer, req.body = body, body.Bytes
 	return nil
 }
 
@@ -338,3 +340,17 @@
 		}
 	}
 }
+
+// serviceTimeOf returns the service time to expect of a request with timeLeft to its deadline.
+func (e *entry) serviceTimeOf(routeName string, timeLeft time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.serviceTimes.Expected(e.daemon.now(), routeName, timeLeft)
+}
+
+// recordServiceTime updates the estimate for a route.
+func (e *entry) recordServiceTime(routeName string, serviceTime time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.serviceTimes.Record(e.daemon.now(), routeName, serviceTime)
+}
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/bodylimit"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/hop"
@@ -270,16 +271,16 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := p.d.bodyLimiter.read(r.Body)
-	if errors.Is(err, errBodyMemoryExhausted) || errors.Is(err, errBodyTooLarge) {
+	body, err := p.d.bodyLimiter.Read(r.Body)
+	if errors.Is(err, bodylimit.ErrMemoryExhausted) || errors.Is(err, bodylimit.ErrTooLarge) {
 		writePeerResult(w, r.Method, p.d.guard.withLoad(notRunResult(outcome.ReasonNoMemory)))
 		return
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer body.release()
-	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.RequestURI, r.Host, r.Header, body.bytes
+	defer body.Release()
+	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.RequestURI, r.Host, r.Header, body.Bytes
 	writePeerResult(w, r.Method, p.runAcknowledged(w, c.ID, func() *Result { return p.d.guard.Do(r.Context(), c) }))
 }
 
--- a/sidecar/noload_test.go
+++ b/sidecar/noload_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/servicetime"
 )
 
 // TestUpstreamsWithoutLoadGetFewHealthChecks checks that an upstream that does not report its load
@@ -37,5 +39,5 @@
 		require.InDelta(t, 1, m.guard.currentLoad().Slowdown, 0, "the slowdown is 1")
 	}
 	require.Greater(t, a.entry.serviceTimeOf("safe", time.Minute), runTime*9/10)
-	require.Less(t, a.entry.serviceTimeOf("safe", time.Minute), defaultServiceTime/2)
+	require.Less(t, a.entry.serviceTimeOf("safe", time.Minute), servicetime.Default/2)
 }
