--- a/sidecar/coldness.go
+++ b/sidecar/coldness.go
@@ -13,8 +13,8 @@
 )
 
 // proofInterval is the shortest time between two health checks that are sent only because too many
-// requests lack a proof that the upstream is warm. An upstream that does not state its coldness
-// never gives a proof.
+// requests lack a proof that the upstream is warm. An upstream that does not respond to health
+// checks, or whose statement of its coldness is invalid, never gives a proof.
 const proofInterval = 50 * time.Millisecond
 
 // restartGap is the shortest time between the end of a daemon and the start of the next one on the
