--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -89,11 +89,9 @@
 type candidate struct {
 	upstream Upstream
 	// load is the latest reported load. It is not set while hasLoad is false.
-	load Load
-	// loadReceivedAt is when load was received.
+	load           Load
 	loadReceivedAt model.Instant
-	// hasLoad is set once a load has been received.
-	hasLoad bool
+	hasLoad        bool
 	// inFlight counts this entry's unfinished requests at the upstream.
 	inFlight int
 	// inFlightAtLoad is the value that inFlight had when load was received.
@@ -133,7 +131,6 @@
 	return c.inFlight + int(math.Round(c.meanOtherRequests+(otherRequestsAtLoad-c.meanOtherRequests)*weight))
 }
 
-// limit returns the concurrency limit of the upstream.
 func (c *candidate) limit() int {
 	if c.hasLoad && c.load.Limit > 0 {
 		return c.load.Limit
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -117,8 +117,7 @@
 	candidatesByKey map[string]*candidate
 	// candidates holds the same candidates in the order in which they were passed to
 	// SetUpstreams.
-	candidates []*candidate
-	// meanSlowdown is the mean slowdown of the service.
+	candidates   []*candidate
 	meanSlowdown float64
 	// rttByZone holds the round-trip time to the guards of each zone.
 	rttByZone map[model.AvailabilityZone]time.Duration
@@ -265,7 +264,6 @@
 	includeUnreachable
 )
 
-// allows reports whether the candidate may be chosen.
 func (e eligibility) allows(c *candidate, now model.Instant) bool {
 	switch e {
 	case preferredOnly:
--- a/core/slots/shares.go
+++ b/core/slots/shares.go
@@ -17,7 +17,6 @@
 	finishTagByKind map[Kind]time.Duration
 }
 
-// startTag returns the tag with which the next request of a kind would start.
 func (s *fairShares) startTag(k Kind) time.Duration { return max(s.virtualTime, s.finishTagByKind[k]) }
 
 // charge advances the tag of a kind when one of its requests starts.
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -258,7 +258,6 @@
 	return shares
 }
 
-// scale multiplies a duration by a factor.
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
 // nextIndex returns the index of the waiting request to start next. At least one request must
@@ -315,7 +314,6 @@
 	return d
 }
 
-// removeAt removes the i-th waiting request.
 func (q *Queue) removeAt(i int) {
 	q.items = append(q.items[:i], q.items[i+1:]...)
 }
--- a/replay/faults.go
+++ b/replay/faults.go
@@ -6,7 +6,6 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 )
 
-// startFault applies the fault of a trace event and schedules its end.
 func (s *simulation) startFault(e *Event) {
 	duration := time.Duration(e.ForMs) * time.Millisecond
 	endFault := s.applyFault(e, duration)
--- a/replay/guard.go
+++ b/replay/guard.go
@@ -195,7 +195,6 @@
 	s.queue.add(task{dueAt: s.now.Add(delay), kind: taskReply, daemonIndex: entryIndex, attempt: a})
 }
 
-// loadFor returns the load that the guard reports for a group.
 func (g *guard) loadFor(group model.GroupName) model.Load {
 	return g.monitor.Annotate(g.limiter.Annotate(g.controller.LoadFor(g.sim.now, group)))
 }
--- a/replay/queue.go
+++ b/replay/queue.go
@@ -19,8 +19,7 @@
 	// generation is the attempt's generation when the task was scheduled. If the
 	// attempt's generation has changed since, taskFinish and taskExpire are ignored.
 	generation uint32
-	// run is the function that a taskFunc calls.
-	run func()
+	run        func()
 }
 
 type taskKind uint8
@@ -98,7 +97,6 @@
 	return q.tasks[0].dueAt, true
 }
 
-// pop removes the next task and returns it.
 func (q *taskQueue) pop() task {
 	p := heap.Pop(&q.tasks).(*task)
 	t := *p
--- a/replay/result.go
+++ b/replay/result.go
@@ -85,13 +85,11 @@
 	return g
 }
 
-// add records a completed request.
 func (c *collector) add(req *request, o outcome.Outcome, latency time.Duration) {
 	c.total.add(req, o, latency)
 	c.groupOf(req).add(req, o, latency)
 }
 
-// addSlotTime records the slot time of one execution of a request.
 func (c *collector) addSlotTime(req *request, d time.Duration) {
 	c.total.slotTime += d
 	c.groupOf(req).slotTime += d
--- a/replay/sim.go
+++ b/replay/sim.go
@@ -37,11 +37,9 @@
 	logDown             bool
 	// heldAnnouncements holds the announcements that wait for the end of LogDown.
 	heldAnnouncements []func()
-	// lastAttemptID is the ID of the newest attempt.
-	lastAttemptID uint64
-	// lastEventAt is the instant of the trace's last event.
-	lastEventAt model.Instant
-	collector   *collector
+	lastAttemptID     uint64
+	lastEventAt       model.Instant
+	collector         *collector
 }
 
 // service is a service of the topology with its guards.
@@ -272,7 +270,6 @@
 // In production the routers receive it through the membership log.
 const membershipDelay = 250 * time.Millisecond
 
-// upstreams returns the current state of the service's upstreams.
 func (svc *service) upstreams() []model.Upstream {
 	ups := make([]model.Upstream, 0, len(svc.guards))
 	for _, g := range svc.guards {
--- a/replay/upstream.go
+++ b/replay/upstream.go
@@ -80,7 +80,6 @@
 	return took + f.openConnection(), outcome.ResponseComplete(), false
 }
 
-// release removes a request from the running requests.
 func (f *fakeUpstream) release(now model.Instant) { f.adjustRunning(now, -1) }
 
 // adjustRunning adds delta to the number of running requests and records it in
--- a/sidecar/antientropy.go
+++ b/sidecar/antientropy.go
@@ -35,8 +35,7 @@
 type antiEntropy struct {
 	d *Daemon
 
-	mu sync.Mutex
-	// timer determines when the next round is due.
+	mu    sync.Mutex
 	timer gossip.AntiEntropyTimer
 }
 
@@ -46,7 +45,6 @@
 // Serve runs anti-entropy rounds until the context ends.
 func (a *antiEntropy) Serve(ctx context.Context) error { return interval.Run(ctx, roundTick, a.tick) }
 
-// tick sends a digest to one other daemon if a round is due.
 func (a *antiEntropy) tick() {
 	if !a.due() {
 		return
@@ -170,7 +168,6 @@
 // digest returns the digest of all records held, the local record included.
 func (p *peers) digest() digest { return digestOf(p.records()) }
 
-// digestOf returns the digest of the given records.
 func digestOf(records []Record) digest {
 	var d digest
 	for i := range records {
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -90,7 +90,6 @@
 	Version model.Version
 }
 
-// notRunResult returns the result of an attempt that has not run.
 func notRunResult(r outcome.Reason) *Result {
 	return &Result{Outcome: outcome.NotRunBecause(r), Header: http.Header{}}
 }
--- a/sidecar/candidates.go
+++ b/sidecar/candidates.go
@@ -70,7 +70,6 @@
 	return p.generation
 }
 
-// updateCandidates makes the entries update their candidates.
 func (p *peers) updateCandidates() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,8 +82,7 @@
 
 // endpoint identifies the daemon and the upstream to which calls to a candidate are sent.
 type endpoint struct {
-	address string
-	// daemonIncarnation is the incarnation of the daemon at the address.
+	address           string
 	daemonIncarnation int64
 	upstream          lifecycle.Incarnation
 }
--- a/sidecar/coldness.go
+++ b/sidecar/coldness.go
@@ -23,7 +23,6 @@
 
 // coldness is what the guard knows about the cold phases of its upstream.
 type coldness struct {
-	// limiter limits the starts at the upstream.
 	limiter warmup.Limiter
 	// proofRequestedAt is when requestProof started a health check last.
 	proofRequestedAt model.Instant
@@ -51,7 +50,6 @@
 	}
 }
 
-// setColdLimits changes what the upstream tolerates while it is cold.
 func (g *guard) setColdLimits(l warmup.Limits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -84,7 +82,6 @@
 	}
 }
 
-// isCold reports whether the upstream is known to be cold.
 func (g *guard) isCold() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -32,26 +32,24 @@
 // Daemon holds the entry, the guard and the other components of the daemon of one VM. New creates
 // it and Serve runs it.
 type Daemon struct {
-	opts        Options
-	tunables    atomic.Pointer[Tunables]
-	startedAt   time.Time
-	metrics     *metrics
-	config      *configuration
-	evacuations *evacuations
-	follower    *configFollower
-	peers       *peers
-	relay       *relay
-	antiEntropy *antiEntropy
-	guard       *guard
-	quarantine  *crashQuarantine
-	bodyLimiter *bodylimit.Limiter
-	entry       *entry
-	datagrams   *datagrams
-	servers     []*server
-	// callerServer serves local callers.
+	opts         Options
+	tunables     atomic.Pointer[Tunables]
+	startedAt    time.Time
+	metrics      *metrics
+	config       *configuration
+	evacuations  *evacuations
+	follower     *configFollower
+	peers        *peers
+	relay        *relay
+	antiEntropy  *antiEntropy
+	guard        *guard
+	quarantine   *crashQuarantine
+	bodyLimiter  *bodylimit.Limiter
+	entry        *entry
+	datagrams    *datagrams
+	servers      []*server
 	callerServer *server
-	// peerServer serves other daemons.
-	peerServer *server
+	peerServer   *server
 	// fetching is set while a configuration is being fetched from another daemon.
 	fetching atomic.Bool
 	// ready is set once a configuration is in force and the wait for the first exchange with
@@ -185,7 +183,6 @@
 	return nil
 }
 
-// closeSockets closes all listeners, connections and the socket for datagrams.
 func (d *Daemon) closeSockets() {
 	for _, s := range d.servers {
 		s.close()
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -50,11 +50,9 @@
 
 // queryReply is the reply to a pendingQuery.
 type queryReply struct {
-	// key is the key of the pendingQuery.
 	key string
 	// load is the load of the queried upstream. It is empty for a pushed record.
-	load placement.Load
-	// roundTrip is the time from sending the query to receiving the reply.
+	load      placement.Load
 	roundTrip time.Duration
 }
 
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -93,7 +93,6 @@
 	d.guard.stopAdmitting()
 }
 
-// isAborting reports whether the daemon is aborting the requests in flight.
 func (d *Daemon) isAborting() bool {
 	select {
 	case <-d.aborting:
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -65,8 +65,7 @@
 	candidateCount int
 	// expectedTime is how long the latest attempt was expected to take when it was chosen.
 	expectedTime time.Duration
-	// upstreamKey is the key of the upstream that was chosen last.
-	upstreamKey string
+	upstreamKey  string
 	// cachedFingerprint is the result of the first call of fingerprint, nil before that call.
 	cachedFingerprint *quarantine.Fingerprint
 }
@@ -84,9 +83,8 @@
 
 	mu sync.Mutex
 	// splitter picks the service for a request of a route that is split among services.
-	splitter route.Splitter
-	services map[model.ServiceName]*serviceState
-	// serviceTimes estimates the service times of the routes.
+	splitter     route.Splitter
+	services     map[model.ServiceName]*serviceState
 	serviceTimes servicetime.Estimates
 }
 
@@ -300,7 +298,6 @@
 	return s
 }
 
-// setRetryBudget changes the retry budgets of all services.
 func (e *entry) setRetryBudget(b RetryBudget) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -348,7 +345,6 @@
 	return e.serviceTimes.Expected(e.daemon.now(), routeName, timeLeft)
 }
 
-// recordServiceTime updates the estimate for a route.
 func (e *entry) recordServiceTime(routeName string, serviceTime time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/sidecar/evacuations.go
+++ b/sidecar/evacuations.go
@@ -29,14 +29,12 @@
 	return &evacuations{decisions: d, onChange: func(evacuation.State) {}}
 }
 
-// current returns the newest known state.
 func (e *evacuations) current() evacuation.State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.state
 }
 
-// includes reports whether a zone is evacuated.
 func (e *evacuations) includes(z model.AvailabilityZone) bool {
 	s := e.current()
 	return s.Includes(z)
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -45,7 +45,6 @@
 	// daemon stops watching.
 	watchStarted chan struct{}
 	isWatching   bool
-	// lastPeerPoll is when another daemon was last asked for its configuration.
 	lastPeerPoll model.Instant
 }
 
@@ -107,7 +106,6 @@
 	f.sendHeartbeats()
 }
 
-// watchesStore reports whether this daemon watches the store.
 func (f *configFollower) watchesStore() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -75,8 +75,7 @@
 	mayHaveRun bool
 	// deliveredCount counts the attempts that reached an upstream or may have reached one.
 	deliveredCount int
-	// startedCount counts the attempts that were started.
-	startedCount int
+	startedCount   int
 	// undeliveredCount counts the attempts that ended without reaching an upstream.
 	undeliveredCount int
 	// queueFullCount counts the attempts that guards rejected for lack of capacity, that is with
@@ -239,7 +238,6 @@
 	return result.Outcome.Reason
 }
 
-// cancelAndRemove cancels an attempt and removes it from the attempts in flight.
 func (f *forwarder) cancelAndRemove(attempt *attemptState) {
 	attempt.cancel()
 	for i := range f.inFlight {
@@ -363,7 +361,6 @@
 	f.serviceState.placer.Done(f.entry.daemon.now(), attempt.choice.Upstream.Key, nil)
 }
 
-// logDecision logs a retry or a hedge.
 func (f *forwarder) logDecision(k decision.Kind, attempt *attemptState, extra ...slog.Attr) {
 	f.entry.daemon.opts.Decisions.Write(k, f.request.id, append([]slog.Attr{
 		slog.String("service", string(f.request.service)), slog.String("upstream", attempt.choice.Upstream.Key),
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -27,9 +27,8 @@
 // guard is the proxy in front of the local upstream. It admits calls, queues them and
 // enforces the concurrency limit. It is safe for concurrent use.
 type guard struct {
-	opts *Options
-	now  func() model.Instant
-	// configVersion returns the version of the configuration in force.
+	opts          *Options
+	now           func() model.Instant
 	configVersion func() model.Version
 	// healthPath returns the path of health checks, empty if there is none.
 	healthPath func() string
@@ -38,11 +37,9 @@
 	slotsFromPeers func(lifecycle.Incarnation) int
 	// isUrgent reports whether at least one route has a lower priority than the given rank.
 	isUrgent func(rank int) bool
-	// onPanic is called with the recovered value after a panic while a request was served.
-	onPanic func(component, requestID string, v any)
-	// service is the service that the local upstream belongs to.
-	service model.ServiceName
-	metrics *metrics
+	onPanic  func(component, requestID string, v any)
+	service  model.ServiceName
+	metrics  *metrics
 
 	mu      sync.Mutex
 	tracker lifecycle.Tracker
@@ -56,8 +53,7 @@
 	wakeTimer  *time.Timer
 	// slowdown is the latest slowdown that the upstream reported, initially 1. A slowdown of 1
 	// means the usual service time.
-	slowdown float64
-	// slowdownAt is when slowdown was reported.
+	slowdown   float64
 	slowdownAt model.Instant
 	// slowdownReported is set once the current incarnation has reported its slowdown.
 	slowdownReported bool
@@ -78,8 +74,7 @@
 	// stopDeadline is when a stopping daemon ends at the latest, zero if the daemon is not
 	// stopping.
 	stopDeadline model.Instant
-	// evacuated is set while the zone of the upstream is evacuated.
-	evacuated bool
+	evacuated    bool
 	// closed is set when no further call may start.
 	closed   bool
 	attempts *attemptTable
@@ -155,7 +150,6 @@
 	return effect
 }
 
-// logUpstreamState logs the state of the upstream and the cause of the change.
 func (g *guard) logUpstreamState(r lifecycle.Report, cause string) {
 	g.opts.Decisions.Write(decision.UpstreamState, "",
 		slog.String("upstream", string(r.ID)), slog.Int64("born", r.Born), slog.Uint64("sequence", r.Sequence),
@@ -195,7 +189,6 @@
 	return g.tracker.Current(), append([]lifecycle.Incarnation(nil), departed...)
 }
 
-// setService changes the service that the upstream belongs to.
 func (g *guard) setService(s model.ServiceName) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/sidecar/guardload.go
+++ b/sidecar/guardload.go
@@ -25,7 +25,6 @@
 	return &resultCopy
 }
 
-// currentLoad returns the load of the upstream.
 func (g *guard) currentLoad() placement.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/sidecar/inflight.go
+++ b/sidecar/inflight.go
@@ -22,14 +22,12 @@
 	return true
 }
 
-// end marks a request as completed.
 func (r *inFlightRequests) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.requestCount--
 }
 
-// count returns the number of requests in flight.
 func (r *inFlightRequests) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -43,7 +43,6 @@
 	return numDaemons, float64(recentlyStarted) / float64(numDaemons)
 }
 
-// reachableMembers returns the other daemons that are reachable.
 func (p *peers) reachableMembers() []gossip.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -108,7 +108,6 @@
 
 // resolveRequest asks a guard for the final outcome of an attempt whose result has not arrived.
 type resolveRequest struct {
-	// key identifies the attempt.
 	key string
 	// incarnation is the incarnation of the daemon that the attempt was sent to.
 	incarnation int64
@@ -123,7 +122,6 @@
 	resolveTimeLeftParam    = "left-ms"
 )
 
-// encode returns the request as a URL query.
 func (q resolveRequest) encode() string {
 	v := url.Values{}
 	v.Set(resolveKeyParam, q.key)
@@ -217,7 +215,6 @@
 	}
 }
 
-// bodyAllowed reports whether a response with the status may have a body.
 func bodyAllowed(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -12,7 +12,6 @@
 
 // metrics holds the metrics of a daemon.
 type metrics struct {
-	// rejected counts the calls that the guard rejected.
 	rejected     tally.Counter
 	healthChecks tally.Counter
 	// connsOpened counts the new connections to the local upstream.
@@ -77,16 +76,13 @@
 	}
 }
 
-// countUpstreamConn counts a new connection to the local upstream.
 func (m *metrics) countUpstreamConn() { m.connsOpened.Inc(1) }
 
-// recordResponse records the outcome and the duration of a request.
 func (m *metrics) recordResponse(service, route string, o outcome.Outcome, took time.Duration) {
 	m.outcomes.Count(o)
 	m.latencies.Get(timerKey{"latency", service, route}).Record(took)
 }
 
-// recordStage records the duration of one stage of a request to a service.
 func (m *metrics) recordStage(name string, service model.ServiceName, took time.Duration) {
 	m.stages.Get(timerKey{name: name, service: string(service)}).Record(took)
 }
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -41,7 +41,6 @@
 	Departed []lifecycle.Incarnation `json:"d,omitempty"`
 }
 
-// supersedes reports whether r supersedes old.
 func (r *Record) supersedes(old *Record) bool {
 	return recordVersionOf(r).supersedes(recordVersionOf(old))
 }
@@ -63,10 +62,8 @@
 	needsFullSync bool
 	// verifiedAt is when verifyReachable last contacted the peer, because the peer had not replied
 	// to a load query. Zero means never.
-	verifiedAt model.Instant
-	// unreachable is set while the peer cannot be reached.
-	unreachable bool
-	// unreachableSince is when the peer last became unreachable.
+	verifiedAt       model.Instant
+	unreachable      bool
 	unreachableSince model.Instant
 }
 
@@ -111,9 +108,8 @@
 // peers holds the records of all daemons and keeps them up to date. It is safe for concurrent
 // use.
 type peers struct {
-	now       func() model.Instant
-	decisions *decision.Log
-	// configVersion returns the version of the configuration in force.
+	now           func() model.Instant
+	decisions     *decision.Log
 	configVersion func() model.Version
 	evacuations   *evacuations
 	// onVersion is called with the version of the configuration that a daemon has in force.
@@ -176,7 +172,6 @@
 	}
 }
 
-// localRecord returns the record of this daemon.
 func (p *peers) localRecord() Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -212,7 +207,6 @@
 	}
 }
 
-// announceOnce announces the local record if it has not been announced yet.
 func (p *peers) announceOnce() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/sidecar/receive.go
+++ b/sidecar/receive.go
@@ -19,7 +19,6 @@
 	raw []byte
 }
 
-// body returns the part that follows the header.
 func (m *datagram) body() []byte { return m.raw[datagramHeaderBytes:] }
 
 // handlerByKind holds the handler of each kind of datagram.
--- a/sidecar/retries.go
+++ b/sidecar/retries.go
@@ -45,7 +45,6 @@
 	r.window = retry.NewWindowBudget(b.Span, b.Ratio*usableBudgetShare, 0)
 }
 
-// countRequest counts the first attempt of a request.
 func (r *retryLimiter) countRequest(now model.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -133,7 +133,6 @@
 	}
 }
 
-// stopAccepting closes the listener. Open connections are still served.
 func (s *server) stopAccepting() { _ = s.listener.Close() }
 
 // String implements fmt.Stringer. The supervisor logs this name.
--- a/sidecar/traffic.go
+++ b/sidecar/traffic.go
@@ -67,7 +67,6 @@
 	}
 }
 
-// countReceived counts a received datagram, whose first byte is its kind.
 func (t *controlTraffic) countReceived(b []byte) {
 	if c, ok := t.countersByKind[b[0]]; ok {
 		c.received.Inc(int64(len(b)))
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -50,7 +50,6 @@
 	documents []storedDocument
 }
 
-// add stores a document that has come into force.
 func (v *documentHistory) add(version model.Version, raw []byte) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
