sidecar: a guard does not run a waiting call whose request is quarantined by then

Cause: only entries looked at the quarantine, before they sent. At a cold upstream calls wait for a second and more. Now it comes back as not run, and the entry refuses it. TestWaitingCallOfQuarantinedRequestIsNotRun fails without the check.

--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -105,6 +105,7 @@
 	d.peers.onFullSync = d.quarantine.gossip.SendDigest
 	d.bodyLimiter = bodylimit.New(o.MaxBodyBytes)
 	d.guard.crashes.onCrash = d.quarantine.recordCrash
+	d.guard.isQuarantined = d.quarantine.refusesCall
 	d.entry = newEntry(d)
 	if err := d.listen(); err != nil {
 		d.closeSockets()
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -38,8 +38,10 @@
 	// isUrgent reports whether at least one route has a lower priority than the given rank.
 	isUrgent func(rank int) bool
 	onPanic  func(component, requestID string, v any)
-	service  model.ServiceName
-	metrics  *metrics
+	// isQuarantined reports whether the request of a call must not run, because it crashes upstreams.
+	isQuarantined func(c *Call) bool
+	service       model.ServiceName
+	metrics       *metrics
 
 	mu      sync.Mutex
 	tracker lifecycle.Tracker
@@ -84,12 +86,13 @@
 func newGuard(o *Options, now func() model.Instant, m *metrics) *guard {
 	g := &guard{
 		opts: o, now: now, metrics: m, service: o.Service,
-		onPanic:  func(string, string, any) {},
-		queue:    slots.New(1),
-		waiters:  make(map[uint64]chan slots.DequeueReason),
-		slowdown: 1,
-		attempts: newAttemptTable(now),
-		crashes:  &crashDetector{address: o.Addresses.Upstream, now: now, onCrash: func(lostRun) {}},
+		onPanic:       func(string, string, any) {},
+		isQuarantined: func(*Call) bool { return false },
+		queue:         slots.New(1),
+		waiters:       make(map[uint64]chan slots.DequeueReason),
+		slowdown:      1,
+		attempts:      newAttemptTable(now),
+		crashes:       &crashDetector{address: o.Addresses.Upstream, now: now, onCrash: func(lostRun) {}},
 	}
 	g.queue.SetStartLimiter(&g.cold.limiter)
 	g.wakeTimer = time.AfterFunc(time.Hour, g.dispatch)
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -72,7 +72,8 @@
 }
 
 // refuseIfQuarantined returns the refusal of a quarantined request, and nil for any other request.
-// Crashes that other daemons report after the call affect only later attempts of the request.
+// Crashes that other daemons report after the call affect only later attempts of the request, and
+// those that wait at a guard; see refusesCall.
 func (q *crashQuarantine) refuseIfQuarantined(req *request) *Result {
 	if !q.store.HasRecords() {
 		return nil
@@ -84,6 +85,15 @@
 	return refusalResult(outcome.ReasonQuarantined, remaining)
 }
 
+// refusesCall reports whether the request of a call is in quarantine.
+func (q *crashQuarantine) refusesCall(c *Call) bool {
+	if !q.store.HasRecords() {
+		return false
+	}
+	_, refused := q.store.RefusedFor(core.FingerprintOf(fingerprintInput(c.Service, c.Method, c.Target, c.Body)))
+	return refused
+}
+
 // clearSuspicion records that an upstream has survived a request. The request is then no longer
 // suspected of crashing upstreams.
 func (q *crashQuarantine) clearSuspicion(req *request) {
--- a/sidecar/quarantine_test.go
+++ b/sidecar/quarantine_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -11,6 +12,8 @@
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	core "github.com/dottereltiller/dottereltiller/core/quarantine"
 )
 
 // crashingBody is the request body that crashes an upstream.
@@ -220,3 +223,42 @@
 	}
 	require.Len(t, c.lostRuns, maxLostRuns)
 }
+
+// TestWaitingCallOfQuarantinedRequestIsNotRun has a request wait at a guard while it is found to crash
+// upstreams. It must come back with the proof that it has not run, and the next call must start.
+func TestWaitingCallOfQuarantinedRequestIsNotRun(t *testing.T) {
+	m := startReady(t, newStore(documentOf(1, "a")), "a", "a1")
+	release := make(chan struct{})
+	m.upstream.setHandler(func(w http.ResponseWriter, _ *http.Request) { <-release; respondOK(w, "a1") })
+	limit := m.guard.currentLoad().Limit
+	call := func(id, body string) <-chan *Result {
+		done := make(chan *Result, 1)
+		go func() {
+			done <- m.guard.Do(context.Background(), &Call{
+				ID: id, Method: http.MethodPost, Target: "/unsafe/", Host: "h", Header: http.Header{}, Body: []byte(body), Service: "a",
+				Upstream: m.peers.localRecord().Upstream, Deadline: 10 * time.Second, ServiceTime: time.Millisecond,
+			})
+		}()
+		return done
+	}
+	var running []<-chan *Result
+	for i := range limit {
+		running = append(running, call(fmt.Sprint("r", i), "good"))
+	}
+	eventually(t, "all slots are taken", func() bool { return m.guard.currentLoad().Running == limit })
+	waiting := call("w", crashingBody)
+	eventually(t, "one call waits", func() bool { return m.guard.currentLoad().Waiting == 1 })
+	r := fingerprintInput("a", http.MethodPost, "/unsafe/", []byte(crashingBody))
+	for i := range quarantineThreshold {
+		m.quarantine.recordCrash(lostRun{fingerprint: core.FingerprintOf(r), request: r, upstream: lifecycle.Incarnation{ID: model.UpstreamID(fmt.Sprint("x", i)), Born: 1}})
+	}
+	eventually(t, "the request is quarantined", func() bool { _, refused := m.quarantine.store.RefusedFor(core.FingerprintOf(r)); return refused })
+	close(release)
+	result := <-waiting
+	require.Equal(t, outcome.NotRun, result.Outcome.Kind)
+	require.False(t, m.upstream.hasRun(crashingBody))
+	for _, done := range running {
+		require.Equal(t, outcome.Answered, (<-done).Outcome.Kind)
+	}
+	require.Equal(t, outcome.Answered, (<-call("next", "good")).Outcome.Kind, "the slot is free again")
+}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -38,14 +38,14 @@
 )
 
 // runCall sends a call to the upstream and stores the result in attempt. It does not send a call
-// that was cancelled, whose sender has disconnected or whose deadline is too close. At the end,
-// it frees the slot of the call for waiting calls. arrivedAt is when the call arrived.
+// that was cancelled, whose sender has disconnected, whose deadline is too close or whose request has
+// been quarantined while the call waited. At the end, it frees the slot of the call for waiting calls. arrivedAt is when the call arrived.
 func (g *guard) runCall(ctx context.Context, c *Call, attempt *attempt, arrivedAt model.Instant) *Result {
 	timeLeft := c.Deadline - g.now().Sub(arrivedAt)
 	result := notRunResult(outcome.ReasonDeadline)
 	switch {
 	case timeLeft < minTimeLeft:
-	case inbound.ClosedByClient(ctx), !attempt.start():
+	case inbound.ClosedByClient(ctx), g.isQuarantined(c), !attempt.start():
 		result = notRunResult(outcome.ReasonWithdrawn)
 	default:
 		result = recoverPanic(c.ID, g.onPanic, func() *Result { return g.sendToUpstream(ctx, c, timeLeft, g.now().Sub(arrivedAt)) })
