soak: crashes count anew after all daemons were killed; recovery leaves out what they cost

All daemons were killed at 32.7 s, which loses the quarantine, and three requests that crash upstreams were sent until the end, each with three crashes by right: at 35.5, 40.2, 43.2 and 44.9 s, on the two upstreams that were left of one service (one zone evacuated, one VM replaced), which are cold for 2 s after each. The checks with times did not restart their count as the others do, and counted requests while such crashes took upstreams. The count now restarts in both modes; crashes counted as late stay. Requests within 3 s of a crash before the quarantine do not count for recovery.

--- a/soak/check.go
+++ b/soak/check.go
@@ -72,6 +72,8 @@
 	drainTimes map[string]time.Time
 	// crashCounts holds the number of crashes that each request caused, by requestRecord.crashKey.
 	crashCounts map[string]*crashCount
+	// expectedCrashAt is when a request last crashed an upstream before it had to be quarantined.
+	expectedCrashAt time.Time
 	// evacuatedZones holds when each zone was evacuated that still is.
 	evacuatedZones map[string]time.Time
 	// inTouch reports whether the VM of an upstream has been undisturbed. It is nil in tests.
@@ -194,6 +196,9 @@
 func (c *checker) recordCrash(rec *requestRecord) {
 	count := c.crashCounts[rec.crashKey]
 	count.total++
+	if count.total <= quarantineThreshold {
+		c.expectedCrashAt = time.Now()
+	}
 	if c.safetyOnly {
 		if count.total == maxCrashes+1 {
 			c.addViolationLocked("poison: a request crashed upstreams more than %d times", maxCrashes)
@@ -210,20 +215,25 @@
 	}
 }
 
-// resetCrashCounts sets the crash counts that are checked against maxCrashes to 0. It does nothing
-// if safetyOnly is not set, because maxCrashes is not checked then. It is called when all daemons
-// are killed at once: daemons keep the quarantine only in memory, so the quarantine is lost.
+// resetCrashCounts makes the crash counts start again. It is called when all daemons are killed at
+// once: daemons keep the quarantine only in memory, so the quarantine is lost. Late crashes until then
+// still count.
 func (c *checker) resetCrashCounts() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.safetyOnly {
-		return
-	}
 	for _, count := range c.crashCounts {
 		count.total = 0
 	}
 }
 
+// recentlyCrashed reports whether a request that was not yet quarantined crashed an upstream within
+// the duration before now.
+func (c *checker) recentlyCrashed(d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.expectedCrashAt) < d
+}
+
 // recordDrain records that the drain of an upstream's incarnation was acknowledged. Drains
 // are recorded by incarnation because a later incarnation may have the same upstream id.
 func (c *checker) recordDrain(incarnation string) {
--- a/soak/run.go
+++ b/soak/run.go
@@ -54,10 +54,14 @@
 	// defaultTotalRate is how many requests a second 8 cores can serve while a hundred daemons run.
 	defaultTotalRate = 480
 	// minServedShare is the share of the requests sent in recoveryWindow that must be served.
-	minServedShare        = 0.95
-	recoveryWindow        = 5 * time.Second // the last part of a plan, in which recovery is checked
-	unsafeRequestInterval = 3               // one in this many requests is not idempotent
-	longRequestInterval   = 40              // one in this many requests is not idempotent and runs for seconds
+	minServedShare = 0.95
+	recoveryWindow = 5 * time.Second // the last part of a plan, in which recovery is checked
+	// crashRecovery is how long after a crash that no daemon could prevent requests are not counted
+	// for recovery. After all daemons were killed, requests that crash upstreams may do so again.
+	// The upstream that crashed is cold for platformtest.ColdSeconds.
+	crashRecovery         = (platformtest.ColdSeconds + 1) * time.Second
+	unsafeRequestInterval = 3  // one in this many requests is not idempotent
+	longRequestInterval   = 40 // one in this many requests is not idempotent and runs for seconds
 	// distinctPaths is the number of paths under /safe/, and also the number under /unsafe/.
 	distinctPaths = 2000
 	// configCheckInterval is the time between two checks of a daemon's configuration.
@@ -286,7 +290,7 @@
 	if served {
 		h.served.Add(1)
 	}
-	if inRecoveryWindow {
+	if inRecoveryWindow && !h.checker.recentlyCrashed(crashRecovery) {
 		h.finalRequests.Add(1)
 		if served {
 			h.finalServed.Add(1)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -211,6 +211,30 @@
 	}
 }
 
+// TestCrashesStartAgainAfterAllDaemonsWereKilled guards against a checker that blames daemons for
+// crashes by a request whose quarantine was lost when all of them were killed.
+func TestCrashesStartAgainAfterAllDaemonsWereKilled(t *testing.T) {
+	c := newChecker()
+	c.recordSent("p", "a", false)
+	c.recordPoison("p", "key", func() bool { return true })
+	crash := func(count int, sentAt time.Time) {
+		for range count {
+			c.recordsByAttempt["p"].sentAt = sentAt
+			c.recordCrash(c.recordsByAttempt["p"])
+		}
+	}
+	later := time.Now().Add(time.Hour)
+	crash(quarantineThreshold, time.Now())
+	require.True(t, c.recentlyCrashed(time.Hour))
+	crash(maxLateCrashes, later)
+	require.Empty(t, c.allViolations())
+	c.resetCrashCounts()
+	crash(quarantineThreshold, later)
+	require.Empty(t, c.allViolations(), "the quarantine was lost")
+	crash(1, later)
+	require.Len(t, c.allViolations(), 1)
+}
+
 // TestCheckerBoundsCrashesWithSafetyOnly guards against a checker that does not notice a missing
 // quarantine on a slow machine. With safetyOnly there are no time bounds, so the checker must bound
 // the number of crashes that one request causes. The count must restart at resetCrashCounts.
