--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -120,7 +120,7 @@
 		latestEnd = f.request.deadline
 	}
 	if now.Add(attempt.choice.Expected) <= latestEnd {
-		attempt.charge = f.entry.chargeRetry(f.serviceState, hedgeRank, now)
+		attempt.charge = f.entry.chargeRetry(f.serviceState, now)
 	}
 	if attempt.charge == nil {
 		f.releaseChoice(attempt)
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -319,7 +319,7 @@
 	now := f.entry.daemon.now()
 	var charge *retryCharge
 	if f.deliveredCount > 0 {
-		if charge = f.entry.chargeRetry(f.serviceState, f.request.route.Rank, now); charge == nil {
+		if charge = f.entry.chargeRetry(f.serviceState, now); charge == nil {
 			f.entry.daemon.metrics.retriesDenied.Inc(1)
 			return f.finalResult()
 		}
--- a/sidecar/retries.go
+++ b/sidecar/retries.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -15,9 +14,6 @@
 	// sends. A retry causes more, because the executions that fail and are retried are mostly those
 	// that send requests to other services. Second, daemons that crash lose their counts.
 	usableBudgetShare = 0.75
-	// hedgeRank is the rank at which hedges are charged. A hedge makes a response earlier, while a
-	// retry makes the difference between success and failure, so all retries come first.
-	hedgeRank = math.MaxInt
 )
 
 // retryLimiter enforces this daemon's share of the retry budget of one service. It is safe for
@@ -28,7 +24,7 @@
 	// slack is the part of budget.Slack that is used, for all daemons together.
 	slack float64
 	// window counts the requests and the retries of the last budget.Span.
-	window *retry.RankedBudget
+	window *retry.WindowBudget
 }
 
 func newRetryLimiter(b RetryBudget) *retryLimiter {
@@ -46,7 +42,7 @@
 		return
 	}
 	r.budget, r.slack = b, b.Slack*usableBudgetShare
-	r.window = retry.NewRankedBudget(b.Span, b.Ratio*usableBudgetShare)
+	r.window = retry.NewWindowBudget(b.Span, b.Ratio*usableBudgetShare, 0)
 }
 
 func (r *retryLimiter) countRequest(now model.Instant) {
@@ -55,16 +51,16 @@
 	r.window.CountRequest(now)
 }
 
-// tryCharge charges n retries of a request of the given rank and returns true if the budget allows
-// them. Otherwise it charges nothing and returns false. daemonCount is the number of all daemons, among which the slack of
+// tryCharge charges n retries and returns true if the budget allows them. Otherwise it charges
+// nothing and returns false. daemonCount is the number of all daemons, among which the slack of
 // the budget is divided equally. startedFraction is the fraction of the daemons that started within
 // the last RetryBudget.Span; see budgetShareAfterStarts.
-func (r *retryLimiter) tryCharge(now model.Instant, rank int, n float64, daemonCount int, startedFraction float64) bool {
+func (r *retryLimiter) tryCharge(now model.Instant, n float64, daemonCount int, startedFraction float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.window.SetSlack(r.slack / float64(max(daemonCount, 1)))
 	r.window.SetShare(budgetShareAfterStarts(startedFraction))
-	return r.window.TryChargeRank(now, rank, n)
+	return r.window.TryCharge(now, n)
 }
 
 // budgetShareAfterStarts returns the share of the budget that may be used while startedFraction
@@ -79,26 +75,24 @@
 // retryCharge is what one retry took from the retry budgets. A nil charge took nothing.
 type retryCharge struct {
 	service *serviceState
-	// rank is the rank of the request.
-	rank int
 	// otherServices are the other services whose budgets were charged for nested requests.
 	otherServices []*serviceState
 	// callsPerRun is the number of nested requests that each of otherServices was charged.
 	callsPerRun float64
 }
 
-// chargeRetry charges one retry of a request of the given rank to the budget of a service. It also charges the nested requests
+// chargeRetry charges one retry to the budget of a service. It also charges the nested requests
 // that the retry will cause to the budget of each other service. If any of the budgets is
 // exhausted, it charges nothing and returns nil.
-func (e *entry) chargeRetry(s *serviceState, rank int, now model.Instant) *retryCharge {
+func (e *entry) chargeRetry(s *serviceState, now model.Instant) *retryCharge {
 	daemonCount, startedFraction := e.daemon.peers.daemonsAndStartedShare(s.retryLimiter.span())
 	nestedCalls := s.currentCallsPerRun()
-	if !s.retryLimiter.tryCharge(now, rank, 1, daemonCount, startedFraction) {
+	if !s.retryLimiter.tryCharge(now, 1, daemonCount, startedFraction) {
 		return nil
 	}
-	charge := &retryCharge{service: s, rank: rank, callsPerRun: nestedCalls}
+	charge := &retryCharge{service: s, callsPerRun: nestedCalls}
 	for _, o := range e.serviceStatesExcept(s) {
-		if !o.retryLimiter.tryCharge(now, rank, nestedCalls, daemonCount, startedFraction) {
+		if !o.retryLimiter.tryCharge(now, nestedCalls, daemonCount, startedFraction) {
 			charge.refund(now)
 			return nil
 		}
@@ -113,9 +107,9 @@
 	if r == nil {
 		return
 	}
-	r.service.retryLimiter.charge(now, r.rank, -1)
+	r.service.retryLimiter.charge(now, -1)
 	for _, o := range r.otherServices {
-		o.retryLimiter.charge(now, r.rank, -r.callsPerRun)
+		o.retryLimiter.charge(now, -r.callsPerRun)
 	}
 }
 
@@ -141,12 +135,12 @@
 	return out
 }
 
-// charge adds n to the count of retries of a rank, even if the count then exceeds the budget. A negative n
+// charge adds n to the count of retries, even if the count then exceeds the budget. A negative n
 // reduces the count.
-func (r *retryLimiter) charge(now model.Instant, rank int, n float64) {
+func (r *retryLimiter) charge(now model.Instant, n float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.window.ChargeRank(now, rank, n)
+	r.window.Charge(now, n)
 }
 
 // span returns RetryBudget.Span, the length of the sliding window in which retries are limited.
