--- a/sidecar/bodies_test.go
+++ b/sidecar/bodies_test.go
@@ -18,13 +18,7 @@
 	const limit = 100
 	s := newStore(documentOf(1, "b"))
 	start := func(service model.ServiceName, id string) *member {
-		up := newUpstream(t, id)
-		o := optionsFor(t, s, up, service)
-		o.MaxBodyBytes = limit
-		m := startDaemon(t, o, s)
-		m.upstream = up
-		m.Report(readyReport(id, 1, 1, service))
-		return m
+		return startReadyWith(t, s, service, id, func(o *Options) { o.MaxBodyBytes = limit })
 	}
 	exhaust := func(m *member) (release func()) {
 		body, err := m.bodyLimiter.Read(strings.NewReader(strings.Repeat("x", limit-1)))
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -173,9 +173,17 @@
 
 // startReady starts a daemon and reports its upstream as ready.
 func startReady(t testing.TB, s *store, service model.ServiceName, id string) *member {
+	t.Helper()
+	return startReadyWith(t, s, service, id, func(*Options) {})
+}
+
+// startReadyWith does the same as startReady, but changes the options first.
+func startReadyWith(t testing.TB, s *store, service model.ServiceName, id string, change func(*Options)) *member {
 	t.Helper()
 	up := newUpstream(t, id)
-	m := startDaemon(t, optionsFor(t, s, up, service), s)
+	o := optionsFor(t, s, up, service)
+	change(&o)
+	m := startDaemon(t, o, s)
 	m.upstream = up
 	m.Report(readyReport(id, 1, 1, service))
 	return m
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -128,26 +128,24 @@
 // deregister records that an incarnation leaves permanently. It returns the effect on the state
 // of the upstream.
 func (g *guard) deregister(i lifecycle.Incarnation) lifecycle.Effect {
-	g.mu.Lock()
-	effect := g.tracker.Leave(i)
-	current := g.tracker.Current()
-	g.mu.Unlock()
-	if effect == lifecycle.Changed {
-		g.logUpstreamState(current, "deregistered")
-	}
-	g.dispatch()
-	return effect
+	return g.changeState("deregistered", func(t *lifecycle.Tracker) lifecycle.Effect { return t.Leave(i) })
 }
 
 // restoreDeparted marks as departed the incarnations that the records of other daemons list as
 // departed. It returns the effect on the state of the upstream.
 func (g *guard) restoreDeparted(departed []lifecycle.Incarnation) lifecycle.Effect {
+	return g.changeState("departed according to a peer", func(t *lifecycle.Tracker) lifecycle.Effect { return t.Restore(departed) })
+}
+
+// changeState applies a change to the state of the upstream, and returns its effect. cause names the
+// change in the log.
+func (g *guard) changeState(cause string, change func(*lifecycle.Tracker) lifecycle.Effect) lifecycle.Effect {
 	g.mu.Lock()
-	effect := g.tracker.Restore(departed)
+	effect := change(&g.tracker)
 	current := g.tracker.Current()
 	g.mu.Unlock()
 	if effect == lifecycle.Changed {
-		g.logUpstreamState(current, "departed according to a peer")
+		g.logUpstreamState(current, cause)
 		g.dispatch()
 	}
 	return effect
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -19,13 +19,7 @@
 // startInZone starts a daemon in a zone and reports its upstream as ready.
 func startInZone(t *testing.T, s *store, zone model.AvailabilityZone, service model.ServiceName, id string) *member {
 	t.Helper()
-	up := newUpstream(t, id)
-	o := optionsFor(t, s, up, service)
-	o.Zone = zone
-	m := startDaemon(t, o, s)
-	m.upstream = up
-	m.Report(readyReport(id, 1, 1, service))
-	return m
+	return startReadyWith(t, s, service, id, func(o *Options) { o.Zone = zone })
 }
 
 // TestChangesReachOtherZones has an upstream leave. Its daemon pushes the change to only some
