sidecar: a changed rate of cold upstreams reaches the entries with the configuration

Cause: candidates are computed again when a record changes. With cold-per-s newly set, entries passed over the wait that guards told until then. TestEntriesLearnOfAChangedColdRate fails without it.

--- a/sidecar/coldness_test.go
+++ b/sidecar/coldness_test.go
@@ -128,6 +128,21 @@
 	require.Zero(t, g.startable())
 }
 
+// TestEntriesLearnOfAChangedColdRate publishes a rate for cold upstreams after requests have been placed.
+func TestEntriesLearnOfAChangedColdRate(t *testing.T) {
+	s := newStore(documentOf(1, "a"))
+	m := startReady(t, s, "a", "a1")
+	status, _ := m.get(t, "/safe/")
+	require.Equal(t, http.StatusOK, status)
+	before := m.peers.currentGeneration()
+	doc := documentOf(2, "a")
+	doc.Services[0].ColdRate = 10
+	s.publish(doc)
+	eventually(t, "the candidates are due to be updated", func() bool { return m.peers.currentGeneration() > before })
+	upstreams, _ := m.peers.candidates("a", m.config.coldRate("a"))
+	require.Equal(t, 10.0, upstreams[0].ColdRate)
+}
+
 func TestInvalidColdnessIsLoggedOnce(t *testing.T) {
 	g := newColdGuard(t, true)
 	g.recordColdness(g.clock, Coldness{Left: time.Second})
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -178,6 +178,8 @@
 	}
 	d.peers.pushByDatagram = d.datagrams.pushRecord
 	d.config.onChange = append(d.config.onChange, d.updateColdLimits, func(*route.Table) {
+		// The candidates hold the rates of cold upstreams.
+		d.peers.updateCandidates()
 		d.datagrams.announceVersion()
 		d.follower.announceVersion()
 	})
