sidecar: a stopping daemon runs no late request that it might have to abort

What callers saw: 502 "draining" for a request of a fast route (20 ms) that was sent seconds after the SIGTERM of their daemon, ran, and was aborted at the end of the grace time.

Cause: a stopping daemon admits a request if three times its expected service time fits in the time left. An upstream that stalls takes longer than that, so the bound is a guess, and the request is aborted although it could have been refused.

TestLateRequestsAreNotAborted has the same course with one daemon: 502 before, 503 now. Of TestStoppingGuardAdmitsCallsThatEndInTime the case "late, deadline after the stop" fails before.

Why this works: once callers have had time to leave (minDrainTime), only requests are admitted that time out before the daemon ends, so none of them can be aborted, however long its upstream takes. The others learn that they have not run and when to come back. Requests that come earlier are admitted as before.

--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -73,6 +73,9 @@
 	// callCount counts the recent requests that the upstream or other callers sent from this VM
 	// to other services. The ratio of callCount to runCount estimates the calls per run.
 	callCount float64
+	// callersLeft is when the callers of a stopping daemon have had time to leave, zero if the
+	// daemon is not stopping.
+	callersLeft model.Instant
 	// stopDeadline is when a stopping daemon ends at the latest, zero if the daemon is not
 	// stopping.
 	stopDeadline model.Instant
--- a/sidecar/guardstop.go
+++ b/sidecar/guardstop.go
@@ -8,11 +8,12 @@
 	"github.com/dottereltiller/dottereltiller/core/slots"
 )
 
-// setStopDeadline sets when the stopping daemon ends at the latest. Once the deadline
-// is set, the guard rejects calls that might still be running at the deadline.
-func (g *guard) setStopDeadline(deadline model.Instant) {
+// setStop sets when the callers of the stopping daemon have had time to leave, and when the daemon
+// ends at the latest. From now on the guard rejects calls that might still be running at the
+// deadline.
+func (g *guard) setStop(callersLeft, deadline model.Instant) {
 	g.mu.Lock()
-	g.stopDeadline = deadline
+	g.callersLeft, g.stopDeadline = callersLeft, deadline
 	g.mu.Unlock()
 }
 
@@ -26,13 +27,19 @@
 
 // spareTime returns the time between the latest possible end of a request and the end of the
 // daemon. It is negative if the request might have to be aborted. timeLeft is the time until the
-// request times out; spareTime returns it if the daemon is not stopping. g.mu is held.
+// request times out; spareTime returns it if the daemon is not stopping. A request that arrives
+// after the callers have had time to leave is assumed to run until it times out: an upstream may
+// take far longer than maxDurationFactor allows, and a late request must not be aborted. g.mu is
+// held.
 func (g *guard) spareTime(serviceTime, timeLeft time.Duration) time.Duration {
 	if g.stopDeadline == 0 {
 		return timeLeft
 	}
-	maxDuration := min(timeLeft, time.Duration(maxDurationFactor*g.currentSlowdown()*float64(serviceTime)))
-	return g.stopDeadline.Sub(g.now()) - maxDuration
+	now, maxDuration := g.now(), timeLeft
+	if now < g.callersLeft {
+		maxDuration = min(timeLeft, time.Duration(maxDurationFactor*g.currentSlowdown()*float64(serviceTime)))
+	}
+	return g.stopDeadline.Sub(now) - maxDuration
 }
 
 // refuseIfTooLong returns a refusal for a request that might still be running when the daemon
--- a/sidecar/stopping_test.go
+++ b/sidecar/stopping_test.go
@@ -28,25 +28,29 @@
 
 // TestStoppingGuardAdmitsCallsThatEndInTime checks that a stopping guard admits a call with a
 // long deadline if its service time is short. The guard must reject calls that it might have to
-// abort.
+// abort. A call that arrives after the callers have had time to leave must not be aborted, however
+// long its upstream takes.
 func TestStoppingGuardAdmitsCallsThatEndInTime(t *testing.T) {
 	for name, c := range map[string]struct {
 		stopAfter   time.Duration
+		callersLeft time.Duration
 		deadline    time.Duration
 		serviceTime time.Duration
 		want        outcome.Reason
 	}{
-		"not stopping":                       {0, time.Hour, time.Hour, outcome.ReasonNone},
-		"deadline before the stop":           {5 * time.Second, 4 * time.Second, 3 * time.Second, outcome.ReasonNone},
-		"long deadline, short service time":  {5 * time.Second, time.Minute, 100 * time.Millisecond, outcome.ReasonNone},
-		"may run longer than until the stop": {5 * time.Second, time.Minute, 2 * time.Second, outcome.ReasonDraining},
+		"not stopping":                       {0, 0, time.Hour, time.Hour, outcome.ReasonNone},
+		"deadline before the stop":           {5 * time.Second, time.Second, 4 * time.Second, 3 * time.Second, outcome.ReasonNone},
+		"long deadline, short service time":  {5 * time.Second, time.Second, time.Minute, 100 * time.Millisecond, outcome.ReasonNone},
+		"may run longer than until the stop": {5 * time.Second, time.Second, time.Minute, 2 * time.Second, outcome.ReasonDraining},
+		"late, deadline before the stop":     {2 * time.Second, 0, 2 * time.Second, 20 * time.Millisecond, outcome.ReasonNone},
+		"late, deadline after the stop":      {2 * time.Second, 0, 2500 * time.Millisecond, 20 * time.Millisecond, outcome.ReasonDraining},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := model.Instant(time.Hour)
 			g := newIdleGuard(&now)
 			g.handleReport(readyReport("b1", 1, 1, "b"), "report")
 			if c.stopAfter > 0 {
-				g.setStopDeadline(now.Add(c.stopAfter))
+				g.setStop(now.Add(c.callersLeft), now.Add(c.stopAfter))
 			}
 			call := newCall()
 			call.Deadline, call.ServiceTime = c.deadline, c.serviceTime
@@ -129,3 +133,24 @@
 	status, _ := a.get(t, "/safe/")
 	require.Equal(t, http.StatusOK, status, "short requests are served")
 }
+
+// TestLateRequestsAreNotAborted guards against a stopping daemon that aborts a request whose caller
+// had time to leave. The request arrives on a connection from before the stop, its route is usually
+// fast, and its upstream does not respond. The daemon must refuse the request, which then has not run.
+func TestLateRequestsAreNotAborted(t *testing.T) {
+	m, _, _ := startWithRunningRequest(t)
+	m.entry.recordServiceTime("safe", 20*time.Millisecond)
+	late := dialCallers(t, m)
+	go m.stop()
+	eventually(t, "callers have had time to leave", func() bool {
+		m.guard.mu.Lock()
+		defer m.guard.mu.Unlock()
+		return m.guard.stopDeadline != 0 && m.guard.now() > m.guard.stopDeadline.Add(-2*time.Second)
+	})
+	late.send(t, "late")
+	resp, err := late.readResponse()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Len(t, m.upstream.requests(), 1, "the late request has not run")
+}
