soak: a request belongs to the incarnation that its connection may have reached

Since the check of planned stops looked the stop up by the incarnation that ran when the request was sent. Between that look and the connection the daemon may exit, restart and be stopped again, and a request that the next incarnation aborts at once was then excused by the stop of the one before. The incarnation is now read once more when the connection is there. Where it is another one, the check is as strict as the one before.

--- a/soak/run.go
+++ b/soak/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strings"
 	"sync"
@@ -272,12 +273,17 @@
 	incarnationBefore, stoppingOrExitedBefore := m.processState()
 	sentAt := time.Now()
 	inRecoveryWindow := sentAt.Sub(h.startedAt) > h.plan.Length-recoveryWindow
-	r, err := m.caller.Send(context.Background(), path, attempt, nonIdempotent, timeout)
+	// The daemon may restart between sentAt and the connection.
+	connectedTo := incarnationBefore
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connectedTo, _ = m.processState() },
+	})
+	r, err := m.caller.Send(ctx, path, attempt, nonIdempotent, timeout)
 	incarnation, stoppingOrExited := m.processState()
 	// Every unplanned fault affects all VMs, and may end before the response is handled here.
 	if undisturbedBefore && m.faultCount() == faultsBefore && h.undisturbed() && h.checker.wasExecuted(attempt) {
 		switch {
-		case stoppingOrExited && !m.ranUntilGraceEnd(sentAt, incarnationBefore) && abortedByDaemon(r, err):
+		case stoppingOrExited && !m.ranUntilGraceEnd(sentAt, connectedTo) && abortedByDaemon(r, err):
 			h.checker.addViolation("lost: %s ran and was aborted by a planned stop: status %d, error %v", attempt, r.Status, err)
 		case err != nil && abortedByDaemon(r, err) && !stoppingOrExitedBefore && !stoppingOrExited && incarnation == incarnationBefore:
 			h.checker.addViolation("unanswered: %s ran and its connection to %s was closed without a response: %v", attempt, m.config.Name, err)
