--- a/core/route/document.go
+++ b/core/route/document.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/model"
 )
 
@@ -13,6 +14,9 @@
 	Version  model.Version
 	Routes   []Route
 	Services []Service
+	// Accounts are the client accounts. If it is not nil, a request needs the key of an account,
+	// unless its route is public.
+	Accounts []account.Account
 	Limits   Limits
 }
 
@@ -38,6 +42,8 @@
 	// Rank is the priority of the route's requests among the requests that wait for
 	// the same upstream. Rank 0 is served first.
 	Rank int
+	// Public is set if requests of the route need no key of a client account.
+	Public bool
 	// Split is the traffic split. It has at least one element.
 	Split []WeightedService
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/model"
 )
 
@@ -17,10 +18,13 @@
 	// largestRank is the largest rank of any route. Requests of this rank are served
 	// last.
 	largestRank int
+	// accounts is nil if the configuration has no client accounts.
+	accounts *account.Index
+	ranks    account.Ranks
 }
 
-// New checks a configuration and returns its Table. If a service or a route is invalid, New
-// returns a *ServiceError or an *Error for the first one.
+// New checks a configuration and returns its Table. If a service, a route or a client account is
+// invalid, New returns a *ServiceError, an *Error or an *account.Error for the first one.
 func New(doc Document) (*Table, error) {
 	t := &Table{
 		doc:           doc,
@@ -43,6 +47,14 @@
 		host := normalizeHost(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
 	}
+	t.ranks = account.NewRanks(t.largestRank)
+	if doc.Accounts != nil {
+		accounts, err := account.NewIndex(doc.Accounts)
+		if err != nil {
+			return nil, err
+		}
+		t.accounts = accounts
+	}
 	for _, routes := range t.routesByHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -58,9 +70,17 @@
 // NumRoutes returns the number of routes.
 func (t *Table) NumRoutes() int { return len(t.doc.Routes) }
 
-// AboveLowestPriority reports whether rank has a higher priority than the largest
-// rank of any route, that is whether rank is the smaller number.
-func (t *Table) AboveLowestPriority(rank int) bool { return rank < t.largestRank }
+// Accounts returns the client accounts, or nil if the configuration has none. Requests then need
+// no key.
+func (t *Table) Accounts() *account.Index { return t.accounts }
+
+// RankOf returns the rank of a request among those that wait for the same upstream. The priority
+// of its account precedes the rank of its route. a is nil for a request without an account.
+func (t *Table) RankOf(r *Route, a *account.Account) int { return t.ranks.Of(a, r.Rank) }
+
+// AboveLowestPriority reports whether a rank that RankOf returned is that of a route with a higher
+// priority than the largest rank of any route.
+func (t *Table) AboveLowestPriority(rank int) bool { return t.ranks.RouteRank(rank) < t.largestRank }
 
 // Service returns the configuration of a service.
 func (t *Table) Service(name model.ServiceName) (*Service, bool) {
