Client accounts: the entry finds the account of a request by its key

Skeleton for the quota part: the codec reads the key, the entry sets the account of a request as soon as its route is known, calls carry the account and the credential within a daemon. They are not sent to other daemons yet.

--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
@@ -60,6 +61,10 @@
 	Alternative time.Duration
 	// RateLimit is the limit that the upstream has stated in responses that the entry has forwarded.
 	RateLimit RateLimit
+	// Account is the client account of the request, empty if it has none.
+	Account account.Name
+	// Credential identifies the key that the caller sent. It is zero if Account is empty.
+	Credential account.Credential
 }
 
 // kindOf returns the kind of a route's requests. The kind depends only on the name of the route,
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/bodylimit"
+	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
@@ -52,6 +53,11 @@
 	route      *route.Route
 	routeTable *route.Table
 	service    model.ServiceName
+	// account is the client account whose key the caller sent. It is nil if the configuration has
+	// no accounts, and for a request on a public route.
+	account *account.Account
+	// credential identifies that key. It is zero if account is nil.
+	credential account.Credential
 	body       []byte
 	// buffer holds the body and accounts for its memory.
 	buffer    *bodylimit.Body
@@ -142,6 +148,13 @@
 		return notRunResult(outcome.ReasonNoService)
 	}
 	req.routeTable, req.route = table, matched
+	if table.Accounts() != nil && !matched.Public {
+		holder, ok := table.Accounts().ByKey(attempt.Key)
+		if !ok {
+			return notRunResult(outcome.ReasonUnauthenticated)
+		}
+		req.account, req.credential = holder, account.CredentialOf(attempt.Key)
+	}
 	e.mu.Lock()
 	req.service = e.splitter.Pick(matched)
 	e.mu.Unlock()
@@ -188,9 +201,10 @@
 
 // statusByReason holds the HTTP statuses of those reasons that have their own status.
 var statusByReason = map[outcome.Reason]int{
-	outcome.ReasonNoService:  http.StatusNotFound,
-	outcome.ReasonBadRequest: http.StatusBadRequest,
-	outcome.ReasonTooLarge:   http.StatusRequestEntityTooLarge,
+	outcome.ReasonNoService:       http.StatusNotFound,
+	outcome.ReasonUnauthenticated: http.StatusUnauthorized,
+	outcome.ReasonBadRequest:      http.StatusBadRequest,
+	outcome.ReasonTooLarge:        http.StatusRequestEntityTooLarge,
 }
 
 // statusOf returns the HTTP status for an outcome that is not Answered. A status of 503
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/evacuation"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/route"
@@ -112,6 +113,8 @@
 	ID string
 	// Deadline is how long the caller waits for the response. Zero means that it is not stated.
 	Deadline time.Duration
+	// Key is the key of a client account. It is empty if the caller sent no valid key.
+	Key string
 }
 
 // RequestInfo holds the values that a daemon sends to an upstream in the headers of a request.
@@ -123,6 +126,8 @@
 	Caller model.ServiceName
 	// Upstream is the only upstream that may run the request.
 	Upstream model.UpstreamID
+	// Account is the client account of the request, empty if it has none.
+	Account account.Name
 }
 
 // ResponseInfo holds what the headers of an upstream's response state.
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -46,7 +46,10 @@
 		Header: f.request.httpRequest.Header, Body: f.request.body,
 		Service: f.request.service, Caller: f.entry.daemon.service(), Upstream: attempt.endpoint.upstream,
 		Idempotent: f.request.route.Idempotent, Rank: f.request.route.Rank, Kind: kindOf(f.request.route), ServiceTime: f.serviceTime,
-		Deadline: f.request.deadline.Sub(now), RateLimit: attempt.endpoint.limit,
+		Deadline: f.request.deadline.Sub(now), RateLimit: attempt.endpoint.limit, Credential: f.request.credential,
+	}
+	if f.request.account != nil {
+		c.Account = f.request.account.Name
 	}
 	if f.request.targetTime != 0 {
 		c.TimeToTarget = f.request.targetTime.Sub(now)
