Queue: fair shares between client accounts, and turns for every rank

With client accounts, the rank of a request is the priority of its account times the ranks of routes. Within a rank, the kinds of requests shared the time of an upstream, so an account that sends six times its usual took it from all others of its rank; and of the ranks behind the first, only the last was kept from starving.

Accounts of a rank now share the time in proportion to their weights, kinds within an account as before. If accounts wait, every fourth start is reserved for those behind the first rank, who take turns. Position and Ahead follow the order, so loads stay consistent with it.

Evidence: core/slots tests.

TestIdleKindEarnsNoCredit reads the kinds of requests without an account from where they are kept now; its check is the same.

--- a/core/slots/admit.go
+++ b/core/slots/admit.go
@@ -32,6 +32,9 @@
 type Arrival struct {
 	// Rank is the priority of the request; see Item.Rank.
 	Rank int
+	// Account and Weight are the client account of the request and its weight; see Item.
+	Account Account
+	Weight  float64
 	// Kind identifies the route of the request; see Item.Kind.
 	Kind Kind
 	// Urgent is set if some route has a lower priority than the request, that is, if the
@@ -74,7 +77,7 @@
 // the caller must pass to Add after setting its ID. In every case, the duration is the expected
 // time until the request would complete here.
 func (q *Queue) Admit(now model.Instant, a Arrival, p Performance) (Item, Admission, time.Duration) {
-	ahead := q.Ahead(a.Rank, a.Kind)
+	ahead := q.Ahead(Position{Rank: a.Rank, Kind: a.Kind, Account: a.Account, Weight: a.Weight})
 	startDelay := q.StartDelay(now, ahead-q.running)
 	expected := placement.ExpectedTime(a.ServiceTime, p.Slowdown, ahead, q.limit, startDelay, p.FailureRate)
 	if a.Alternative > 0 && expected > time.Duration(slowerFactor*float64(a.Alternative))+slowerMargin {
@@ -88,7 +91,10 @@
 	if (q.running >= q.limit || startDelay > 0) && expected > usefulTime {
 		return Item{}, Full, expected
 	}
-	item := Item{Rank: a.Rank, Kind: a.Kind, ServiceTime: a.ServiceTime, Arrived: now, Deadline: now.Add(a.UntilDeadline), UsefulUntil: now.Add(usefulTime)}
+	item := Item{
+		Rank: a.Rank, Account: a.Account, Weight: a.Weight, Kind: a.Kind, ServiceTime: a.ServiceTime,
+		Arrived: now, Deadline: now.Add(a.UntilDeadline), UsefulUntil: now.Add(usefulTime),
+	}
 	if a.UntilTarget != 0 {
 		item.Target = now.Add(a.UntilTarget)
 	}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -3,12 +3,14 @@
 // proxy in front of the upstream.
 //
 // Requests with a lower rank start first. Within a rank, requests that can still meet
-// their target latency start before those that cannot. All requests of one route are of
-// the same kind. Among the requests that can meet their targets, the kinds get equal shares
-// of the service time. The same holds among those that cannot. Many requests of one kind
-// thus do not starve the other kinds.
+// their target latency start before those that cannot. Among the requests that can meet their
+// targets, the client accounts get shares of the service time in proportion to their weights. The
+// same holds among those that cannot. An account that sends many times its usual thus takes
+// nothing from accounts that stay below their shares. Requests without an account count as one
+// account. All requests of one route are of the same kind. The kinds of an account get equal
+// shares of its service time, so that many requests of one kind do not starve the other kinds.
 //
-// Of one kind, among the requests that can meet their targets, the newest starts first.
+// Of one account and kind, among the requests that can meet their targets, the newest starts first.
 // While the upstream has enough capacity, the order hardly matters, since all requests meet
 // their targets. Under overload, most waiting requests will miss their targets in any
 // order. If the oldest started first, each would complete shortly after its target. If the
@@ -17,7 +19,9 @@
 // should have started earliest comes first.
 //
 // To prevent starvation, every eighth start goes to the last rank. This is the largest rank
-// among the waiting requests. A request that can no longer complete before its deadline is
+// among the waiting requests. If client accounts wait, every fourth start is reserved for the
+// requests behind the first rank instead, and the accounts and ranks among them take turns. There
+// may be many ranks then, and none of them may starve. A request that can no longer complete before its deadline is
 // refused at once. Its response would come too late for its caller.
 package slots
 
@@ -33,7 +37,12 @@
 	ID uint64
 	// Rank is the priority of the request; 0 starts first.
 	Rank int
-	// Kind identifies the route of the request. All kinds of one rank get equal shares
+	// Account identifies the client account of the request. The accounts of one rank get shares
+	// of the service time in proportion to their weights.
+	Account Account
+	// Weight is the weight of the account; zero counts as 1.
+	Weight float64
+	// Kind identifies the route of the request. All kinds of one rank and account get equal shares
 	// of the service time.
 	Kind Kind
 	// ServiceTime is the usual service time of the request.
@@ -78,13 +87,6 @@
 	Reason DequeueReason
 }
 
-const (
-	// lastRankInterval sets how often the last rank comes first. One of every lastRankInterval
-	// starts goes to the last rank, even if requests of lower ranks wait. With one in eight,
-	// seven eighths of the capacity follow the regular order of ranks.
-	lastRankInterval = 8
-)
-
 // Queue holds the requests that wait for one upstream, and counts those that are
 // running. It is not safe for concurrent use.
 type Queue struct {
@@ -98,8 +100,11 @@
 	items []Item
 	// limiter limits the rate of starts. Nil means that only limit counts.
 	limiter StartLimiter
-	// sharesByRank holds the service time shares of the kinds of requests of each rank.
-	sharesByRank map[int]*fairShares
+	// sharesByRank holds the service time shares of the accounts and kinds of requests of each rank.
+	sharesByRank map[int]*rankShares
+	// turns holds the shares of the accounts and ranks in the starts reserved for accounts behind the
+	// first rank.
+	turns fairShares[turn]
 }
 
 // StartLimiter limits the rate at which requests start, for example those at a cold upstream.
@@ -134,7 +139,7 @@
 }
 
 // New returns a Queue that lets up to limit requests run concurrently.
-func New(limit int) *Queue { return &Queue{limit: max(limit, 1), sharesByRank: map[int]*fairShares{}} }
+func New(limit int) *Queue { return &Queue{limit: max(limit, 1), sharesByRank: map[int]*rankShares{}} }
 
 // Running returns the number of running requests.
 func (q *Queue) Running() int { return q.running }
@@ -148,30 +153,6 @@
 // SetLimit changes how many requests may run concurrently.
 func (q *Queue) SetLimit(n int) { q.limit = max(n, 1) }
 
-// Ahead returns how many requests run now or would start before a new request of the
-// given rank and kind. It counts:
-//   - the running requests;
-//   - the waiting requests of lower ranks;
-//   - the n waiting requests of the same rank and kind;
-//   - at most n+1 waiting requests of each other kind of the same rank, since the kinds
-//     take turns.
-func (q *Queue) Ahead(rank int, kind Kind) int {
-	n := q.running
-	waitingByKind := map[Kind]int{}
-	for i := range q.items {
-		switch item := &q.items[i]; {
-		case item.Rank < rank:
-			n++
-		case item.Rank == rank:
-			waitingByKind[item.Kind]++
-		}
-	}
-	for _, waiting := range waitingByKind {
-		n += min(waiting, waitingByKind[kind]+1)
-	}
-	return n
-}
-
 // Add adds a request to the queue. Next decides when the request leaves.
 func (q *Queue) Add(item Item) { q.items = append(q.items, item) }
 
@@ -217,11 +198,7 @@
 	if q.limiter != nil {
 		q.limiter.RecordStart(now)
 	}
-	best := q.nextIndex(now, slowdown)
-	q.running++
-	q.starts++
-	q.sharesOf(q.items[best].Rank).charge(q.items[best].Kind, q.items[best].ServiceTime)
-	return q.dequeue(best, Start), true
+	return q.takeNext(now, slowdown), true
 }
 
 // NextWakeup returns when Next must be called again after it has returned false. Before that
@@ -249,10 +226,10 @@
 }
 
 // sharesOf returns the fair shares of a rank, creating them if necessary.
-func (q *Queue) sharesOf(rank int) *fairShares {
+func (q *Queue) sharesOf(rank int) *rankShares {
 	shares, ok := q.sharesByRank[rank]
 	if !ok {
-		shares = &fairShares{}
+		shares = &rankShares{kindsByAccount: map[Account]*fairShares[Kind]{}}
 		q.sharesByRank[rank] = shares
 	}
 	return shares
@@ -260,53 +237,6 @@
 
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
-// nextIndex returns the index of the waiting request to start next. At least one request must
-// be waiting.
-func (q *Queue) nextIndex(now model.Instant, slowdown float64) int {
-	lastRankFirst := q.starts%lastRankInterval == lastRankInterval-1
-	best := 0
-	for i := 1; i < len(q.items); i++ {
-		a, b := &q.items[i], &q.items[best]
-		switch {
-		case a.Rank != b.Rank:
-			if a.Rank > b.Rank == lastRankFirst {
-				best = i
-			}
-		case q.startsBefore(a, b, now, slowdown):
-			best = i
-		}
-	}
-	return best
-}
-
-// startsBefore reports whether a starts before b. The two must have the same rank.
-func (q *Queue) startsBefore(a, b *Item, now model.Instant, slowdown float64) bool {
-	aStart, bStart := a.latestStart(slowdown), b.latestStart(slowdown)
-	aLate, bLate := aStart < now, bStart < now
-	shares := q.sharesOf(a.Rank)
-	aTag, bTag := shares.startTag(a.Kind), shares.startTag(b.Kind)
-	switch {
-	case aLate != bLate:
-		return bLate
-	case aTag != bTag:
-		return aTag < bTag
-	case !aLate && a.Arrived != b.Arrived:
-		return a.Arrived > b.Arrived
-	default:
-		return aStart < bStart
-	}
-}
-
-// latestStart returns the last instant at which the request can start and still meet its
-// target. For a request without a target, the deadline counts instead.
-func (i *Item) latestStart(slowdown float64) model.Instant {
-	completeBy := i.Target
-	if completeBy == 0 {
-		completeBy = i.Deadline
-	}
-	return completeBy.Add(-scale(i.ServiceTime, slowdown))
-}
-
 // dequeue removes the i-th waiting request and returns its ID with the given reason.
 func (q *Queue) dequeue(i int, reason DequeueReason) Dequeued {
 	d := Dequeued{ID: q.items[i].ID, Reason: reason}
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -104,7 +104,7 @@
 				item.Kind = rareKind
 				q.Add(item)
 			}
-			require.Equal(t, 2, q.Ahead(1, 9), "one of each kind runs before a third kind that has none waiting")
+			require.Equal(t, 2, q.Ahead(Position{Rank: 1, Kind: 9}), "one of each kind runs before a third kind that has none waiting")
 			var got []int
 			for turn, id := range startAll(t, q, at(2)) {
 				if id < 100 {
@@ -135,7 +135,7 @@
 	for turn := 0; turn < len(order); turn += 2 {
 		require.NotEqual(t, order[turn]%2, order[turn+1]%2, "the kinds alternate: %v", order)
 	}
-	require.LessOrEqual(t, len(q.sharesOf(1).finishTagByKind), 2, "only kinds ahead of the virtual time are stored")
+	require.LessOrEqual(t, len(q.sharesOf(1).kindsOf(0).finishTagByFlow), 2, "only kinds ahead of the virtual time are stored")
 }
 
 // TestNewestFirstMeetsTargetsUnderOverload has twice as many requests as there is
@@ -191,8 +191,8 @@
 	_, ok := q.Next(at(0), 1)
 	require.False(t, ok)
 	require.Equal(t, 2, q.Running())
-	require.Equal(t, 3, q.Ahead(0, 0))
-	require.Equal(t, 2, q.Ahead(-1, 0))
+	require.Equal(t, 3, q.Ahead(Position{Rank: 0, Kind: 0}))
+	require.Equal(t, 2, q.Ahead(Position{Rank: -1, Kind: 0}))
 	q.Finish()
 	_, ok = q.Next(at(0), 1)
 	require.True(t, ok)
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -360,7 +360,7 @@
 	for _, up := range p.QueryTargets(m.now, req, local, placement.MaxLoadAge, limit) {
 		n := m.nodeByKey(up.Key)
 		l := m.load(n)
-		l.Waiting = max(n.queue.Ahead(rank, 0)-l.Running, 0)
+		l.Waiting = max(n.queue.Ahead(slots.Position{Rank: rank})-l.Running, 0)
 		l.StartDelay = n.queue.StartDelay(m.now, l.Waiting)
 		p.UpdateLoad(m.now, up.Key, l)
 	}
--- a/sidecar/loadquery.go
+++ b/sidecar/loadquery.go
@@ -176,7 +176,7 @@
 		return placement.Load{}, false
 	}
 	l := g.load()
-	l.Waiting = max(g.queue.Ahead(q.rank, q.kind)-l.Running, 0)
+	l.Waiting = max(g.queue.Ahead(slots.Position{Rank: q.rank, Kind: q.kind})-l.Running, 0)
 	l.StartDelay = g.queue.StartDelay(g.now(), l.Waiting)
 	return l, true
 }
