Guards and load queries know the account of a request

A guard passes the account of a call and its weight to its queue. A load query of a request with an account names it, so that the reply counts what would start before the request; a query without one has the bytes that it had.

Calls between daemons do not carry the account yet, so only calls of a daemon to its own guard have one until then.

--- a/core/account/account.go
+++ b/core/account/account.go
@@ -67,6 +67,7 @@
 	// holderByCredential holds the account of each key by the credential of the key.
 	holderByCredential map[Credential]*Account
 	lowestPriority     int
+	weights            weights
 }
 
 // NewIndex validates accounts and returns their Index. If an account is invalid, it returns an
@@ -76,7 +77,7 @@
 func NewIndex(accounts []Account) (*Index, error) {
 	x := &Index{
 		byName: make(map[Name]*Account, len(accounts)), byKey: make(map[string]*Account, 2*len(accounts)),
-		holderByCredential: make(map[Credential]*Account, 2*len(accounts)),
+		holderByCredential: make(map[Credential]*Account, 2*len(accounts)), weights: newWeights(accounts),
 	}
 	for i := range accounts {
 		a := accounts[i]
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -68,7 +68,7 @@
 	beyondTimeout := f.serviceState.placer.ZonesBeyondRTT(timeout)
 	f.serviceState.mu.Unlock()
 	replies := f.entry.daemon.datagrams.queryLoads(loadQuery{
-		upstreams: upstreams, rank: f.request.route.Rank, kind: kindOf(f.request.route),
+		upstreams: upstreams, rank: f.request.route.Rank, kind: kindOf(f.request.route), account: f.request.accountNumber(),
 		timeout: timeout, onLate: f.serviceState.lateLoadHandler(f.entry.daemon.now), tooFar: func(u placement.Upstream) bool { return beyondTimeout[u.Zone] },
 	})
 	f.serviceState.mu.Lock()
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/route"
+	"github.com/dottereltiller/dottereltiller/core/slots"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/telemetry"
 )
@@ -83,6 +84,12 @@
 	d.guard.healthPath = d.healthPath
 	d.guard.onPanic = d.recordPanic
 	d.guard.onDeparture = d.announceState
+	d.guard.accountWeight = func(a slots.Account) float64 {
+		if table := d.config.table(); table != nil {
+			return table.Accounts().Weight(uint32(a))
+		}
+		return 1
+	}
 	d.guard.isUrgent = func(rank int) bool {
 		t := d.config.table()
 		return t != nil && t.AboveLowestPriority(rank)
--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -100,6 +100,9 @@
 	datagramHeaderBytes = 13
 	// loadQueryBytes is the length of a kindLoadQuery datagram, header included.
 	loadQueryBytes = datagramHeaderBytes + 5
+	// accountLoadQueryBytes is the length if the request has a client account. Two bytes for the rank
+	// and four for the account follow. The ranks of accounts may exceed a byte.
+	accountLoadQueryBytes = loadQueryBytes + 6
 	// loadReplyBytes is the length of a kindLoadReply datagram, header included.
 	loadReplyBytes = datagramHeaderBytes + 13
 	// maxDatagramBytes bounds a datagram so that it fits an Ethernet frame. A record that
--- a/sidecar/datagrams_test.go
+++ b/sidecar/datagrams_test.go
@@ -137,3 +137,19 @@
 	}
 	require.NoError(t, err)
 }
+
+// TestLoadQueriesOfAccounts checks that a load query names the client account of the request, with a
+// rank that a byte does not hold, and that it has the bytes of a query without accounts if there is none.
+func TestLoadQueriesOfAccounts(t *testing.T) {
+	header := make([]byte, datagramHeaderBytes)
+	without := loadQueryMessage{rank: 2, kind: 7, upstreamHash: 9}
+	encoded := without.appendTo(header)
+	require.Equal(t, []byte{2, 0, 7, 0, 9}, encoded[datagramHeaderBytes:])
+	require.Len(t, encoded, loadQueryBytes)
+	require.Equal(t, without, decodeLoadQuery(encoded))
+
+	with := loadQueryMessage{rank: 700, kind: 7, account: 1 << 30, upstreamHash: 9}
+	encoded = with.appendTo(header)
+	require.Len(t, encoded, accountLoadQueryBytes)
+	require.Equal(t, with, decodeLoadQuery(encoded))
+}
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -20,6 +20,7 @@
 	"github.com/dottereltiller/dottereltiller/core/quarantine"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/core/servicetime"
+	"github.com/dottereltiller/dottereltiller/core/slots"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/inbound"
 )
@@ -79,6 +80,14 @@
 	cachedFingerprint *quarantine.Fingerprint
 }
 
+// accountNumber identifies the client account of the request in queues, zero if it has none.
+func (r *request) accountNumber() slots.Account {
+	if r.account == nil {
+		return 0
+	}
+	return slots.Account(r.account.Name.Number())
+}
+
 // closedByDaemon reports whether this daemon has closed the caller's connection.
 func (r *request) closedByDaemon() bool { return inbound.ClosedByServer(r.httpRequest.Context()) }
 
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -38,7 +38,9 @@
 	slotsFromPeers func(lifecycle.Incarnation) int
 	// isUrgent reports whether at least one route has a lower priority than the given rank.
 	isUrgent func(rank int) bool
-	onPanic  func(component, requestID string, v any)
+	// accountWeight returns the weight of a client account in the shares of the upstream's time.
+	accountWeight func(slots.Account) float64
+	onPanic       func(component, requestID string, v any)
 	// onDeparture is called after a response has shown that the upstream is leaving.
 	onDeparture func()
 	// isQuarantined reports whether the request of a call must not run, because it crashes upstreams.
@@ -100,6 +102,7 @@
 		onPanic:       func(string, string, any) {},
 		onDeparture:   func() {},
 		isQuarantined: func(*Call) bool { return false },
+		accountWeight: func(slots.Account) float64 { return 1 },
 		queue:         slots.New(1),
 		waiters:       make(map[uint64]chan slots.DequeueReason),
 		slowdown:      1,
@@ -279,8 +282,9 @@
 	if reason := g.rejectReason(current, c); reason != outcome.ReasonNone {
 		return 0, nil, func() *Result { return notRunResult(reason) }
 	}
+	number := slots.Account(c.Account.Number())
 	item, admission, expectedTime := g.queue.Admit(g.now(), slots.Arrival{
-		Rank: c.Rank, Kind: c.Kind, Urgent: g.isUrgent(c.Rank), ServiceTime: c.ServiceTime,
+		Rank: c.Rank, Account: number, Weight: g.accountWeight(number), Kind: c.Kind, Urgent: g.isUrgent(c.Rank), ServiceTime: c.ServiceTime,
 		UntilTarget: c.TimeToTarget, UntilDeadline: c.Deadline, Alternative: c.Alternative,
 	}, slots.Performance{Slowdown: g.currentSlowdown(), FailureRate: g.failures.At(g.now())})
 	if admission != slots.Admitted {
--- a/sidecar/loadquery.go
+++ b/sidecar/loadquery.go
@@ -35,6 +35,8 @@
 	rank int
 	// kind identifies the route of that request.
 	kind slots.Kind
+	// account identifies the client account of that request, zero if it has none.
+	account slots.Account
 	// timeout limits the wait for replies.
 	timeout time.Duration
 	// onLate is called with each reply that arrives after the wait has ended, for at most
@@ -46,11 +48,12 @@
 	tooFar func(placement.Upstream) bool
 }
 
-// loadQueryMessage asks for the load of an upstream as a request of the given rank and kind
-// would find it.
+// loadQueryMessage asks for the load of an upstream as a request of the given rank, kind
+// and account would find it.
 type loadQueryMessage struct {
-	rank int
-	kind slots.Kind
+	rank    int
+	kind    slots.Kind
+	account slots.Account
 	// upstreamHash identifies the upstream. A different upstream may use the address by the time
 	// the message arrives.
 	upstreamHash uint16
@@ -58,7 +61,7 @@
 
 // messageFor returns the message to the guard of an upstream.
 func (q *loadQuery) messageFor(up placement.Upstream) loadQueryMessage {
-	return loadQueryMessage{rank: q.rank, kind: q.kind, upstreamHash: hashUpstreamKey(up.Key)}
+	return loadQueryMessage{rank: q.rank, kind: q.kind, account: q.account, upstreamHash: hashUpstreamKey(up.Key)}
 }
 
 // hashUpstreamKey returns a 16-bit hash of the key of an upstream.
@@ -67,15 +70,24 @@
 func (q loadQueryMessage) appendTo(b []byte) []byte {
 	b = append(b, uint8(min(max(q.rank, 0), maxUint8)))
 	b = binary.BigEndian.AppendUint16(b, uint16(q.kind))
-	return binary.BigEndian.AppendUint16(b, q.upstreamHash)
+	b = binary.BigEndian.AppendUint16(b, q.upstreamHash)
+	if q.account == 0 {
+		return b
+	}
+	b = binary.BigEndian.AppendUint16(b, uint16(min(max(q.rank, 0), maxUint16)))
+	return binary.BigEndian.AppendUint32(b, uint32(q.account))
 }
 
-// decodeLoadQuery parses a datagram of length loadQueryBytes.
+// decodeLoadQuery parses a datagram of length loadQueryBytes or accountLoadQueryBytes.
 func decodeLoadQuery(b []byte) loadQueryMessage {
 	b = b[datagramHeaderBytes:]
-	return loadQueryMessage{
+	q := loadQueryMessage{
 		rank: int(b[0]), kind: slots.Kind(binary.BigEndian.Uint16(b[1:])), upstreamHash: binary.BigEndian.Uint16(b[3:]),
 	}
+	if len(b) == accountLoadQueryBytes-datagramHeaderBytes {
+		q.rank, q.account = int(binary.BigEndian.Uint16(b[5:])), slots.Account(binary.BigEndian.Uint32(b[7:]))
+	}
+	return q
 }
 
 // queryLoads sends a load query and returns the replies by upstream key. It waits until all
@@ -176,7 +188,7 @@
 		return placement.Load{}, false
 	}
 	l := g.load()
-	l.Waiting = max(g.queue.Ahead(slots.Position{Rank: q.rank, Kind: q.kind})-l.Running, 0)
+	l.Waiting = max(g.queue.Ahead(slots.Position{Rank: q.rank, Kind: q.kind, Account: q.account, Weight: g.accountWeight(q.account)})-l.Running, 0)
 	l.StartDelay = g.queue.StartDelay(g.now(), l.Waiting)
 	return l, true
 }
--- a/sidecar/receive.go
+++ b/sidecar/receive.go
@@ -53,7 +53,7 @@
 // handleLoadQuery replies with the load of the local upstream. A query of the wrong length is
 // ignored.
 func (a *datagrams) handleLoadQuery(m datagram) {
-	if len(m.raw) == loadQueryBytes {
+	if len(m.raw) == loadQueryBytes || len(m.raw) == accountLoadQueryBytes {
 		go a.sendLoad(m.id, decodeLoadQuery(m.raw), m.sender)
 	}
 }
