--- a/core/gossip/peer_selector.go
+++ b/core/gossip/peer_selector.go
@@ -16,6 +16,9 @@
 	// crossZoneShare is the probability that a daemon selects a daemon of another zone,
 	// either to push an update or to compare digests.
 	crossZoneShare = 1.0 / 8
+	// confirmationPeers is how many daemons of the local zone, and how many of other zones, are asked
+	// to confirm a state. One of two may be cut off together with the daemon that asks.
+	confirmationPeers = 2
 )
 
 // Member is a daemon to which updates can be sent.
@@ -63,6 +66,13 @@
 	return candidates[s.RandIntN(len(candidates))], true
 }
 
+// ConfirmationPeers returns the daemons to ask whether a state is the newest: a few of the local zone,
+// and a few of other zones.
+func (s PeerSelector) ConfirmationPeers(members []Member) (local, remote []Member) {
+	local, remote = s.splitByZone(members)
+	return s.sample(local, confirmationPeers), s.sample(remote, confirmationPeers)
+}
+
 // chooseCrossZone decides at random whether to select a daemon of another zone.
 func (s PeerSelector) chooseCrossZone() bool { return s.RandIntN(int(1/crossZoneShare)) == 0 }
 
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -70,6 +70,9 @@
 	// Other requests make better use of the slot. The early rejection also leaves the
 	// request's entry time to try another upstream or to refuse the request.
 	TooLate
+	// Revoked means that the request may no longer run, because its caller has lost the
+	// right to it. Next does not return it: the owner of the queue removes the request.
+	Revoked
 )
 
 // Dequeued identifies a request that leaves the queue, and says why it leaves.
