Client accounts at entry and guard

The entry authenticates requests once the route is known, checks an unknown key with two daemons of its zone and two of others before 401, answers 503 if nobody answers, and re-checks the key before each attempt. The guard re-checks it on arrival, when a new version comes into force while the call waits, and before the start, but only by a newer version than the entry's. Calls with an account carry Dt-Account (name, credential, version); the key itself stays at the entry. Ranks come from route.Table.RankOf.

--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -79,11 +79,13 @@
 //   - candidates: number of upstreams from which the entry picked
 //   - sends: number of attempts that reached an upstream
 //   - given_back: number of attempts that a guard rejected
+//   - account: client account of the request, only if it has one
+//   - cause: why the reason applies, only for some reasons
 //   - cut: whether the daemon closed the caller's connection, so that the caller got
 //     no response
 var completionFields = []string{
 	"route", "service", "upstream", "reason", "status", "retry_after_ms", "took_ms",
-	"sends", "given_back", "candidates", "expected_ms", "config", "idempotent", "cut",
+	"sends", "given_back", "candidates", "expected_ms", "config", "idempotent", "cut", "account", "cause",
 }
 
 // Declarations lists every kind once, in the order of the table in docs/LOGS.md.
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -43,7 +44,7 @@
 	Upstream lifecycle.Incarnation
 	// Idempotent reports whether the request may run more than once.
 	Idempotent bool
-	// Rank is the priority rank of the route in the queue of the guard; 0 starts first.
+	// Rank is the rank of the request in the queue of the guard, see route.Table.RankOf; 0 starts first.
 	Rank int
 	// Kind identifies the route of the request in the queue of the guard.
 	Kind slots.Kind
@@ -65,6 +66,8 @@
 	Account account.Name
 	// Credential identifies the key that the caller sent. It is zero if Account is empty.
 	Credential account.Credential
+	// AccountVersion is the version of the configuration by which the entry found the account.
+	AccountVersion model.Version
 }
 
 // kindOf returns the kind of a route's requests. The kind depends only on the name of the route,
@@ -180,6 +183,38 @@
 	return RateLimit{Limited: true, PerSecond: perSecond}, nil
 }
 
+// accountHeader carries the account of a call between daemons: its name, the credential and the version
+// of the configuration at the entry. Calls without an account omit it.
+const accountHeader = "Dt-Account"
+
+// accountFieldCount is the number of fields of an encoded account.
+const accountFieldCount = 3
+
+// encodeAccount returns the account of the call for accountHeader.
+func (c *Call) encodeAccount() string {
+	return fmt.Sprintf("%s %x %d", url.QueryEscape(string(c.Account)), uint64(c.Credential), c.AccountVersion)
+}
+
+// decodeAccount parses the output of encodeAccount into the call. An empty string means that the call
+// has no account. decodeAccount returns a *FieldError if the input is invalid.
+func (c *Call) decodeAccount(s string) error {
+	if s == "" {
+		return nil
+	}
+	fields := strings.Split(s, " ")
+	if len(fields) != accountFieldCount {
+		return &FieldError{Field: "account", Value: s}
+	}
+	name, nameErr := url.QueryUnescape(fields[0])
+	credential, credentialErr := strconv.ParseUint(fields[1], 16, 64)
+	version, versionErr := strconv.ParseUint(fields[2], 10, 64)
+	if nameErr != nil || credentialErr != nil || versionErr != nil || name == "" {
+		return &FieldError{Field: "account", Value: s}
+	}
+	c.Account, c.Credential, c.AccountVersion = account.Name(name), account.Credential(credential), model.Version(version)
+	return nil
+}
+
 // resultFieldCount is the number of fields of an encoded result. A field for Load.StartDelay in
 // milliseconds follows if that is not zero.
 const resultFieldCount = 11
@@ -266,7 +301,7 @@
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", callHeader, rateLimitHeader,
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", callHeader, rateLimitHeader, accountHeader,
 }
 
 // endToEndHeaders returns a copy of h without hop-by-hop headers. These include the headers that
--- a/sidecar/candidates.go
+++ b/sidecar/candidates.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
@@ -90,3 +91,76 @@
 	// limit is what the upstream has stated in responses that this daemon has forwarded.
 	limit RateLimit
 }
+
+// serviceState is the state that the entry keeps for one service. mu protects all fields.
+type serviceState struct {
+	mu     sync.Mutex
+	placer *placement.Placer
+	// endpoints holds the endpoint of each candidate, by upstream key.
+	endpoints map[string]endpoint
+	// responded holds the keys of the candidates whose guards have replied to a load query.
+	responded map[string]bool
+	// candidatesGeneration is peers.currentGeneration at the last update of the candidates.
+	candidatesGeneration uint64
+	candidatesLoaded     bool
+	retryLimiter         *retryLimiter
+	// callsPerRun is the average number of requests to other services that an upstream of
+	// this service sends while it serves one request, as last reported by a guard.
+	callsPerRun float64
+}
+
+// serviceStateOf returns the state of a service, and creates it if necessary.
+func (e *entry) serviceStateOf(name model.ServiceName) *serviceState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.services[name]
+	if s == nil {
+		s = &serviceState{
+			placer:       placement.New(placement.Options{Zone: e.daemon.opts.Zone}),
+			responded:    make(map[string]bool),
+			retryLimiter: newRetryLimiter(e.daemon.tunables.Load().Retries),
+		}
+		e.services[name] = s
+	}
+	return s
+}
+
+func (e *entry) setRetryBudget(b RetryBudget) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.services {
+		s.retryLimiter.setBudget(b)
+	}
+}
+
+// retriesLeft returns the smallest number of retries that the retry budget of any service still
+// allows. It returns 0 if no request has been sent to any service.
+func (e *entry) retriesLeft() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	left, found := 0.0, false
+	for _, s := range e.services {
+		if n := s.retryLimiter.remaining(e.daemon.now()); !found || n < left {
+			left, found = n, true
+		}
+	}
+	return left
+}
+
+// refreshCandidates updates the candidates of a service if the records or the reachability of
+// daemons have changed since the last update. It then removes the keys of former candidates from
+// s.responded. s.mu is held.
+func (e *entry) refreshCandidates(s *serviceState, name model.ServiceName) {
+	generation := e.daemon.peers.currentGeneration()
+	if s.candidatesLoaded && generation == s.candidatesGeneration {
+		return
+	}
+	upstreams, endpoints := e.daemon.peers.candidates(name, e.daemon.config.coldRate(name))
+	s.placer.SetUpstreams(upstreams)
+	s.endpoints, s.candidatesGeneration, s.candidatesLoaded = endpoints, generation, true
+	for key := range s.responded {
+		if _, ok := endpoints[key]; !ok {
+			delete(s.responded, key)
+		}
+	}
+}
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/decision"
 )
@@ -68,7 +69,7 @@
 	beyondTimeout := f.serviceState.placer.ZonesBeyondRTT(timeout)
 	f.serviceState.mu.Unlock()
 	replies := f.entry.daemon.datagrams.queryLoads(loadQuery{
-		upstreams: upstreams, rank: f.request.route.Rank, kind: kindOf(f.request.route),
+		upstreams: upstreams, rank: f.request.rank, kind: kindOf(f.request.route),
 		timeout: timeout, onLate: f.serviceState.lateLoadHandler(f.entry.daemon.now), tooFar: func(u placement.Upstream) bool { return beyondTimeout[u.Zone] },
 	})
 	f.serviceState.mu.Lock()
@@ -101,11 +102,11 @@
 }
 
 // hedge sends an idempotent request to a second upstream. It does so only if exactly one attempt
-// is in flight, the second upstream is expected to respond in time, and both maxAttempts and the
-// retry budget allow another attempt. Normally, in time means within the target latency. If the
+// is in flight, the second upstream is expected to respond in time, both maxAttempts and the retry
+// budget allow another attempt, and the key of the request still holds. Normally, in time means within the target latency. If the
 // route has no target, or the first hedge timer has fired already, it means within the deadline.
 func (f *forwarder) hedge() {
-	if !f.request.route.Idempotent || len(f.inFlight) != 1 || f.deliveredCount+1 >= f.request.maxAttempts() {
+	if !f.request.route.Idempotent || len(f.inFlight) != 1 || f.deliveredCount+1 >= f.request.maxAttempts() || f.entry.keyRejection(f.request) != outcome.ReasonNone {
 		return
 	}
 	now := f.entry.daemon.now()
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -8,7 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/decision"
 )
@@ -66,6 +68,30 @@
 	return s.ColdRate
 }
 
+// keyRejection returns why a request must not run under the account that was found for it by the
+// version since, or ReasonNone. A configuration that is not newer than that decides nothing.
+func (c *configuration) keyRejection(name account.Name, credential account.Credential, since model.Version) outcome.Reason {
+	t := c.table()
+	if name == "" || t == nil || t.Version() <= since {
+		return outcome.ReasonNone
+	}
+	switch t.Accounts().StandingOf(name, credential) {
+	case account.Removed:
+		return outcome.ReasonUnauthenticated
+	case account.Moved:
+		// The request is valid, but not as one of this account. The caller may send it again.
+		return outcome.ReasonWithdrawn
+	default:
+		return outcome.ReasonNone
+	}
+}
+
+// hasAccounts reports whether the configuration in force has client accounts.
+func (c *configuration) hasAccounts() bool {
+	t := c.table()
+	return t != nil && t.Accounts() != nil
+}
+
 // timeInForce returns how long the configuration has been in force, zero if there is none.
 func (c *configuration) timeInForce() time.Duration {
 	if active := c.current.Load(); active != nil {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/dottereltiller/dottereltiller/bodylimit"
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/telemetry"
@@ -39,6 +40,7 @@
 	config       *configuration
 	evacuations  *evacuations
 	follower     *configFollower
+	keyChecks    *keyChecks
 	peers        *peers
 	relay        *relay
 	antiEntropy  *antiEntropy
@@ -87,6 +89,10 @@
 		t := d.config.table()
 		return t != nil && t.AboveLowestPriority(rank)
 	}
+	d.guard.hasAccounts = d.config.hasAccounts
+	d.guard.keyRejection = func(c *Call) outcome.Reason {
+		return d.config.keyRejection(c.Account, c.Credential, c.AccountVersion)
+	}
 	d.peers = newPeers(Record{
 		Address: o.Addresses.Peers, Incarnation: d.startedAt.UnixMilli(), Sequence: 1, Zone: o.Zone, Service: o.Service,
 	}, d.now, o.Decisions)
@@ -96,6 +102,7 @@
 	d.peers.restoreDeparted = d.restoreDeparted
 	d.guard.slotsFromPeers = d.peers.inferSlots
 	d.follower = newConfigFollower(d)
+	d.keyChecks = &keyChecks{d: d}
 	d.relay = &relay{zonePeers: d.peers.zonePeers, send: func(address string, b []byte) { d.datagrams.sendOneWay(kindRelayedRecords, address, b) }}
 	d.antiEntropy = &antiEntropy{d: d}
 	d.quarantine = newCrashQuarantine(d)
@@ -181,6 +188,7 @@
 	d.config.onChange = append(d.config.onChange, d.updateColdLimits, func(*route.Table) {
 		// The candidates hold the rates of cold upstreams.
 		d.peers.updateCandidates()
+		d.guard.rejectRevoked()
 		d.datagrams.announceVersion()
 		d.follower.announceVersion()
 	})
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -16,7 +16,6 @@
 	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
-	"github.com/dottereltiller/dottereltiller/core/placement"
 	"github.com/dottereltiller/dottereltiller/core/quarantine"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/core/servicetime"
@@ -58,7 +57,12 @@
 	account *account.Account
 	// credential identifies that key. It is zero if account is nil.
 	credential account.Credential
-	body       []byte
+	// rank is the rank of the request among those that wait for the same upstream.
+	rank int
+	// refusalCause says in more detail than the reason why the request was refused, empty if the
+	// reason says it all.
+	refusalCause string
+	body         []byte
 	// buffer holds the body and accounts for its memory.
 	buffer    *bodylimit.Body
 	startedAt model.Instant
@@ -148,13 +152,10 @@
 		return notRunResult(outcome.ReasonNoService)
 	}
 	req.routeTable, req.route = table, matched
-	if table.Accounts() != nil && !matched.Public {
-		holder, ok := table.Accounts().ByKey(attempt.Key)
-		if !ok {
-			return notRunResult(outcome.ReasonUnauthenticated)
-		}
-		req.account, req.credential = holder, account.CredentialOf(attempt.Key)
+	if refusal := e.authenticate(req, attempt); refusal != nil || req.routeTable != table {
+		return refusal
 	}
+	req.rank = table.RankOf(matched, req.account)
 	e.mu.Lock()
 	req.service = e.splitter.Pick(matched)
 	e.mu.Unlock()
@@ -172,6 +173,44 @@
 	return nil
 }
 
+// authenticate finds the client account of a request by its key. If no account has the key, it waits
+// until a newer configuration has the key, and then matches the request again, or until it is
+// confirmed that there is none. It returns nil, or the result with which the request is refused.
+func (e *entry) authenticate(req *request, attempt Attempt) *Result {
+	accounts := req.routeTable.Accounts()
+	if accounts == nil {
+		return nil
+	}
+	e.daemon.opts.Codec.RemoveAccountHeaders(req.httpRequest.Header)
+	if req.route.Public {
+		return nil
+	}
+	if attempt.Key == "" {
+		return e.refuseKey(req, outcome.ReasonUnauthenticated, causeNoKey)
+	}
+	if holder, ok := accounts.ByKey(attempt.Key); ok {
+		req.account, req.credential = holder, account.CredentialOf(attempt.Key)
+		return nil
+	}
+	switch e.daemon.keyChecks.await(req.httpRequest.Context(), req.startedAt, attempt.Key) {
+	case account.Known:
+		return e.matchRoute(req, attempt)
+	case account.Unknown:
+		return e.refuseKey(req, outcome.ReasonUnauthenticated, causeUnknownKey)
+	default:
+		return e.refuseKey(req, outcome.ReasonNotReady, causeUnconfirmed)
+	}
+}
+
+// refuseKey returns the result of a request that is refused for its key.
+func (e *entry) refuseKey(req *request, reason outcome.Reason, cause string) *Result {
+	req.refusalCause = cause
+	if reason == outcome.ReasonUnauthenticated {
+		return notRunResult(reason)
+	}
+	return refusalResult(reason, jittered(account.RecheckInterval))
+}
+
 // refusalResult returns the result of a request that has not run, to be retried after retryAfter.
 func refusalResult(r outcome.Reason, retryAfter time.Duration) *Result {
 	result := notRunResult(r)
@@ -231,6 +270,7 @@
 		routeName = req.route.Name
 	}
 	e.daemon.metrics.recordResponse(string(req.service), routeName, result.Outcome, elapsed)
+	e.daemon.metrics.countKeyRefusal(req.refusalCause)
 	if req.closedByDaemon() {
 		e.daemon.metrics.closedUnanswered.Inc(1)
 	}
@@ -249,6 +289,9 @@
 	h := w.Header()
 	e.daemon.opts.Codec.SetAttemptID(h, req.id)
 	h.Set("Content-Type", "text/plain")
+	if status == http.StatusUnauthorized {
+		e.daemon.opts.Codec.SetChallenge(h)
+	}
 	if result.Outcome.RetryAfter > 0 {
 		h.Set("Retry-After", formatSeconds(result.Outcome.RetryAfter))
 	}
@@ -273,86 +316,25 @@
 	if k == decision.Answered && !req.closedByDaemon() && !e.daemon.opts.Decisions.Sampled(req.id) {
 		return
 	}
-	e.daemon.opts.Decisions.Write(k, req.id,
+	e.daemon.opts.Decisions.Write(k, req.id, req.withAccount(
 		slog.String("route", routeName), slog.String("service", string(req.service)), slog.String("upstream", req.upstreamKey),
 		slog.String("reason", string(result.Outcome.Reason)), slog.Int("status", status),
 		slog.Int64("retry_after_ms", result.Outcome.RetryAfter.Milliseconds()), slog.Int64("took_ms", elapsed.Milliseconds()),
 		slog.Int("sends", req.deliveredCount), slog.Int("given_back", req.rejectionCount), slog.Int("candidates", req.candidateCount),
 		slog.Int64("expected_ms", req.expectedTime.Milliseconds()), slog.Uint64("config", uint64(e.daemon.config.version())),
-		slog.Bool("idempotent", req.route != nil && req.route.Idempotent), slog.Bool("cut", req.closedByDaemon()))
-}
-
-// serviceState is the state that the entry keeps for one service. mu protects all fields.
-type serviceState struct {
-	mu     sync.Mutex
-	placer *placement.Placer
-	// endpoints holds the endpoint of each candidate, by upstream key.
-	endpoints map[string]endpoint
-	// responded holds the keys of the candidates whose guards have replied to a load query.
-	responded map[string]bool
-	// candidatesGeneration is peers.currentGeneration at the last update of the candidates.
-	candidatesGeneration uint64
-	candidatesLoaded     bool
-	retryLimiter         *retryLimiter
-	// callsPerRun is the average number of requests to other services that an upstream of
-	// this service sends while it serves one request, as last reported by a guard.
-	callsPerRun float64
+		slog.Bool("idempotent", req.route != nil && req.route.Idempotent), slog.Bool("cut", req.closedByDaemon()))...)
 }
 
-// serviceStateOf returns the state of a service, and creates it if necessary.
-func (e *entry) serviceStateOf(name model.ServiceName) *serviceState {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := e.services[name]
-	if s == nil {
-		s = &serviceState{
-			placer:       placement.New(placement.Options{Zone: e.daemon.opts.Zone}),
-			responded:    make(map[string]bool),
-			retryLimiter: newRetryLimiter(e.daemon.tunables.Load().Retries),
-		}
-		e.services[name] = s
-	}
-	return s
-}
-
-func (e *entry) setRetryBudget(b RetryBudget) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, s := range e.services {
-		s.retryLimiter.setBudget(b)
-	}
-}
-
-// retriesLeft returns the smallest number of retries that the retry budget of any service still
-// allows. It returns 0 if no request has been sent to any service.
-func (e *entry) retriesLeft() float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	left, found := 0.0, false
-	for _, s := range e.services {
-		if n := s.retryLimiter.remaining(e.daemon.now()); !found || n < left {
-			left, found = n, true
-		}
-	}
-	return left
-}
-
-// refreshCandidates updates the candidates of a service if the records or the reachability of
-// daemons have changed since the last update. It then removes the keys of former candidates from
-// s.responded. s.mu is held.
-func (e *entry) refreshCandidates(s *serviceState, name model.ServiceName) {
-	generation := e.daemon.peers.currentGeneration()
-	if s.candidatesLoaded && generation == s.candidatesGeneration {
-		return
+// withAccount appends the account of the request and the cause of its refusal to the attributes of a
+// log line, unless they are empty.
+func (r *request) withAccount(attrs ...slog.Attr) []slog.Attr {
+	if r.account != nil {
+		attrs = append(attrs, slog.String("account", string(r.account.Name)))
 	}
-	upstreams, endpoints := e.daemon.peers.candidates(name, e.daemon.config.coldRate(name))
-	s.placer.SetUpstreams(upstreams)
-	s.endpoints, s.candidatesGeneration, s.candidatesLoaded = endpoints, generation, true
-	for key := range s.responded {
-		if _, ok := endpoints[key]; !ok {
-			delete(s.responded, key)
-		}
+	if r.refusalCause != "" {
+		attrs = append(attrs, slog.String("cause", r.refusalCause))
 	}
+	return attrs
 }
 
 // serviceTimeOf returns the service time to expect of a request with timeLeft to its deadline.
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -40,7 +40,7 @@
 		return Attempt{}, errNoID
 	}
 	ms, _ := strconv.Atoi(h.Get("T-Deadline"))
-	return Attempt{ID: h.Get("T-Id"), Deadline: time.Duration(ms) * time.Millisecond}, nil
+	return Attempt{ID: h.Get("T-Id"), Deadline: time.Duration(ms) * time.Millisecond, Key: h.Get("T-Key")}, nil
 }
 
 func (testCodec) WriteRequestInfo(h http.Header, info RequestInfo) {
@@ -48,8 +48,18 @@
 	h.Set("T-Deadline", strconv.FormatInt(info.Deadline.Milliseconds(), 10))
 	h.Set("T-Caller", string(info.Caller))
 	h.Set("T-Expect", string(info.Upstream))
+	if info.Account != "" {
+		h.Set("T-Account", string(info.Account))
+	}
+}
+
+func (testCodec) RemoveAccountHeaders(h http.Header) {
+	h.Del("T-Key")
+	h.Del("T-Account")
 }
 
+func (testCodec) SetChallenge(h http.Header) { h.Set("T-Challenge", "key") }
+
 func (c testCodec) ReadResponseInfo(status int, h http.Header) ResponseInfo {
 	r := ResponseInfo{
 		ID: h.Get("T-Id"), NotRun: h.Get("T-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -7,11 +7,14 @@
 	"sync"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/evacuation"
 	"github.com/dottereltiller/dottereltiller/core/gossip"
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/core/watch"
 	"github.com/dottereltiller/dottereltiller/decision"
+	"github.com/dottereltiller/dottereltiller/hop"
 )
 
 const (
@@ -21,6 +24,9 @@
 	// watcher of the cell reaches the store. The interval is short because a change must be in
 	// force within two seconds.
 	peerPollInterval = 400 * time.Millisecond
+	// confirmationTimeout bounds the wait for the versions of other daemons, and for a newer
+	// configuration of theirs, while a request waits for it.
+	confirmationTimeout = 400 * time.Millisecond
 	// directoryWait bounds the wait for the list of daemons at startup. Without the list, the
 	// daemon does not know whether others watch the store.
 	directoryWait = time.Second
@@ -212,12 +218,151 @@
 	if pool == nil {
 		return
 	}
-	reply, err := sendSync(ctx, pool, syncMessage{From: f.d.peers.localRecord(), Version: f.d.config.version(), Evacuations: f.d.evacuations.message()})
+	version, err := f.exchangeVersions(ctx, pool, m.Address)
 	if err != nil {
 		f.d.peers.reportUnreachable(m.Address, err)
 		return
 	}
+	f.d.onPeerVersion(m.Address, version)
+}
+
+// exchangeVersions exchanges local records and configuration versions with another daemon, and returns
+// the version of that daemon.
+func (f *configFollower) exchangeVersions(ctx context.Context, pool *hop.Pool, address string) (model.Version, error) {
+	reply, err := sendSync(ctx, pool, syncMessage{From: f.d.peers.localRecord(), Version: f.d.config.version(), Evacuations: f.d.evacuations.message()})
+	if err != nil {
+		return 0, err
+	}
 	f.d.peers.merge([]Record{reply.From})
-	f.d.evacuations.receiveMessage(reply.Evacuations, m.Address)
-	f.d.onPeerVersion(m.Address, reply.Version)
+	f.d.evacuations.receiveMessage(reply.Evacuations, address)
+	return reply.Version, nil
+}
+
+// learnVersions asks some other daemons for their versions, and returns the newest. It returns 0 if
+// none answers. If a version is newer than the one in force, learnVersions tries to put it into force.
+func (f *configFollower) learnVersions(ctx context.Context, members []gossip.Member) model.Version {
+	ctx, cancel := context.WithTimeout(ctx, confirmationTimeout)
+	defer cancel()
+	versions := make(chan model.Version, len(members))
+	for _, m := range members {
+		go func() { versions <- f.learnVersion(ctx, m.Address) }()
+	}
+	newest := model.Version(0)
+	for range members {
+		newest = max(newest, <-versions)
+	}
+	return newest
+}
+
+// learnVersion does the same as learnVersions for one other daemon.
+func (f *configFollower) learnVersion(ctx context.Context, address string) model.Version {
+	pool := f.d.peers.pool(address)
+	if pool == nil {
+		return 0
+	}
+	version, err := f.exchangeVersions(ctx, pool, address)
+	if err != nil {
+		return 0
+	}
+	if version > f.d.config.version() {
+		if raw, err := f.d.config.fetch(ctx, pool, address); err == nil {
+			f.d.config.apply(raw, address)
+		}
+	}
+	return version
+}
+
+// readsStore reports whether this daemon watches the store and reaches it.
+func (f *configFollower) readsStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.elector.ReachesStore()
+}
+
+// keyChecks finds out whether keys that the configuration in force does not have were added by a newer
+// one. It is safe for concurrent use.
+type keyChecks struct {
+	d *Daemon
+
+	mu      sync.Mutex
+	checker account.Checker
+	// current ends with the check in progress.
+	current context.Context
+}
+
+// await decides about the key of a request that arrived at the given instant. If necessary, it waits
+// for a check, at most for account.CheckTimeout. It returns account.Known if the configuration in
+// force has the key by then, or needs none. Otherwise it returns account.Unknown or
+// account.Unconfirmed.
+func (k *keyChecks) await(ctx context.Context, arrived model.Instant, key string) account.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, account.CheckTimeout)
+	defer cancel()
+	isKnown := func(t *route.Table) bool {
+		_, ok := t.Accounts().ByKey(key)
+		return ok || t.Accounts() == nil
+	}
+	for ctx.Err() == nil {
+		verdict, check := k.decide(arrived)
+		// A check puts a newer configuration into force before it confirms it.
+		if isKnown(k.d.config.table()) {
+			verdict = account.Known
+		}
+		if check == nil {
+			return verdict
+		}
+		waitCtx, stopWaiting := context.WithCancel(ctx)
+		stop := context.AfterFunc(check, stopWaiting)
+		known := verdict == account.Known || k.d.config.waitFor(waitCtx, isKnown)
+		stop()
+		stopWaiting()
+		k.leave()
+		if known {
+			return account.Known
+		}
+	}
+	return account.Unconfirmed
+}
+
+// decide returns the verdict of the checker. If the request has to wait, it also returns a context that
+// ends with the check. It starts the check if there is none.
+func (k *keyChecks) decide(arrived model.Instant) (account.Verdict, context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	verdict := k.checker.Decide(k.d.now(), arrived)
+	switch verdict {
+	case account.Check:
+		ctx, cancel := context.WithTimeout(k.d.peers.ctx, account.CheckTimeout)
+		k.current = ctx
+		go k.run(ctx, cancel)
+		return verdict, ctx
+	case account.Await:
+		return verdict, k.current
+	default:
+		return verdict, nil
+	}
+}
+
+func (k *keyChecks) leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.checker.Leave()
+}
+
+// run runs a check and calls end after it. The configuration in force is confirmed if at least one
+// other daemon answers and none has a newer one. Without any other daemon to ask, it suffices that
+// this daemon reads the store.
+func (k *keyChecks) run(ctx context.Context, end func()) {
+	defer end()
+	f := k.d.follower
+	local, remote := f.peerSelector.ConfirmationPeers(f.d.peers.reachableMembers())
+	newest := f.learnVersions(ctx, local)
+	newest = max(newest, f.learnVersions(ctx, remote))
+	confirmed := newest > 0 && k.d.config.version() >= newest
+	if len(local)+len(remote) == 0 {
+		confirmed = f.readsStore()
+	}
+	k.d.metrics.countKeyCheck(confirmed)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.checker.End(confirmed)
 }
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -310,11 +310,8 @@
 	if f.entry.daemon.isAborting() {
 		return f.idleShutdownResult()
 	}
-	if result := f.entry.daemon.quarantine.refuseIfQuarantined(f.request); result != nil {
-		if f.bestFailure == nil {
-			return result
-		}
-		return f.finalResult()
+	if result := f.refuseAttempt(previousReason); result != nil {
+		return result
 	}
 	if f.deliveredCount >= f.request.maxAttempts() || f.undeliveredCount > maxUndelivered || f.queueFullCount >= placement.MaxFullGuards {
 		return f.finalResult()
@@ -384,6 +381,10 @@
 	if f.bestFailure != nil && f.bestFailure.Outcome.Reason == outcome.ReasonUpstreamRefused {
 		return refusalResult(outcome.ReasonUpstreamRefused, jittered(upstreamRefusedRetryAfter))
 	}
+	if f.bestFailure != nil && f.bestFailure.Outcome.Reason == outcome.ReasonUnauthenticated {
+		f.request.refusalCause = causeKeyRemoved
+		return f.bestFailure
+	}
 	if f.bestFailure != nil {
 		return refusalResult(f.bestFailure.Outcome.Reason, jittered(max(f.serviceTime, minRetryAfter)))
 	}
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync"
@@ -43,8 +44,12 @@
 	onDeparture func()
 	// isQuarantined reports whether the request of a call must not run, because it crashes upstreams.
 	isQuarantined func(c *Call) bool
-	service       model.ServiceName
-	metrics       *metrics
+	// keyRejection returns why a call must not run under its account any more, or ReasonNone.
+	keyRejection func(c *Call) outcome.Reason
+	// hasAccounts reports whether the configuration in force has client accounts.
+	hasAccounts func() bool
+	service     model.ServiceName
+	metrics     *metrics
 
 	mu      sync.Mutex
 	tracker lifecycle.Tracker
@@ -54,9 +59,8 @@
 	starts startrate.Limiter
 	cold   coldness
 	stated statements
-	// waiters holds a channel for each call in the queue, by the id of its queue item. The
-	// channel receives why the call left the queue.
-	waiters    map[uint64]chan slots.DequeueReason
+	// waiters holds the calls in the queue by the ids of their queue items.
+	waiters    map[uint64]waiter
 	lastItemID uint64
 	wakeTimer  *time.Timer
 	// slowdown is the latest slowdown that the upstream reported, initially 1. A slowdown of 1
@@ -94,14 +98,23 @@
 	crashes  *crashDetector
 }
 
+// waiter is a call in the queue.
+type waiter struct {
+	call *Call
+	// dequeueReason receives why the call left the queue. Its buffer has room for it.
+	dequeueReason chan slots.DequeueReason
+}
+
 func newGuard(o *Options, now func() model.Instant, m *metrics) *guard {
 	g := &guard{
 		opts: o, now: now, metrics: m, service: o.Service,
 		onPanic:       func(string, string, any) {},
 		onDeparture:   func() {},
 		isQuarantined: func(*Call) bool { return false },
+		keyRejection:  func(*Call) outcome.Reason { return outcome.ReasonNone },
+		hasAccounts:   func() bool { return false },
 		queue:         slots.New(1),
-		waiters:       make(map[uint64]chan slots.DequeueReason),
+		waiters:       make(map[uint64]waiter),
 		slowdown:      1,
 		attempts:      newAttemptTable(now),
 		crashes:       &crashDetector{address: o.Addresses.Upstream, now: now, onCrash: func(lostRun) {}},
@@ -289,7 +302,7 @@
 	g.lastItemID++
 	item.ID = g.lastItemID
 	dequeueReason := make(chan slots.DequeueReason, 1)
-	g.waiters[item.ID] = dequeueReason
+	g.waiters[item.ID] = waiter{call: c, dequeueReason: dequeueReason}
 	g.queue.Add(item)
 	return item.ID, dequeueReason, nil
 }
@@ -317,6 +330,8 @@
 		return nil
 	case slots.DeadlineUnreachable:
 		return notRunResult(outcome.ReasonDeadline)
+	case slots.Revoked:
+		return notRunResult(cmp.Or(g.keyRejection(c), outcome.ReasonWithdrawn))
 	case slots.TooLate:
 		g.recordRejection(c, "overdue", 0)
 		return notRunResult(outcome.ReasonQueueFull)
@@ -356,7 +371,7 @@
 		if !ok {
 			break
 		}
-		g.waiters[d.ID] <- d.Reason
+		g.waiters[d.ID].dequeueReason <- d.Reason
 		delete(g.waiters, d.ID)
 	}
 	if wakeAt := g.queue.NextWakeup(now, slowdown); wakeAt != 0 {
--- a/sidecar/guardreject.go
+++ b/sidecar/guardreject.go
@@ -30,6 +30,8 @@
 		return outcome.ReasonNoUpstream
 	case current.State != lifecycle.Ready, g.evacuated:
 		return outcome.ReasonDraining
+	case g.keyRejection(c) != outcome.ReasonNone:
+		return g.keyRejection(c)
 	case g.configVersion() == 0:
 		// Neither evacuations nor what a cold upstream tolerates are known yet.
 		return outcome.ReasonNotReady
--- a/sidecar/guardstop.go
+++ b/sidecar/guardstop.go
@@ -75,10 +75,28 @@
 // rejectAllWaiting rejects every waiting call as if its queue timeout had expired. After such a
 // rejection, the entry picks another upstream. g.mu is held.
 func (g *guard) rejectAllWaiting() {
-	for id, dequeueReason := range g.waiters {
-		if g.queue.Remove(id) {
-			dequeueReason <- slots.QueueTimeoutExpired
-			delete(g.waiters, id)
+	for id := range g.waiters {
+		g.rejectWaiting(id, slots.QueueTimeoutExpired)
+	}
+}
+
+// rejectWaiting removes a call from the queue for the given reason. g.mu is held.
+func (g *guard) rejectWaiting(id uint64, reason slots.DequeueReason) {
+	if g.queue.Remove(id) {
+		g.waiters[id].dequeueReason <- reason
+		delete(g.waiters, id)
+	}
+}
+
+// rejectRevoked rejects the waiting calls that must not run under their accounts any more. It is
+// called when a configuration has come into force.
+func (g *guard) rejectRevoked() {
+	g.mu.Lock()
+	for id, w := range g.waiters {
+		if g.keyRejection(w.call) != outcome.ReasonNone {
+			g.rejectWaiting(id, slots.Revoked)
 		}
 	}
+	g.mu.Unlock()
+	g.dispatch()
 }
--- a/sidecar/loadquery.go
+++ b/sidecar/loadquery.go
@@ -64,6 +64,9 @@
 // hashUpstreamKey returns a 16-bit hash of the key of an upstream.
 func hashUpstreamKey(key string) uint16 { return uint16(xxhash.Sum64String(key)) }
 
+// appendTo appends the encoded message to b. The rank takes one byte: ranks above maxUint8, which only
+// accounts of low priority have, are sent as maxUint8. The reply then counts too few waiting requests,
+// and the guard may reject the request when it arrives.
 func (q loadQueryMessage) appendTo(b []byte) []byte {
 	b = append(b, uint8(min(max(q.rank, 0), maxUint8)))
 	b = binary.BigEndian.AppendUint16(b, uint16(q.kind))
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -267,6 +267,9 @@
 	if err == nil {
 		c.RateLimit, err = decodeRateLimit(r.Header.Get(rateLimitHeader))
 	}
+	if err == nil {
+		err = c.decodeAccount(r.Header.Get(accountHeader))
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -20,6 +20,10 @@
 	hedged      tally.Counter
 	// retriesDenied counts the retries that the retry budget did not allow.
 	retriesDenied tally.Counter
+	// keyRefusals counts the requests that were refused for their keys, by cause.
+	keyRefusals map[string]tally.Counter
+	// keyChecks counts the checks for newer keys, by whether they came to a result.
+	keyChecks map[bool]tally.Counter
 	// resolved counts the resolveRequests that this daemon sent.
 	resolved tally.Counter
 	// closedUnanswered counts the requests whose connection this daemon closed before it had
@@ -75,13 +79,45 @@
 		rateLimited:      scope.Counter("upstream_limit_responses"),
 		leaving:          scope.Counter("upstream_leaving_responses"),
 		panics:           scope.Counter("handlers_panicked"),
-		outcomes:         telemetry.NewOutcomeCounter(scope, "requests"),
-		traffic:          newControlTraffic(scope),
-		latencies:        newTimers(scope),
-		stages:           newTimers(scope),
+		keyRefusals:      newKeyRefusals(scope),
+		keyChecks: map[bool]tally.Counter{
+			true:  scope.Tagged(map[string]string{"result": "confirmed"}).Counter("key_checks"),
+			false: scope.Tagged(map[string]string{"result": "unanswered"}).Counter("key_checks"),
+		},
+		outcomes:  telemetry.NewOutcomeCounter(scope, "requests"),
+		traffic:   newControlTraffic(scope),
+		latencies: newTimers(scope),
+		stages:    newTimers(scope),
 	}
 }
 
+// The causes of refusals for keys.
+const (
+	causeNoKey      = "no-key"
+	causeUnknownKey = "unknown-key"
+	// causeUnconfirmed means that the key is unknown to a daemon that may be outdated.
+	causeUnconfirmed = "unconfirmed"
+	// causeKeyRemoved means that the key was removed after the request had arrived.
+	causeKeyRemoved = "key-removed"
+)
+
+func newKeyRefusals(scope tally.Scope) map[string]tally.Counter {
+	counters := make(map[string]tally.Counter)
+	for _, cause := range []string{causeNoKey, causeUnknownKey, causeUnconfirmed, causeKeyRemoved} {
+		counters[cause] = scope.Tagged(map[string]string{"cause": cause}).Counter("keys_refused")
+	}
+	return counters
+}
+
+// countKeyRefusal counts a request that was refused for its key. For other requests, it does nothing.
+func (m *metrics) countKeyRefusal(cause string) {
+	if c, ok := m.keyRefusals[cause]; ok {
+		c.Inc(1)
+	}
+}
+
+func (m *metrics) countKeyCheck(confirmed bool) { m.keyChecks[confirmed].Inc(1) }
+
 func (m *metrics) countUpstreamConn() { m.connsOpened.Inc(1) }
 
 func (m *metrics) recordResponse(service, route string, o outcome.Outcome, took time.Duration) {
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -98,6 +98,11 @@
 	// WriteRequestInfo sets those headers of a request to an upstream that only daemons may set.
 	// It replaces any that the caller sent.
 	WriteRequestInfo(h http.Header, info RequestInfo)
+	// RemoveAccountHeaders removes the key of a client account from the headers of a request, and
+	// any header that WriteRequestInfo sets to the name of an account.
+	RemoveAccountHeaders(h http.Header)
+	// SetChallenge sets the headers of a response that refuses a request for its key.
+	SetChallenge(h http.Header)
 	// ReadResponseInfo reads the headers of an upstream's response.
 	ReadResponseInfo(status int, h http.Header) ResponseInfo
 	// ReadStatements reads those headers of an upstream's response that ResponseInfo.Statements holds.
--- a/sidecar/retries.go
+++ b/sidecar/retries.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/retry"
 )
 
@@ -72,6 +73,32 @@
 	return min(1, (1/usableBudgetShare-1)/startedFraction)
 }
 
+// refuseAttempt returns the result of a request that must not be sent to another upstream: its key no
+// longer holds, or it is in quarantine. For any other request it returns nil. previousReason is why
+// the previous attempt ended. A guard refuses a key only by a newer configuration than the entry's.
+func (f *forwarder) refuseAttempt(previousReason outcome.Reason) *Result {
+	if previousReason == outcome.ReasonUnauthenticated {
+		return f.finalResult()
+	}
+	if reason := f.entry.keyRejection(f.request); reason != outcome.ReasonNone {
+		f.keepFailure(notRunResult(reason))
+		return f.finalResult()
+	}
+	result := f.entry.daemon.quarantine.refuseIfQuarantined(f.request)
+	if result != nil && f.bestFailure != nil {
+		return f.finalResult()
+	}
+	return result
+}
+
+// keyRejection returns why the request must not run under its account any more, or ReasonNone.
+func (e *entry) keyRejection(r *request) outcome.Reason {
+	if r.account == nil {
+		return outcome.ReasonNone
+	}
+	return e.daemon.config.keyRejection(r.account.Name, r.credential, r.routeTable.Version())
+}
+
 // retryCharge is what one retry took from the retry budgets. A nil charge took nothing.
 type retryCharge struct {
 	service *serviceState
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -39,12 +39,15 @@
 
 // runCall sends a call to the upstream and stores the result in attempt. It does not send a call
 // that was cancelled, whose sender has disconnected, whose deadline is too close or whose request has
-// been quarantined while the call waited. At the end, it frees the slot of the call for waiting calls. arrivedAt is when the call arrived.
+// been quarantined or whose key has been removed while the call waited. At the end, it frees the slot of the call for waiting calls. arrivedAt is when the call arrived.
 func (g *guard) runCall(ctx context.Context, c *Call, attempt *attempt, arrivedAt model.Instant) *Result {
 	timeLeft := c.Deadline - g.now().Sub(arrivedAt)
 	result := notRunResult(outcome.ReasonDeadline)
+	keyRejection := g.keyRejection(c)
 	switch {
 	case timeLeft < minTimeLeft:
+	case keyRejection != outcome.ReasonNone:
+		result = notRunResult(keyRejection)
 	case inbound.ClosedByClient(ctx), g.isQuarantined(c), !attempt.start():
 		result = notRunResult(outcome.ReasonWithdrawn)
 	default:
@@ -66,7 +69,10 @@
 	ctx, cancel := context.WithTimeout(ctx, timeLeft)
 	defer cancel()
 	h := endToEndHeaders(c.Header)
-	g.opts.Codec.WriteRequestInfo(h, RequestInfo{ID: c.ID, Deadline: timeLeft, Caller: c.Caller, Upstream: c.Upstream.ID})
+	if c.Account != "" || g.hasAccounts() {
+		g.opts.Codec.RemoveAccountHeaders(h)
+	}
+	g.opts.Codec.WriteRequestInfo(h, RequestInfo{ID: c.ID, Deadline: timeLeft, Caller: c.Caller, Upstream: c.Upstream.ID, Account: c.Account})
 	var info ResponseInfo
 	req := hop.PoolRequest{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body,
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -45,11 +45,11 @@
 		Method: f.request.httpRequest.Method, Target: f.request.httpRequest.RequestURI, Host: f.request.httpRequest.Host,
 		Header: f.request.httpRequest.Header, Body: f.request.body,
 		Service: f.request.service, Caller: f.entry.daemon.service(), Upstream: attempt.endpoint.upstream,
-		Idempotent: f.request.route.Idempotent, Rank: f.request.route.Rank, Kind: kindOf(f.request.route), ServiceTime: f.serviceTime,
+		Idempotent: f.request.route.Idempotent, Rank: f.request.rank, Kind: kindOf(f.request.route), ServiceTime: f.serviceTime,
 		Deadline: f.request.deadline.Sub(now), RateLimit: attempt.endpoint.limit, Credential: f.request.credential,
 	}
 	if f.request.account != nil {
-		c.Account = f.request.account.Name
+		c.Account, c.AccountVersion = f.request.account.Name, f.request.routeTable.Version()
 	}
 	if f.request.targetTime != 0 {
 		c.TimeToTarget = f.request.targetTime.Sub(now)
@@ -105,6 +105,9 @@
 	if c.RateLimit.Limited {
 		h.Set(rateLimitHeader, c.RateLimit.encode())
 	}
+	if c.Account != "" {
+		h.Set(accountHeader, c.encodeAccount())
+	}
 	reply, err := pool.Do(ctx, hop.PoolRequest{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body, OnInformational: attempt.acknowledge,
 	})
