Queue: guarantee each account a share instead of reserving every fourth start

Every fourth start went to accounts behind the first rank whether they starved or not.

Now a flow, that is an account and rank, is owed a start only if it has been served less than its guaranteed share of all starts, and comes first then. Starts in the order of ranks pay the guarantee off.

Evidence: TestEveryAccountIsServed with the bound of a quarter as before; with the guarantee disabled (ablation edit) its checks fail. TestAheadMatchesTheOrder is stricter: no request may start after more others than Ahead told. Guards log the account of a rejected call and how many accounts wait; gauges count the accounts that wait and the starts that were owed.

--- a/ablation/mechanisms_test.go
+++ b/ablation/mechanisms_test.go
@@ -57,7 +57,7 @@
 	coveredBy("core/slots TestKindsShareWorkEqually", disabledBy("turns between kinds", edits.New(queue, "case aTag != bTag:", "case aTag < 0 && bTag < 0:"))),
 	coveredBy("core/slots TestNoRankStarves", disabledBy("the last rank's turn", edits.New(queue, "lastRankFirst := q.starts%lastRankInterval == lastRankInterval-1", "lastRankFirst := q.starts < 0"))),
 	coveredBy("core/slots TestAccountAboveItsShareTakesFromNobody", disabledBy("shares of accounts", edits.New(queue, "return shares.accounts.startTag(a.Account), shares.accounts.startTag(b.Account)", "return 0, 0"))),
-	coveredBy("core/slots TestEveryAccountIsServed", disabledBy("turns of accounts behind the first rank", edits.New(queue, "if best, ok := q.nextTurnIndex(now, slowdown); ok {", "if best, ok := q.nextTurnIndex(now, slowdown); ok && q.limit < 0 {"))),
+	coveredBy("core/slots TestEveryAccountIsServed", disabledBy("guarantees of accounts", edits.New("core/slots/guarantee.go", "guaranteedShare = 0.3", "guaranteedShare = 0.0"))),
 	disabledBy("the limit below saturation", edits.New(load, "	return reduced\n}", "	return max(slots, 1)\n}")),
 	disabledBy("cold starts", edits.New(load, "slowdown = max(slowdown, coldSlowdown)", "slowdown = max(slowdown, 1)")),
 	disabledBy("learned work", edits.New("core/servicetime/estimates.go", "	e.byRoute[route] = known\n", "	_ = known\n")),
--- a/core/slots/accounts_test.go
+++ b/core/slots/accounts_test.go
@@ -130,7 +130,7 @@
 			for account, s := range result {
 				assert.GreaterOrEqual(t, s.share(), all.share()/4, "account %d: %+v of all %+v", account, s, all)
 			}
-			const kept = loadLength / loadServiceTime * (accountInterval - 1) / accountInterval
+			const kept = loadLength / loadServiceTime * 3 / 4
 			assert.GreaterOrEqual(t, float64(result[1].inTime), 0.97*float64(min(result[1].sent, kept)),
 				"the first priority gets what it asks for, or three quarters of all")
 		})
@@ -211,7 +211,7 @@
 }
 
 // TestAheadMatchesTheOrder has a request of an account arrive behind random others. It must start after
-// no more of them than Ahead has told, rounded to whole turns, if nothing else arrives.
+// no more of them than Ahead has told, if nothing else arrives and nothing is owed.
 func TestAheadMatchesTheOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := New(1)
@@ -240,7 +240,7 @@
 			before++
 			q.Finish()
 		}
-		require.LessOrEqual(t, before, ahead+accountInterval)
+		require.LessOrEqual(t, before, ahead)
 	})
 }
 
@@ -256,4 +256,5 @@
 	}
 	require.LessOrEqual(t, len(q.sharesOf(0).accounts.finishTagByFlow), maxAccounts)
 	require.LessOrEqual(t, len(q.sharesOf(0).kindsByAccount), maxAccounts)
+	require.Zero(t, q.GuaranteedStarts(), "there is only one rank")
 }
--- a/core/slots/admit.go
+++ b/core/slots/admit.go
@@ -83,6 +83,7 @@
 	if a.Alternative > 0 && expected > time.Duration(slowerFactor*float64(a.Alternative))+slowerMargin {
 		return Item{}, SlowerHere, expected
 	}
+	q.guarantees.offer(now, flow{account: a.Account, rank: a.Rank})
 	share := deadlineShare
 	if a.Urgent {
 		share = urgentDeadlineShare
--- a/core/slots/order.go
+++ b/core/slots/order.go
@@ -7,25 +7,10 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 )
 
-const (
-	// lastRankInterval sets how often the last rank comes first if no waiting request has a client
-	// account. One of every lastRankInterval starts goes to the last rank, even if requests of
-	// lower ranks wait. With one in eight, seven eighths of the capacity follow the regular order
-	// of ranks.
-	lastRankInterval = 8
-	// accountInterval sets how often accounts behind the first rank come first. Every account is to
-	// be served at least a quarter as often as all. Where n times as much is asked as fits, accounts
-	// that send the share x of it must get x/4 of the starts, so a quarter of the starts is enough
-	// for any x and n.
-	accountInterval = 4
-)
-
-// turn identifies the requests that take turns in the starts reserved for accounts behind the first
-// rank.
-type turn struct {
-	account Account
-	rank    int
-}
+// lastRankInterval sets how often the last rank comes first if no waiting request has a client account.
+// One of every lastRankInterval starts goes to the last rank, even if requests of lower ranks wait.
+// With one in eight, seven eighths of the capacity follow the regular order of ranks.
+const lastRankInterval = 8
 
 // Position describes a new request, for Queue.Ahead.
 type Position struct {
@@ -44,40 +29,31 @@
 //     take turns;
 //   - of each other account of the same rank, as many waiting requests as its weight allows before
 //     the new request, since the accounts take turns, too;
-//   - if there are accounts, the starts that are reserved for accounts behind the first rank. If the
-//     new request is one of these, it waits no longer than until its turn.
+//   - only the waiting requests of the same rank and account, and those of other flows that are owed
+//     starts, if the account is owed one; see guarantees.
 func (q *Queue) Ahead(p Position) int {
-	lower, higher, accounts := 0, 0, p.Account != 0
-	ownByKind, others, turns := map[Kind]int{}, backlogs[Account]{}, backlogs[turn]{}
-	first := min(q.firstRank(), p.Rank)
+	lower, ownByKind, others, owed := 0, map[Kind]int{}, backlogs{}, map[flow]bool{}
 	for i := range q.items {
 		item := &q.items[i]
-		accounts = accounts || item.Account != 0
+		if q.guarantees.owed(item.flow()) >= 1 {
+			owed[item.flow()] = true
+		}
 		switch {
 		case item.Rank < p.Rank:
 			lower++
-		case item.Rank > p.Rank:
-			higher++
-		case item.Account == p.Account:
+		case item.Rank == p.Rank && item.Account == p.Account:
 			ownByKind[item.Kind]++
-		default:
+		case item.Rank == p.Rank:
 			others.add(item.Account, item.weight())
 		}
-		if item.Rank > first && item.turn() != p.turn() {
-			turns.add(item.turn(), item.weight())
-		}
 	}
 	own := 0
 	for _, waiting := range ownByKind {
 		own += min(waiting, ownByKind[p.Kind]+1)
 	}
-	weight := weightOrDefault(p.Weight)
-	ahead := lower + own + others.ahead(own, weight)
-	if accounts {
-		ahead += min(higher, ahead/(accountInterval-1))
-		if p.Rank > first {
-			ahead = min(ahead, (own+1+turns.ahead(own, weight))*accountInterval)
-		}
+	ahead := lower + own + others.ahead(own, weightOrDefault(p.Weight))
+	if p.Account != 0 && own == 0 && q.guarantees.owed(p.flow()) >= 1 {
+		ahead = min(ahead, len(owed))
 	}
 	return q.running + ahead
 }
@@ -88,35 +64,26 @@
 	weight  float64
 }
 
-// backlogs holds the backlogs of flows that share service time.
-type backlogs[Flow comparable] map[Flow]backlog
+// backlogs holds the backlogs of the accounts of a rank.
+type backlogs map[Account]backlog
 
-func (b backlogs[Flow]) add(f Flow, weight float64) {
-	b[f] = backlog{waiting: b[f].waiting + 1, weight: weight}
+func (b backlogs) add(a Account, weight float64) {
+	b[a] = backlog{waiting: b[a].waiting + 1, weight: weight}
 }
 
-// ahead returns how many requests of the flows start before a new request of another flow that has the
-// given weight and own waiting requests.
-func (b backlogs[Flow]) ahead(own int, weight float64) int {
+// ahead returns how many requests of the accounts start before a new request of another account that
+// has the given weight and own waiting requests.
+func (b backlogs) ahead(own int, weight float64) int {
 	n := 0
-	for _, flow := range b {
-		n += min(flow.waiting, int(math.Ceil(float64(own+1)*flow.weight/weight)))
+	for _, account := range b {
+		n += min(account.waiting, int(math.Ceil(float64(own+1)*account.weight/weight)))
 	}
 	return n
 }
 
-func (p Position) turn() turn { return turn{account: p.Account, rank: p.Rank} }
-
-func (i *Item) turn() turn { return turn{account: i.Account, rank: i.Rank} }
+func (p Position) flow() flow { return flow{account: p.Account, rank: p.Rank} }
 
-// firstRank returns the lowest rank of the waiting requests, and the largest int if there is none.
-func (q *Queue) firstRank() int {
-	first := math.MaxInt
-	for i := range q.items {
-		first = min(first, q.items[i].Rank)
-	}
-	return first
-}
+func (i *Item) flow() flow { return flow{account: i.Account, rank: i.Rank} }
 
 // hasAccounts reports whether any waiting request has a client account.
 func (q *Queue) hasAccounts() bool {
@@ -128,34 +95,46 @@
 	return false
 }
 
+// AccountsWaiting returns the number of client accounts that have waiting requests.
+func (q *Queue) AccountsWaiting() int {
+	accounts := map[Account]bool{}
+	for i := range q.items {
+		if a := q.items[i].Account; a != 0 {
+			accounts[a] = true
+		}
+	}
+	return len(accounts)
+}
+
+// GuaranteedStarts returns how many requests started before requests of lower ranks because their
+// accounts were owed the start.
+func (q *Queue) GuaranteedStarts() int { return q.guaranteedStarts }
+
 // takeNext removes the request that starts next from the queue and charges its account and kind. At
 // least one request must be waiting.
 func (q *Queue) takeNext(now model.Instant, slowdown float64) Dequeued {
-	best, reserved := q.nextIndex(now, slowdown)
+	best := q.nextIndex(now, slowdown)
 	item := &q.items[best]
 	q.sharesOf(item.Rank).charge(item)
-	if reserved {
-		q.turns.charge(item.turn(), item.weightedServiceTime())
-		q.turns.bound(maxAccounts)
-	}
+	q.guarantees.start(item.flow())
 	q.running++
 	q.starts++
 	return q.dequeue(best, Start)
 }
 
-// nextIndex returns the index of the waiting request to start next, and whether the start is one of
-// those reserved for accounts behind the first rank.
-func (q *Queue) nextIndex(now model.Instant, slowdown float64) (index int, reserved bool) {
-	if q.hasAccounts() {
-		if q.starts%accountInterval == accountInterval-1 {
-			if best, ok := q.nextTurnIndex(now, slowdown); ok {
-				return best, true
-			}
-		}
-		return q.nextInRankOrder(now, slowdown, false), false
+// nextIndex returns the index of the waiting request to start next.
+func (q *Queue) nextIndex(now model.Instant, slowdown float64) int {
+	if !q.hasAccounts() {
+		lastRankFirst := q.starts%lastRankInterval == lastRankInterval-1
+		return q.nextInRankOrder(now, slowdown, lastRankFirst)
+	}
+	inRankOrder := q.nextInRankOrder(now, slowdown, false)
+	owed, ok := q.mostOwedIndex(now, slowdown)
+	if !ok || q.items[owed].flow() == q.items[inRankOrder].flow() {
+		return inRankOrder
 	}
-	lastRankFirst := q.starts%lastRankInterval == lastRankInterval-1
-	return q.nextInRankOrder(now, slowdown, lastRankFirst), false
+	q.guaranteedStarts++
+	return owed
 }
 
 // nextInRankOrder returns the index of the request to start next from the first rank, or from the
@@ -176,36 +155,23 @@
 	return best
 }
 
-// nextTurnIndex returns the index of the request to start next among those behind the first rank. It
-// returns false if there is none. The accounts and ranks take turns. Of those whose turn it is, the last
-// rank comes first.
-func (q *Queue) nextTurnIndex(now model.Instant, slowdown float64) (int, bool) {
-	first, best := q.firstRank(), -1
+// mostOwedIndex returns the index of the request to start next from the flow that is owed most. It
+// returns false if no flow that waits is owed a whole start.
+func (q *Queue) mostOwedIndex(now model.Instant, slowdown float64) (int, bool) {
+	best, mostOwed := -1, 0.0
 	for i := range q.items {
-		if q.items[i].Rank == first {
-			continue
-		}
-		if best < 0 || q.turnsBefore(&q.items[i], &q.items[best], now, slowdown) {
+		owed := q.guarantees.owed(q.items[i].flow())
+		switch {
+		case owed < 1:
+		case best < 0, owed > mostOwed:
+			best, mostOwed = i, owed
+		case q.items[i].flow() == q.items[best].flow() && q.startsBefore(&q.items[i], &q.items[best], now, slowdown):
 			best = i
 		}
 	}
 	return best, best >= 0
 }
 
-// turnsBefore reports whether a starts before b in the starts reserved for accounts behind the first
-// rank.
-func (q *Queue) turnsBefore(a, b *Item, now model.Instant, slowdown float64) bool {
-	aTurn, bTurn := q.turns.startTag(a.turn()), q.turns.startTag(b.turn())
-	switch {
-	case aTurn != bTurn:
-		return aTurn < bTurn
-	case a.Rank != b.Rank:
-		return a.Rank > b.Rank
-	default:
-		return q.startsBefore(a, b, now, slowdown)
-	}
-}
-
 // startsBefore reports whether a starts before b. The two must have the same rank.
 func (q *Queue) startsBefore(a, b *Item, now model.Instant, slowdown float64) bool {
 	aStart, bStart := a.latestStart(slowdown), b.latestStart(slowdown)
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -19,9 +19,9 @@
 // should have started earliest comes first.
 //
 // To prevent starvation, every eighth start goes to the last rank. This is the largest rank
-// among the waiting requests. If client accounts wait, every fourth start is reserved for the
-// requests behind the first rank instead, and the accounts and ranks among them take turns. There
-// may be many ranks then, and none of them may starve. A request that can no longer complete before its deadline is
+// among the waiting requests. With client accounts, there are more ranks, and none of them may
+// starve. Instead, each account and rank is guaranteed to be served a quarter as often as all. A
+// request that can no longer complete before its deadline is
 // refused at once. Its response would come too late for its caller.
 package slots
 
@@ -105,9 +105,10 @@
 	limiter StartLimiter
 	// sharesByRank holds the service time shares of the accounts and kinds of requests of each rank.
 	sharesByRank map[int]*rankShares
-	// turns holds the shares of the accounts and ranks in the starts reserved for accounts behind the
-	// first rank.
-	turns fairShares[turn]
+	guarantees   guarantees
+	// guaranteedStarts counts the requests that started before others of lower ranks because their
+	// flows were owed the start.
+	guaranteedStarts int
 }
 
 // StartLimiter limits the rate at which requests start, for example those at a cold upstream.
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -29,6 +29,8 @@
 		{"peers_lost_seconds", "how long the longest lost of them has been out of reach", func() float64 { return d.peers.longestUnreachable().Seconds() }},
 		{"upstream_running", "requests that run in the own upstream", func() float64 { return float64(d.guard.currentLoad().Running) }},
 		{"upstream_waiting", "requests that wait for it", func() float64 { return float64(d.guard.currentLoad().Waiting) }},
+		{"upstream_accounts_waiting", "client accounts whose requests wait for it", func() float64 { return float64(d.guard.accountsWaiting()) }},
+		{"upstream_guaranteed_starts", "starts before lower ranks that were owed to accounts", func() float64 { return float64(d.guard.guaranteedStarts()) }},
 		{"upstream_limit", "requests that may run there at once", func() float64 { return float64(d.guard.currentLoad().Limit) }},
 		{"upstream_slow", "how long work takes there, 1 being as usual", func() float64 { return d.guard.currentLoad().Slowdown }},
 		{"upstream_slow_age_seconds", "age of that figure", func() float64 { return d.guard.currentLoad().SlowdownAge.Seconds() }},
--- a/sidecar/guardload.go
+++ b/sidecar/guardload.go
@@ -69,3 +69,18 @@
 	}
 	return l
 }
+
+// accountsWaiting returns the number of client accounts that have calls in the queue.
+func (g *guard) accountsWaiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.AccountsWaiting()
+}
+
+// guaranteedStarts returns how many calls started before calls of lower ranks because their accounts
+// were owed the start.
+func (g *guard) guaranteedStarts() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.GuaranteedStarts()
+}
--- a/sidecar/guardreject.go
+++ b/sidecar/guardreject.go
@@ -48,10 +48,16 @@
 	slowdown, age := g.currentSlowdown(), g.now().Sub(g.slowdownAt)
 	startDelay := g.queue.StartDelay(g.now(), g.queue.Waiting())
 	running, waiting, limit := g.queue.Running(), g.queue.Waiting(), g.queue.Limit()
+	accounts := g.queue.AccountsWaiting()
 	g.mu.Unlock()
-	g.opts.Decisions.Write(decision.Rejected, c.ID,
+	attrs := []slog.Attr{
 		slog.String("reason", reason), slog.Int64("expected_ms", expectedTime.Milliseconds()),
 		slog.Int64("alternative_ms", c.Alternative.Milliseconds()), slog.Float64("slow", slowdown),
 		slog.Int64("slow_age_ms", age.Milliseconds()), slog.Int("running", running),
-		slog.Int("waiting", waiting), slog.Int("limit", limit), slog.Int64("start_delay_ms", startDelay.Milliseconds()))
+		slog.Int("waiting", waiting), slog.Int("limit", limit), slog.Int64("start_delay_ms", startDelay.Milliseconds()),
+	}
+	if c.Account != "" {
+		attrs = append(attrs, slog.String("account", string(c.Account)), slog.Int("accounts_waiting", accounts))
+	}
+	g.opts.Decisions.Write(decision.Rejected, c.ID, attrs...)
 }
