Spread callers that return after a kill of all daemons

After a kill of all daemons, callers connect within the same moment, are refused within the same moment and came back in step. The values are jittered now like the others.

Evidence: TestCallersReturnSpreadAfterAKillOfAllDaemons; without the jitter all values are equal.

--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -125,7 +125,7 @@
 	}
 	req := &request{httpRequest: r, id: attempt.ID, startedAt: e.daemon.now()}
 	if !e.daemon.inFlight.begin() {
-		e.respond(w, req, refusalResult(outcome.ReasonDraining, noUpstreamRetryAfter))
+		e.respond(w, req, refusalResult(outcome.ReasonDraining, jittered(noUpstreamRetryAfter)))
 		return
 	}
 	defer e.daemon.inFlight.end()
@@ -153,7 +153,7 @@
 func (e *entry) matchRoute(req *request, attempt Attempt) *Result {
 	table := e.daemon.config.table()
 	if table == nil {
-		return refusalResult(outcome.ReasonNotReady, notReadyRetryAfter)
+		return refusalResult(outcome.ReasonNotReady, jittered(notReadyRetryAfter))
 	}
 	path, _, _ := strings.Cut(req.httpRequest.RequestURI, "?")
 	matched, ok := table.Lookup(req.httpRequest.Host, path)
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
-	"github.com/dottereltiller/dottereltiller/core/retry"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/inbound"
 )
@@ -184,7 +182,7 @@
 // the daemon ends.
 func (f *forwarder) idleShutdownResult() *Result {
 	if f.bestFailure == nil {
-		return refusalResult(outcome.ReasonDraining, noUpstreamRetryAfter)
+		return refusalResult(outcome.ReasonDraining, jittered(noUpstreamRetryAfter))
 	}
 	return f.finalResult()
 }
@@ -391,9 +389,5 @@
 	if f.entry.daemon.peers.isEvacuated(f.request.service) {
 		return refusalResult(outcome.ReasonEvacuated, jittered(evacuatedRetryAfter))
 	}
-	return refusalResult(outcome.ReasonNoUpstream, noUpstreamRetryAfter)
+	return refusalResult(outcome.ReasonNoUpstream, jittered(noUpstreamRetryAfter))
 }
-
-// jittered returns a random duration around d, at most 25% shorter or longer. Callers that are
-// refused at the same moment thus get different Retry-After values.
-func jittered(d time.Duration) time.Duration { return retry.JitteredRetryAfter(d, rand.Float64()) }
--- a/sidecar/retries.go
+++ b/sidecar/retries.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -183,3 +184,7 @@
 	defer r.mu.Unlock()
 	return r.window.Remaining(now)
 }
+
+// jittered returns a random duration around d, at most 25% shorter or longer. Callers that are
+// refused at the same moment thus get different Retry-After values.
+func jittered(d time.Duration) time.Duration { return retry.JitteredRetryAfter(d, rand.Float64()) }
--- a/sidecar/retries_test.go
+++ b/sidecar/retries_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
 )
 
 // TestRetriesAreChargedForNestedCalls checks that the budget of a called service limits the
@@ -131,3 +132,18 @@
 		})
 	}
 }
+
+// TestCallersReturnSpreadAfterAKillOfAllDaemons has callers arrive at a daemon that has no configuration
+// yet, as all daemons after a power failure. They must not be told to return at the same moment.
+func TestCallersReturnSpreadAfterAKillOfAllDaemons(t *testing.T) {
+	e := newEntry(&Daemon{config: newConfiguration(nil, nil, newEvacuations(nil))})
+	const callers = 50
+	returns := map[time.Duration]bool{}
+	for range callers {
+		result := e.matchRoute(&request{}, Attempt{ID: "r"})
+		require.Equal(t, outcome.ReasonNotReady, result.Outcome.Reason)
+		require.InDelta(t, float64(notReadyRetryAfter), float64(result.Outcome.RetryAfter), float64(notReadyRetryAfter)/4)
+		returns[result.Outcome.RetryAfter] = true
+	}
+	require.Greater(t, len(returns), callers/2)
+}
