Soak: client accounts whose keys come and go

Runs with an even seed have client accounts. Each new configuration adds a key to each account and removes the one before the last. Callers use a key that is in force; removed keys are tried as well. The checker compares the account that upstreams are told, looks for keys at upstreams, and for runs and refusals against the configuration.

The other mutants were not run.

--- a/soak/check.go
+++ b/soak/check.go
@@ -49,6 +49,8 @@
 	// crashKey identifies a request that crashes upstreams. Such a request is sent with many
 	// attempt ids. For all other requests crashKey is empty.
 	crashKey string
+	// key is the key of the attempt. It is empty on public routes and in runs without client accounts.
+	key sentKey
 	// undisturbed reports whether the VM of the daemon to which the attempt was sent has been
 	// without unplanned faults for quietPeriod at the time of the call. It is nil if crashKey is
 	// empty.
@@ -82,7 +84,9 @@
 	// evacuatedZones holds when each zone was evacuated that still is.
 	evacuatedZones map[string]time.Time
 	// inTouch reports whether the VM of an upstream has been undisturbed. It is nil in tests.
-	inTouch    func(u *platformtest.Upstream) bool
+	inTouch func(u *platformtest.Upstream) bool
+	// removedFor returns how long ago a key was removed, zero if it is valid.
+	removedFor func(sentKey) time.Duration
 	violations []string
 }
 
@@ -116,6 +120,7 @@
 func newChecker() *checker {
 	return &checker{
 		handlingDelay:    func() time.Duration { return 0 },
+		removedFor:       func(sentKey) time.Duration { return 0 },
 		recordsByAttempt: make(map[string]*requestRecord), drainTimes: make(map[string]time.Time), crashCounts: make(map[string]*crashCount),
 		evacuatedZones: make(map[string]time.Time), leavingForwardedAt: make(map[string]time.Time), inTouch: func(*platformtest.Upstream) bool { return true },
 	}
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -15,6 +15,7 @@
 	defer h.mu.Unlock()
 	h.version++
 	h.publishedAt = time.Now()
+	h.publicationTimes[h.version] = h.publishedAt
 	h.store.PutConfig(h.configLocked())
 }
 
@@ -24,7 +25,7 @@
 	for g := range groupCount(h.plan.VMs) {
 		calledServices = append(calledServices, serviceOf(g, 0))
 	}
-	return platformtest.Document(h.version, calledServices...)
+	return platformtest.DocumentWithAccounts(h.version, h.plan.accounts(h.version), calledServices...)
 }
 
 // latestPublication returns the newest version of the configuration and when it was published.
@@ -49,7 +50,7 @@
 		incarnation, stoppingOrExited := m.processState()
 		attempt := fmt.Sprintf("probe-%s-%d", m.config.Name, i)
 		h.checker.recordSent(attempt, m.service(), false)
-		r, err := m.caller.Send(ctx, fmt.Sprintf("/v%d/x", version), attempt, false, requestDeadline)
+		r, err := h.send(ctx, m, fmt.Sprintf("/v%d/x", version), attempt, false, requestDeadline)
 		if incarnationAfter, _ := m.processState(); err != nil || stoppingOrExited || incarnation != incarnationAfter {
 			continue
 		}
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -31,7 +31,7 @@
 
 // The plans of the mutants, in the text format of ReadPlan. planHeader is their first line.
 const (
-	planHeader           = "soak 950 8 30000\n"
+	planHeader           = "soak 951 8 30000\n"
 	planDrains           = planHeader + "3000 drain 1 - 300\n3500 drain 2 - 300\n4000 drain 3 - 300\n9000 drain 4 - 300\n"
 	planLostResponses    = planHeader + "3000 upstream 0 lose 4000\n"
 	planDoubledResponses = planHeader + "3000 upstream 1 double 9000\n3000 upstream 2 double 9000\n3000 upstream 3 double 9000\n"
@@ -50,6 +50,7 @@
 	planLimits           = planHeader + "3000 limit 2 few 12000\n3000 limit 4 few 12000\n6000 kill 2 - 300\n"
 	planLeaving          = planHeader + "3000 leave 2 same-id 8000\n3000 leave 4 new-id 8000\n"
 	planEvacuations      = planHeader + "3000 evacuate 2 - 8000\n"
+	planKeys             = "soak 950 8 30000\n3000 config 0 - 300\n7000 config 0 - 300\n11000 config 0 - 300\n15000 config 0 - 300\n"
 	planNewConfigs       = planHeader + "3000 store 0 silent 3000\n9000 config 0 - 300\n13000 config 0 - 300\n17000 config 0 - 300\n"
 )
 
@@ -155,6 +156,21 @@
 		edits: []edits.Edit{edits.New("sidecar/evacuations.go", "if !s.Supersedes(&e.state) {", "if !s.Supersedes(&e.state) || origin != \"store\" {")},
 		plan:  planEvacuations, wantViolation: "evacuation",
 	},
+	"removed keys are still accepted": {
+		edits: []edits.Edit{
+			edits.New("sidecar/entry.go", "	if holder, ok := accounts.ByKey(attempt.Key); ok {\n", "	holder, ok := accounts.ByKey(attempt.Key)\n	if former, known := formerHolders.Load(attempt.Key); known {\n		holder, ok = former.(*account.Account), true\n	}\n	if ok {\n		formerHolders.Store(attempt.Key, holder)\n"),
+			edits.New("sidecar/entry.go", "// refuseKey returns", "var formerHolders sync.Map\n\n// refuseKey returns"),
+		},
+		plan: planKeys, wantViolation: "key",
+	},
+	"keys are passed on": {
+		edits: []edits.Edit{edits.New("platform/headers.go", "	h.Del(headerKey)\n", "")},
+		plan:  planKeys, wantViolation: "key",
+	},
+	"accounts are lost between daemons": {
+		edits: []edits.Edit{edits.New("sidecar/send.go", "if c.Account != \"\" {", "if c.Account == \"none\" {")},
+		plan:  planKeys, wantViolation: "account",
+	},
 	"a wrong caller is forwarded": {
 		edits: []edits.Edit{edits.New("sidecar/run.go", "Caller: c.Caller, Upstream: c.Upstream.ID", "Caller: c.Service + \"x\", Upstream: c.Upstream.ID")},
 		plan:  planShedding, wantViolation: "caller",
@@ -218,8 +234,9 @@
 			p, err := ReadPlan(strings.NewReader(m.plan))
 			require.NoError(t, err)
 			// The seed determines which loopback network is tried first. Parallel runs use
-			// different seeds, so that they start with different networks.
-			p.Seed += uint64(i)
+			// different seeds, so that they start with different networks. Whether a run has client
+			// accounts depends on whether its seed is even.
+			p.Seed += 2 * uint64(i)
 			r, err := Run(t.Context(), p, Options{Binary: binary, Dir: dir})
 			require.NoError(t, err)
 			require.Contains(t, strings.Join(r.Violations, "\n"), m.wantViolation+":")
--- a/soak/run.go
+++ b/soak/run.go
@@ -83,14 +83,16 @@
 	loopbackNet int
 	startedAt   time.Time    // when the callers were started
 	lastID      atomic.Int64 // the number in the last upstream id, see newID
-	// mu guards version and publishedAt, which belong to the newest configuration.
-	mu            sync.Mutex
-	version       int
-	publishedAt   time.Time
-	requests      atomic.Int64 // see Result.Requests
-	served        atomic.Int64 // see Result.Served
-	finalRequests atomic.Int64 // the requests sent in recoveryWindow
-	finalServed   atomic.Int64 // the requests sent in recoveryWindow that were served
+	// mu guards publicationTimes, and version and publishedAt, which belong to the newest configuration.
+	mu          sync.Mutex
+	version     int
+	publishedAt time.Time
+	// publicationTimes holds when each version was published.
+	publicationTimes map[int]time.Time
+	requests         atomic.Int64 // see Result.Requests
+	served           atomic.Int64 // see Result.Served
+	finalRequests    atomic.Int64 // the requests sent in recoveryWindow
+	finalServed      atomic.Int64 // the requests sent in recoveryWindow that were served
 }
 
 var errNotReady = errors.New("a daemon did not become ready")
@@ -103,9 +105,10 @@
 	if o.Out == nil {
 		o.Out = io.Discard
 	}
-	h := &harness{plan: p, opts: o, checker: newChecker(), store: platformtest.NewStore(), canary: newCanary()}
+	h := &harness{plan: p, opts: o, checker: newChecker(), store: platformtest.NewStore(), canary: newCanary(), publicationTimes: make(map[int]time.Time)}
 	defer h.close()
 	h.checker.inTouch = h.vmInTouch
+	h.checker.removedFor = h.removedFor
 	h.checker.handlingDelay = func() time.Duration { return h.canary.delay(time.Now()) }
 	h.checker.safetyOnly = o.SafetyOnly
 	if err := h.startAll(ctx); err != nil {
@@ -194,7 +197,7 @@
 		for i := 0; ; i++ {
 			attempt := fmt.Sprintf("probe-last-%s-%d", m.config.Name, i)
 			h.checker.recordSent(attempt, m.service(), false)
-			r, err := m.caller.Send(ctx, "/safe/x", attempt, false, requestDeadline)
+			r, err := h.send(ctx, m, "/safe/x", attempt, false, requestDeadline)
 			if err == nil && r.Status == http.StatusOK {
 				break
 			}
@@ -223,6 +226,7 @@
 	for _, m := range h.vms {
 		wg.Go(func() { h.runCallers(ctx, m) })
 		wg.Go(func() { h.checkConfigInForce(ctx, m) })
+		wg.Go(func() { h.sendRemovedKeys(ctx, m) })
 	}
 	for _, f := range h.plan.Faults {
 		select {
@@ -282,7 +286,7 @@
 			h.checker.recordDaemon(attempt, m.daemonIncarnation(connectedTo))
 		},
 	})
-	r, err := m.caller.Send(ctx, path, attempt, nonIdempotent, timeout)
+	r, err := h.send(ctx, m, path, attempt, nonIdempotent, timeout)
 	incarnation, stoppingOrExited := m.processState()
 	// Every unplanned fault affects all VMs, and may end before the response is handled here.
 	if undisturbedBefore && m.faultCount() == faultsBefore && h.undisturbed() && h.checker.wasExecuted(attempt) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -214,8 +214,12 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	const vms, length, seed = 4, 24 * time.Second, 7
-	plans := map[string]Plan{fmt.Sprint("seed ", seed): RandomPlan(seed, vms, length)}
+	const vms, length = 4, 24 * time.Second
+	plans := map[string]Plan{}
+	// The second seed has client accounts.
+	for _, seed := range []uint64{7, 8} {
+		plans[fmt.Sprint("seed ", seed)] = RandomPlan(seed, vms, length)
+	}
 	files, err := filepath.Glob("../testdata/soak/*.plan")
 	require.NoError(t, err)
 	for _, name := range files {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -19,6 +19,8 @@
 type vm struct {
 	// config holds the addresses and settings. config.Service changes when the VM is replaced.
 	config platformtest.VM
+	// number is the number of the VM, from 1.
+	number int
 	// group is the number of the VM's group, see groupCount.
 	group int
 	// binary is the path of the daemon's executable.
@@ -81,7 +83,7 @@
 	addressAt := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	const zoneCount = 3
 	group := number % groupTotal
-	m := &vm{group: group, checker: c, binary: binary, exitErr: make(chan error, 1), stoppedAt: make(map[int]time.Time), config: platformtest.VM{
+	m := &vm{number: number, group: group, checker: c, binary: binary, exitErr: make(chan error, 1), stoppedAt: make(map[int]time.Time), config: platformtest.VM{
 		Name: fmt.Sprintf("vm-%d", number), IP: ip, Zone: fmt.Sprintf("z%d", number/groupTotal%zoneCount), Service: serviceOf(group, number/groupTotal%2),
 		Outbound: addressAt(portOutbound), Ready: addressAt(portReady), Control: addressAt(portControl), Upstream: addressAt(portUpstreamProxy), Store: addressAt(portStoreProxy),
 		InternalPort: portInternal, Advertised: addressAt(portPeerProxy), Bootstrap: true,
