--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/evacuation"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/route"
@@ -97,6 +98,11 @@
 	// WriteRequestInfo sets those headers of a request to an upstream that only daemons may set.
 	// It replaces any that the caller sent.
 	WriteRequestInfo(h http.Header, info RequestInfo)
+	// RemoveAccountHeaders removes the key of a client account from the headers of a request, and
+	// any header that WriteRequestInfo sets to the name of an account.
+	RemoveAccountHeaders(h http.Header)
+	// SetChallenge sets the headers of a response that refuses a request for its key.
+	SetChallenge(h http.Header)
 	// ReadResponseInfo reads the headers of an upstream's response.
 	ReadResponseInfo(status int, h http.Header) ResponseInfo
 	// ReadStatements reads those headers of an upstream's response that ResponseInfo.Statements holds.
@@ -112,6 +118,8 @@
 	ID string
 	// Deadline is how long the caller waits for the response. Zero means that it is not stated.
 	Deadline time.Duration
+	// Key is the key of a client account. It is empty if the caller sent no valid key.
+	Key string
 }
 
 // RequestInfo holds the values that a daemon sends to an upstream in the headers of a request.
@@ -123,6 +131,8 @@
 	Caller model.ServiceName
 	// Upstream is the only upstream that may run the request.
 	Upstream model.UpstreamID
+	// Account is the client account of the request, empty if it has none.
+	Account account.Name
 }
 
 // ResponseInfo holds what the headers of an upstream's response state.
