--- a/core/slots/accounts_test.go
+++ b/core/slots/accounts_test.go
@@ -258,3 +258,38 @@
 	require.LessOrEqual(t, len(q.sharesOf(0).kindsByAccount), maxAccounts)
 	require.Zero(t, q.GuaranteedStarts(), "there is only one rank")
 }
+
+// TestOwedRequestIsAdmitted has an account of a late rank send requests that get no start, as urgent
+// requests always wait. Once it is owed a start, its next request must be admitted despite the queue.
+func TestOwedRequestIsAdmitted(t *testing.T) {
+	q := New(1)
+	admit := func(account Account, rank int) Admission {
+		item, admission, _ := q.Admit(at(0), Arrival{
+			Rank: rank, Account: account, ServiceTime: 100 * ms, UntilTarget: 300 * ms, UntilDeadline: 600 * ms,
+		}, Performance{Slowdown: 1})
+		if admission == Admitted {
+			q.Add(item)
+		}
+		return admission
+	}
+	const urgent, starved = 1, 2
+	refused := 0
+	for range 20 {
+		for q.Waiting() < 5 {
+			q.Add(Item{Account: urgent, ServiceTime: 100 * ms, Target: at(300), Deadline: at(600)})
+		}
+		_, ok := q.Next(at(0), 1)
+		require.True(t, ok)
+		if admit(starved, 9) == Admitted {
+			break
+		}
+		refused++
+		q.Finish()
+	}
+	require.Positive(t, refused, "at first, it is refused")
+	require.Equal(t, q.Running()+q.Waiting(), q.Ahead(Position{Rank: 9, Account: 3}), "a third account finds all others before it")
+	q.Finish()
+	_, ok := q.Next(at(0), 1)
+	require.True(t, ok)
+	require.Equal(t, 1, q.GuaranteedStarts())
+}
--- a/core/slots/order.go
+++ b/core/slots/order.go
@@ -29,8 +29,8 @@
 //     take turns;
 //   - of each other account of the same rank, as many waiting requests as its weight allows before
 //     the new request, since the accounts take turns, too;
-//   - only the waiting requests of the same rank and account, and those of other flows that are owed
-//     starts, if the account is owed one; see guarantees.
+//   - if its account and rank are owed a start, at most one waiting request of each other flow that is
+//     owed one; see guarantees.
 func (q *Queue) Ahead(p Position) int {
 	lower, ownByKind, others, owed := 0, map[Kind]int{}, backlogs{}, map[flow]bool{}
 	for i := range q.items {
