Quotas: decisions of entries and holders, with a model test

core/quota holds the state machine of one daemon: it takes tokens for local requests from the holder of its zone, grants tokens as a holder, and borrows from other zones. It has no goroutines, I/O or clock.

The model test runs nodes over a simulated network under random faults. It found that a holder that had been passed over got back what it had spent since; the bucket is now only cut, never refilled, when it hears of that.

--- /dev/null
+++ b/core/quota/faults_test.go
@@ -0,0 +1,167 @@
+package quota
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dottereltiller/dottereltiller/core/account"
+)
+
+// quotaChange is a quota that came into force at an instant.
+type quotaChange struct {
+	at    time.Duration
+	quota account.Quota
+}
+
+// applyTime is the longest time in which all daemons have a new configuration in force.
+const applyTime = 2 * time.Second
+
+// checkWindows checks that no window holds more requests than the rules allow. A lowered quota binds one
+// window after all daemons have it.
+func (f *fleet) checkWindows(t require.TestingT, changes []quotaChange) {
+	if h, ok := t.(interface{ Helper() }); ok {
+		h.Helper()
+	}
+	window := f.rules.Window
+	start := 0
+	for i, at := range f.passed {
+		for f.passed[start] <= at-window {
+			start++
+		}
+		limit := 0.0
+		for j, c := range changes {
+			replaced := j+1 < len(changes) && changes[j+1].at+applyTime+window <= f.passed[start]
+			if c.at <= at && !replaced {
+				limit = max(limit, (c.quota.PerSecond*window.Seconds()+c.quota.Burst)*(1+f.rules.Overage)+f.rules.Slack)
+			}
+		}
+		require.LessOrEqualf(t, float64(i-start+1), limit, "requests that passed in the window that ends at %v", at)
+	}
+}
+
+// setQuota changes the quota. Each daemon has it in force after a time of its own.
+func (f *fleet) setQuota(q account.Quota) {
+	f.quota = q
+	for _, d := range f.daemons {
+		life := d.life
+		f.after(f.between(0, applyTime), func() {
+			if d.life == life && !d.down {
+				d.setQuota(f.quota)
+			}
+		})
+	}
+}
+
+// cutFor cuts the links between daemons for which differ is true, for a time.
+func (f *fleet) cutFor(length time.Duration, differ func(a, b *simDaemon) bool) {
+	f.cut = differ
+	f.applyCut()
+	f.after(length, func() {
+		f.cut = func(a, b *simDaemon) bool { return false }
+		f.applyCut()
+	})
+}
+
+// kill ends daemons and starts them again after a time.
+func (f *fleet) kill(share float64, pause time.Duration) {
+	for _, d := range f.daemons {
+		if d.down || f.random.Float64() >= share {
+			continue
+		}
+		d.stop()
+		f.after(pause+f.between(0, 200*time.Millisecond), func() { d.start(false) })
+	}
+}
+
+// freeze stops daemons for a time. The others regard them as silent meanwhile.
+func (f *fleet) freeze(share float64, length time.Duration) {
+	for _, d := range f.daemons {
+		if d.down || f.random.Float64() >= share {
+			continue
+		}
+		d.frozenUntil = f.now + length
+		life := d.life
+		for _, other := range f.daemons {
+			otherLife := other.life
+			if other == d {
+				continue
+			}
+			f.after(f.between(100*time.Millisecond, 2*time.Second), func() {
+				if d.life == life && f.now < d.frozenUntil {
+					other.notice(otherLife, d, Silent)
+				}
+			})
+			f.after(length+f.between(0, 2*time.Second), func() {
+				if d.life == life {
+					other.notice(otherLife, d, Reachable)
+				}
+			})
+		}
+	}
+}
+
+// faults are the failures that a schedule draws from.
+var faults = map[string]func(f *fleet, size float64){
+	"kill some":       func(f *fleet, size float64) { f.kill(size, 500*time.Millisecond) },
+	"kill all":        func(f *fleet, size float64) { f.kill(1, time.Second) },
+	"kill for long":   func(f *fleet, size float64) { f.kill(size, 15*time.Second) },
+	"freeze some":     func(f *fleet, size float64) { f.freeze(size, 500*time.Millisecond) },
+	"freeze for long": func(f *fleet, size float64) { f.freeze(size, 13*time.Second) },
+	"lose messages":   func(f *fleet, size float64) { f.lossRate = size },
+	"lose none":       func(f *fleet, size float64) { f.lossRate = 0 },
+	"cut a zone": func(f *fleet, size float64) {
+		f.cutFor(15*time.Second, func(a, b *simDaemon) bool { return (a.zone == "zone-0") != (b.zone == "zone-0") })
+	},
+	"cut a daemon": func(f *fleet, size float64) {
+		f.cutFor(15*time.Second, func(a, b *simDaemon) bool { return a == f.daemons[0] || b == f.daemons[0] })
+	},
+	"cut all in two": func(f *fleet, size float64) {
+		f.cutFor(13*time.Second, func(a, b *simDaemon) bool { return side(a) != side(b) })
+	},
+	"lower the quota": func(f *fleet, size float64) {
+		f.setQuota(account.Quota{PerSecond: f.quota.PerSecond / 4, Burst: f.quota.Burst / 4})
+	},
+	"raise the quota": func(f *fleet, size float64) {
+		f.setQuota(account.Quota{PerSecond: f.quota.PerSecond * 2, Burst: f.quota.Burst * 2})
+	},
+	"change the burst": func(f *fleet, size float64) {
+		f.setQuota(account.Quota{PerSecond: f.quota.PerSecond, Burst: size * 200})
+	},
+}
+
+// side divides the daemons, two thirds of each zone on one side.
+func side(d *simDaemon) bool { return len(d.address)%2 == 0 && d.address[len(d.address)-1]%3 == 0 }
+
+// No faults let more requests pass than the rules allow, in any window, with demand far above the quota.
+func TestNoScheduleOfFaultsExceedsTheQuota(t *testing.T) {
+	names := slices.Sorted(maps.Keys(faults))
+	rapid.Check(t, func(rt *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 7))
+		q := account.Quota{PerSecond: rapid.SampledFrom([]float64{1, 20, 200}).Draw(rt, "rate"), Burst: rapid.SampledFrom([]float64{0, 10, 200}).Draw(rt, "burst")}
+		f := newFleet(random, rapid.IntRange(3, 24).Draw(rt, "daemons"), rapid.IntRange(1, 4).Draw(rt, "zones"), q)
+		for _, d := range f.daemons {
+			d.clockRate = 0.99 + 0.02*random.Float64()
+		}
+		pattern := rapid.SampledFrom([]string{"spread", "one daemon", "moving"}).Draw(rt, "pattern")
+		load := rapid.SampledFrom([]float64{0.5, 1, 8}).Draw(rt, "load")
+		f.runUntil(5 * time.Second)
+		changes := []quotaChange{{0, q}}
+		f.demand(f.now, time.Hour, func(time.Duration) float64 { return load * q.PerSecond }, patterns[pattern](f), nil)
+		for _, name := range rapid.SliceOfN(rapid.SampledFrom(names), 1, 8).Draw(rt, "faults") {
+			before := f.quota
+			faults[name](f, rapid.Float64Range(0, 1).Draw(rt, "size"))
+			if f.quota != before {
+				changes = append(changes, quotaChange{f.now, f.quota})
+			}
+			f.runUntil(f.now + rapid.SampledFrom([]time.Duration{0, 300 * time.Millisecond, 3 * time.Second, 12 * time.Second}).Draw(rt, "pause"))
+		}
+		f.runUntil(f.now + 15*time.Second)
+		f.checkWindows(rt, changes)
+	})
+}
--- /dev/null
+++ b/core/quota/pool.go
@@ -0,0 +1,191 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+const (
+	// leaseValidity is how long an entry may use the tokens that it was granted. The tokens that a
+	// daemon took ahead are lost after it, so it is short. It counts from the request for them.
+	leaseValidity = 200 * time.Millisecond
+	// clockMargin is by how much leases may end later by the clock of their holder, because clocks run at
+	// different rates and replies take time.
+	clockMargin = 100 * time.Millisecond
+	// rounding is the largest error of sums of tokens, which messages carry as multiples of 1e-6.
+	rounding = 1e-4
+	// maxRetryAfter bounds the time after which refused callers are told to return.
+	maxRetryAfter = 5 * time.Second
+	// prefetchShare is the share of the capacity that stays in a bucket for needs when tokens are
+	// granted ahead of need.
+	prefetchShare = 0.5
+	// maxAheadShare is the largest share of the capacity that tokens granted ahead of need take up.
+	maxAheadShare = 0.25
+	// refillShare is the share of the capacity below which a bucket borrows ahead of need.
+	refillShare = 0.9
+	// minAheadUsage is the least number of tokens in a usagePeriod for which a bucket borrows ahead. Accounts that use
+	// fewer are served by borrowing when they need it.
+	minAheadUsage = 3
+	// An account that was refused is not asked for again before an interval from minAskInterval to
+	// maxAskInterval, which bounds the messages about an account that sends far more than its quota.
+	// usualAskInterval is the least interval unless the bucket is full sooner.
+	minAskInterval   = 5 * time.Millisecond
+	usualAskInterval = 20 * time.Millisecond
+	maxAskInterval   = 100 * time.Millisecond
+)
+
+// pool is the token bucket of a holder for one account.
+type pool struct {
+	share share
+	level float64
+	// updatedAt is when level was computed.
+	updatedAt model.Instant
+	// ahead holds the tokens that were granted ahead of need in the current period of
+	// leaseValidity and clockMargin, and in the one before. Until they expire they take up capacity.
+	ahead       [2]float64
+	aheadPeriod int64
+	// backlogEnd is when the refused requests that were told to return will have been served.
+	backlogEnd model.Instant
+	// usage counts the tokens granted to entries, asks the requests for tokens.
+	usage, asks usage
+	// loanDeniedUntil holds until when other zones are known to have no tokens to lend, by the place
+	// at which they are asked.
+	loanDeniedUntil []model.Instant
+	// nextAheadAt is when the bucket may next borrow ahead of need.
+	nextAheadAt model.Instant
+}
+
+// newPool returns the pool of a daemon that has been the holder since startedAt.
+func newPool(now, startedAt model.Instant, s share) *pool {
+	p := &pool{share: s, updatedAt: startedAt}
+	p.fill(now)
+	return p
+}
+
+// fill brings the level up to date.
+func (p *pool) fill(now model.Instant) {
+	if now > p.updatedAt {
+		filled := p.level + now.Sub(p.updatedAt).Seconds()*p.share.rate
+		p.level = max(p.level, min(filled, p.capacity(now)))
+		p.updatedAt = now
+	}
+}
+
+// trim cuts the level to the capacity.
+func (p *pool) trim(now model.Instant) {
+	p.fill(now)
+	p.level = min(p.level, p.capacity(now))
+}
+
+// capacity returns how many tokens the bucket may hold.
+func (p *pool) capacity(now model.Instant) float64 {
+	p.advanceAhead(now)
+	return max(p.share.capacity-p.ahead[0]-p.ahead[1], 0)
+}
+
+func (p *pool) advanceAhead(now model.Instant) {
+	period := int64(now) / int64(leaseValidity+clockMargin)
+	switch elapsed := period - p.aheadPeriod; {
+	case elapsed <= 0:
+		return
+	case elapsed == 1:
+		p.ahead = [2]float64{0, p.ahead[0]}
+	default:
+		p.ahead = [2]float64{}
+	}
+	p.aheadPeriod = period
+}
+
+// setShare changes the share. The level is cut to the new capacity at once.
+func (p *pool) setShare(now model.Instant, s share) {
+	p.fill(now)
+	p.share = s
+	p.trim(now)
+}
+
+// limitTo cuts the level to what a bucket that was empty at startedAt can hold.
+func (p *pool) limitTo(now, startedAt model.Instant) {
+	p.fill(now)
+	p.level = min(p.level, max(now.Sub(startedAt).Seconds(), 0)*p.share.rate)
+}
+
+// grantWhole takes up to need tokens, in whole numbers, and returns how many. If it takes all of
+// them, and more than prefetchShare of the capacity is left, it also takes some of those that are
+// wanted beyond the need.
+func (p *pool) grantWhole(now model.Instant, need, want float64) float64 {
+	p.fill(now)
+	granted := math.Floor(min(p.level+rounding, need))
+	p.level -= granted
+	if granted < need {
+		p.usage.add(now, granted)
+		return granted
+	}
+	spare := min(p.level-prefetchShare*p.share.capacity, maxAheadShare*p.share.capacity-p.ahead[0]-p.ahead[1])
+	extra := max(math.Floor(min(want-need, spare)), 0)
+	p.level -= extra
+	p.ahead[0] += extra
+	p.usage.add(now, granted+extra)
+	return granted + extra
+}
+
+// grantToHolder takes up to need tokens for the holder of another zone and returns how many. It also
+// takes some of those that are wanted beyond the need while the bucket is more than half full.
+func (p *pool) grantToHolder(now model.Instant, need, want float64) float64 {
+	p.fill(now)
+	granted := max(min(p.level, need), 0)
+	if spare := p.level - granted - prefetchShare*p.share.capacity; spare > 0 {
+		granted += max(min(want-granted, spare), 0)
+	}
+	granted = decodeAmount(encodeAmount(granted))
+	p.level -= granted
+	return granted
+}
+
+// deposit adds tokens from another holder. They may exceed the capacity until they are granted. The
+// caller calls trim when it has granted what was needed.
+func (p *pool) deposit(now model.Instant, n float64) {
+	p.fill(now)
+	p.level += n
+}
+
+// shortOf returns how many tokens the bucket lacks to grant need.
+func (p *pool) shortOf(now model.Instant, need float64) float64 {
+	p.fill(now)
+	return need - p.level
+}
+
+// needsAhead reports whether more than the zone's share is used, so that the bucket runs empty while
+// those of other zones may be full. It is then better to borrow before that.
+func (p *pool) needsAhead(now model.Instant) bool {
+	used := max(p.usage.expected(now), p.usage.current)
+	return now >= p.nextAheadAt && used >= minAheadUsage && used > p.share.rate*usagePeriod.Seconds() &&
+		p.level < refillShare*p.capacity(now)
+}
+
+// askAgain returns when a daemon that was granted less than it needs may ask again. The more daemons
+// ask, the longer they wait. The bucket must not become full meanwhile.
+func (p *pool) askAgain(now model.Instant) time.Duration {
+	p.fill(now)
+	next := timeFor(max(1-p.level, p.asks.expected(now)), p.share.accountRate, maxAskInterval)
+	next = max(next, usualAskInterval)
+	return max(min(next, timeFor(p.share.capacity/2, p.share.rate, maxAskInterval)), minAskInterval)
+}
+
+// retryTimes returns when the first and the last of the callers that are refused may return. refused is the
+// number of those that were refused since the last call. The times are spread so that each caller that
+// returns finds a token.
+func (p *pool) retryTimes(now model.Instant, refused int) (first, last time.Duration) {
+	p.fill(now)
+	first = max(timeFor(1-p.level, p.share.accountRate, maxRetryAfter), p.backlogEnd.Sub(now))
+	last = min(first+timeFor(float64(refused), p.share.accountRate, maxRetryAfter), maxRetryAfter)
+	p.backlogEnd = now.Add(last)
+	return min(first, last), last
+}
+
+// idle reports whether a new pool of a daemon that was the holder for long would be the same.
+func (p *pool) idle(now model.Instant) bool {
+	p.fill(now)
+	return p.level >= p.share.capacity && p.backlogEnd <= now && p.usage.expected(now) == 0 && p.usage.current == 0
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,223 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dottereltiller/dottereltiller/core/account"
+	"github.com/dottereltiller/dottereltiller/core/model"
+)
+
+const testNow = model.Instant(time.Hour)
+
+var testRules = Rules{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+func TestSharesOfUnusualQuotas(t *testing.T) {
+	for name, c := range map[string]struct {
+		quota   account.Quota
+		rules   Rules
+		limited bool
+	}{
+		"none":                 {account.Quota{}, testRules, false},
+		"no number":            {account.Quota{PerSecond: math.NaN(), Burst: math.NaN()}, testRules, false},
+		"negative":             {account.Quota{PerSecond: -1, Burst: -1}, testRules, false},
+		"without end":          {account.Quota{PerSecond: math.Inf(1), Burst: math.Inf(1)}, testRules, true},
+		"no burst":             {account.Quota{PerSecond: 3}, testRules, true},
+		"very small":           {account.Quota{PerSecond: 1e-300, Burst: 1e-300}, testRules, true},
+		"rules without values": {account.Quota{PerSecond: 3, Burst: 1}, Rules{}, true},
+		"rules without number": {account.Quota{PerSecond: 3, Burst: 1}, Rules{Overage: math.NaN(), Slack: math.Inf(1)}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, zones := range []int{0, 1, 3} {
+				s := c.rules.shareOf(c.quota, zones)
+				assert.Equal(t, c.limited, s.limited())
+				assert.False(t, math.IsNaN(s.rate+s.capacity) || math.IsInf(s.rate+s.capacity, 0))
+				p := newPool(testNow, 0, s)
+				assert.LessOrEqual(t, p.grantWhole(testNow, 1e12, 1e12), s.capacity+rounding)
+				assert.GreaterOrEqual(t, p.level, -rounding)
+				_, last := p.retryTimes(testNow, math.MaxInt32)
+				assert.LessOrEqual(t, last, maxRetryAfter)
+			}
+		})
+	}
+}
+
+func TestMessagesKeepTheirContent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		amounts := rapid.Float64Range(0, maxAmountPerMessage)
+		r := Request{
+			Account: ID(rapid.Uint64().Draw(t, "account")), Need: amounts.Draw(t, "need"), Want: maxAmountPerMessage,
+			Refused: rapid.IntRange(0, math.MaxUint16).Draw(t, "refused"), FromHolder: rapid.Bool().Draw(t, "holder"),
+			ReturnedAgo: time.Duration(rapid.IntRange(0, never-1).Draw(t, "ago")) * returnedAgoUnit,
+		}
+		decoded, ok := DecodeRequest(r.AppendTo(nil))
+		require.True(t, ok)
+		require.InDelta(t, r.Need, decoded.Need, 2*amountUnit)
+		require.LessOrEqual(t, decoded.Need, r.Need+amountUnit/1000)
+		r.Need, decoded.Need = 0, 0
+		require.Equal(t, r, decoded)
+		granted := amounts.Draw(t, "granted")
+		reply := Reply{Status: UnknownAccount, Granted: granted, AskAgain: time.Millisecond, RetryFirst: time.Second, RetryLast: 2 * time.Second}
+		decodedReply, ok := DecodeReply(reply.AppendTo(nil))
+		require.True(t, ok)
+		require.LessOrEqual(t, decodedReply.Granted, granted+amountUnit/1000)
+		reply.Granted, decodedReply.Granted = 0, 0
+		require.Equal(t, reply, decodedReply)
+	})
+}
+
+func TestMalformedMessagesAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOfN(rapid.Byte(), 0, 2*RequestBytes).Draw(t, "bytes")
+		_, ok := DecodeRequest(b)
+		require.Equal(t, len(b) == RequestBytes, ok)
+		_, ok = DecodeReply(b)
+		require.Equal(t, len(b) == ReplyBytes, ok)
+	})
+}
+
+// Tokens that one daemon takes ahead must not leave others without any.
+func TestTokensAreGrantedAheadOnlyWhileMostAreLeft(t *testing.T) {
+	p := newPool(testNow, 0, share{rate: 100, accountRate: 100, capacity: 100})
+	assert.InDelta(t, 1+25, p.grantWhole(testNow, 1, 1000), rounding)
+	assert.InDelta(t, 1, p.grantWhole(testNow, 1, 1000), rounding)
+	p.level = 40
+	assert.InDelta(t, 30, p.grantWhole(testNow, 30, 1000), rounding)
+	assert.InDelta(t, 10, p.grantWhole(testNow, 30, 1000), rounding)
+}
+
+// Tokens that were granted ahead of need count as part of the burst until they expire.
+func TestTokensGrantedAheadTakeUpCapacity(t *testing.T) {
+	p := newPool(testNow, 0, share{rate: 1000, accountRate: 1000, capacity: 100})
+	require.InDelta(t, 25, p.grantWhole(testNow, 0, 1000), rounding)
+	p.fill(testNow.Add(100 * time.Millisecond))
+	assert.InDelta(t, 75, p.level, rounding)
+	p.fill(testNow.Add(2 * (leaseValidity + clockMargin)))
+	assert.InDelta(t, 100, p.level, rounding)
+}
+
+func TestTokensExpireAndAreGivenBack(t *testing.T) {
+	var l lease
+	l.add(testNow, 2, testNow.Add(leaseValidity))
+	token, ok := l.take(testNow)
+	require.True(t, ok)
+	l.giveBack(testNow, token)
+	for range 2 {
+		_, ok = l.take(testNow)
+		require.True(t, ok)
+	}
+	_, ok = l.take(testNow)
+	require.False(t, ok)
+	// A woken daemon has no tokens, and none comes back.
+	later := testNow.Add(leaseValidity)
+	l.giveBack(later, token)
+	_, ok = l.take(later)
+	require.False(t, ok)
+}
+
+// Callers that are refused at once must not return at once.
+func TestRefusedCallersReturnWhenTheyWillBeServed(t *testing.T) {
+	p := newPool(testNow, testNow, share{rate: 10, accountRate: 10, capacity: 10})
+	first, last := p.retryTimes(testNow, 20)
+	assert.Equal(t, 100*time.Millisecond, first)
+	assert.Equal(t, 2100*time.Millisecond, last)
+	next, _ := p.retryTimes(testNow, 20)
+	assert.Equal(t, last, next)
+}
+
+func zoneOf(states ...MemberState) []Member {
+	var list []Member
+	for i, s := range states {
+		list = append(list, Member{Address: fmt.Sprint("other-", i), Zone: "z", State: s, SilentSince: testNow})
+	}
+	return list
+}
+
+// accountOf returns an account whose holder is the given daemon.
+func accountOf(t *testing.T, m *members, address string) ID {
+	for id := range ID(1000) {
+		if h, ok := m.holder("z", id); ok && h.Address == address {
+			return id
+		}
+	}
+	require.Fail(t, "no account of "+address)
+	return 0
+}
+
+func TestHolderOfASilentDaemonChangesLate(t *testing.T) {
+	m := newMembers("self", "z", 0)
+	m.set(testNow, zoneOf(Reachable, Reachable, Reachable), true)
+	id := accountOf(t, m, "other-0")
+	m.set(testNow, zoneOf(Silent, Reachable, Reachable), true)
+	h, _ := m.holder("z", id)
+	require.Equal(t, "other-0", h.Address)
+	later := testNow.Add(holderRetention)
+	m.refresh(later)
+	h, _ = m.holder("z", id)
+	require.NotEqual(t, "other-0", h.Address)
+	// It is told for how long it has been the holder again.
+	m.set(later, zoneOf(Reachable, Reachable, Reachable), true)
+	h, _ = m.holder("z", id)
+	require.Equal(t, "other-0", h.Address)
+	require.Equal(t, time.Second, h.returnedAgo(later.Add(time.Second)))
+}
+
+func TestNewHolderStartsWhenThePreviousIsGone(t *testing.T) {
+	m := newMembers("self", "z", 0)
+	m.set(testNow, zoneOf(Reachable), true)
+	lost, own := accountOf(t, m, "other-0"), accountOf(t, m, "self")
+	_, ok := m.holds(testNow, lost)
+	require.False(t, ok)
+	later := testNow.Add(time.Minute)
+	m.set(later, zoneOf(Gone), true)
+	since, ok := m.holds(later, lost)
+	require.True(t, ok)
+	assert.Equal(t, later, since)
+	since, ok = m.holds(later, own)
+	require.True(t, ok)
+	assert.Equal(t, model.Instant(0), since)
+}
+
+func TestIsolatedDaemonTakesOverFromNobody(t *testing.T) {
+	m := newMembers("self", "z", 0)
+	m.set(testNow, zoneOf(Reachable, Reachable), true)
+	lost, own := accountOf(t, m, "other-0"), accountOf(t, m, "self")
+	m.set(testNow, zoneOf(Silent, Silent), true)
+	_, ok := m.holds(testNow, own)
+	require.True(t, ok)
+	later := testNow.Add(2 * holderRetention)
+	m.refresh(later)
+	for _, id := range []ID{lost, own} {
+		_, ok = m.holds(later, id)
+		require.False(t, ok)
+	}
+	m.set(later, zoneOf(Reachable, Reachable), true)
+	since, ok := m.holds(later, own)
+	require.True(t, ok)
+	assert.Equal(t, later, since, "the majority may have chosen another holder meanwhile")
+}
+
+func TestDaemonThatKnowsNobodyHoldsNothing(t *testing.T) {
+	m := newMembers("self", "z", 0)
+	_, ok := m.holds(testNow, 1)
+	require.False(t, ok)
+	m.set(testNow, nil, true)
+	_, ok = m.holds(testNow, 1)
+	require.True(t, ok)
+}
+
+// A holder that others had passed over must not get back what it has spent since.
+func TestSpentTokensDoNotComeBack(t *testing.T) {
+	p := newPool(testNow, testNow.Add(-time.Minute), share{rate: 10, accountRate: 10, capacity: 100})
+	require.InDelta(t, 100, p.grantWhole(testNow, 100, 100), rounding)
+	for later := range time.Duration(3) {
+		p.limitTo(testNow, testNow.Add(-5*time.Second+later*10*time.Millisecond))
+		assert.InDelta(t, 0, p.level, rounding)
+	}
+}
