--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -280,3 +281,25 @@
 	}
 	b.ReportMetric(float64(l.Held()), "accounts")
 }
+
+// BenchmarkMemory reports the memory of one account at its holder, and of one with a lease at an entry.
+func BenchmarkMemory(b *testing.B) {
+	heapBytes := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for b.Loop() {
+		before := heapBytes()
+		l, accounts := newLarge(b)
+		configured := heapBytes()
+		for i := range accounts {
+			l.Take(b.Context(), &accounts[i])
+		}
+		used := heapBytes()
+		b.ReportMetric((configured-before)/manyAccounts, "B/account")
+		b.ReportMetric((used-configured)/manyAccounts, "B/used-account")
+		runtime.KeepAlive(l)
+	}
+}
