Quotas: timeouts under load, whole amounts, full queues of holders

The search for timeouts was put off by each message, so that requests that waited for a silent holder waited for as long as there was other traffic (TestRepliesTimeOutUnderLoad fails without the change). An amount of whole tokens could arrive as slightly less, and one token of it was then refused (TestWholeAmountsStayWhole). A holder with a full queue forgot those that waited before.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -54,7 +54,11 @@
 		return
 	}
 	g := pendingGrant{from: from, exchange: number, request: r}
-	if b := n.borrows[r.Account]; b != nil && len(b.waiting) < maxWaiters {
+	if b := n.borrows[r.Account]; b != nil {
+		if len(b.waiting) >= maxWaiters {
+			n.sendReply(from, number, p.refusal(now, r.Refused+int(r.Need)))
+			return
+		}
 		b.waiting = append(b.waiting, g)
 		return
 	}
@@ -106,11 +110,11 @@
 	delete(n.borrows, id)
 	for i := range b.waiting {
 		g := &b.waiting[i]
-		reply := Reply{Granted: g.granted}
+		reply := Reply{}
 		if short := g.short(); short > 0 && p != nil {
-			reply.AskAgain = p.askAgain(now)
-			reply.RetryFirst, reply.RetryLast = p.retryTimes(now, g.request.Refused+int(short))
+			reply = p.refusal(now, g.request.Refused+int(short))
 		}
+		reply.Granted = g.granted
 		n.sendReply(g.from, g.exchange, reply)
 	}
 }
@@ -165,6 +169,14 @@
 	}
 }
 
+// refusal returns the reply to a request that gets less than it needs. refused is the number of callers that
+// are refused, with those that the sender has refused since its last request.
+func (p *pool) refusal(now model.Instant, refused int) Reply {
+	reply := Reply{AskAgain: p.askAgain(now)}
+	reply.RetryFirst, reply.RetryLast = p.retryTimes(now, refused)
+	return reply
+}
+
 // noLoanUntil returns until when the zone that is asked at place i is known to have no tokens to lend.
 func (p *pool) noLoanUntil(i int) model.Instant {
 	if i < len(p.loanDeniedUntil) {
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// amountUnit is the unit of amounts in messages, in tokens.
-	amountUnit = 1e-6
+	// amountsPerToken is the number of units of amounts in messages that make up a token.
+	amountsPerToken = 1e6
 	// maxAmountPerMessage bounds the tokens in one message.
 	maxAmountPerMessage = 4000
 	// RequestBytes and ReplyBytes are the lengths of the encoded messages.
@@ -62,10 +62,12 @@
 const returnedAgoUnit = 10 * time.Millisecond
 
 func encodeAmount(v float64) uint32 {
-	return uint32(math.Floor(min(amount(v), maxAmountPerMessage)/amountUnit + amountUnit))
+	// The product of a whole number of tokens may come out slightly too small.
+	const productError = 1e-6
+	return uint32(math.Floor(min(amount(v), maxAmountPerMessage)*amountsPerToken + productError))
 }
 
-func decodeAmount(v uint32) float64 { return min(float64(v)*amountUnit, maxAmountPerMessage) }
+func decodeAmount(v uint32) float64 { return min(float64(v)/amountsPerToken, maxAmountPerMessage) }
 
 func encodeCount(v int) uint16 { return uint16(min(max(v, 0), math.MaxUint16)) }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -58,20 +58,27 @@
 		}
 		decoded, ok := DecodeRequest(r.AppendTo(nil))
 		require.True(t, ok)
-		require.InDelta(t, r.Need, decoded.Need, 2*amountUnit)
-		require.LessOrEqual(t, decoded.Need, r.Need+amountUnit/1000)
+		require.InDelta(t, r.Need, decoded.Need, 2.0/amountsPerToken)
+		require.LessOrEqual(t, decoded.Need, r.Need+0.001/amountsPerToken)
 		r.Need, decoded.Need = 0, 0
 		require.Equal(t, r, decoded)
 		granted := amounts.Draw(t, "granted")
 		reply := Reply{Status: UnknownAccount, Granted: granted, AskAgain: time.Millisecond, RetryFirst: time.Second, RetryLast: 2 * time.Second}
 		decodedReply, ok := DecodeReply(reply.AppendTo(nil))
 		require.True(t, ok)
-		require.LessOrEqual(t, decodedReply.Granted, granted+amountUnit/1000)
+		require.LessOrEqual(t, decodedReply.Granted, granted+0.001/amountsPerToken)
 		reply.Granted, decodedReply.Granted = 0, 0
 		require.Equal(t, reply, decodedReply)
 	})
 }
 
+// Requests wait for whole tokens, so these must arrive as whole numbers.
+func TestWholeAmountsStayWhole(t *testing.T) {
+	for v := range maxAmountPerMessage + 1 {
+		require.Equal(t, float64(v), decodeAmount(encodeAmount(float64(v))))
+	}
+}
+
 func TestMalformedMessagesAreRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := rapid.SliceOfN(rapid.Byte(), 0, 2*RequestBytes).Draw(t, "bytes")
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -89,14 +89,20 @@
 func (l *Limiter) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(idleInterval)
 	defer ticker.Stop()
+	// A reset starts the interval anew, so the ticker is not reset while replies are due: they would
+	// never time out.
+	ticking := false
 	for {
 		select {
 		case <-ctx.Done():
 			return suture.ErrDoNotRestart
 		case <-l.wake:
-			ticker.Reset(tickInterval)
+			if !ticking {
+				ticking = true
+				ticker.Reset(tickInterval)
+			}
 		case <-ticker.C:
-			if !l.tick() {
+			if ticking = l.tick(); !ticking {
 				ticker.Reset(idleInterval)
 			}
 		}
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -154,6 +154,28 @@
 	})
 }
 
+// Other requests must not keep those that wait for a silent holder from their verdict.
+func TestRepliesTimeOutUnderLoad(t *testing.T) {
+	a := accountOf(30, 60)
+	inBubble(t, a, func(t *testing.T, ctx context.Context, n *network) {
+		l := n.limiters[addressIn("a")]
+		n.down.Store(addressIn("b"), true)
+		n.down.Store(addressIn("c"), true)
+		takeAll(ctx, l, &a, 10)
+		var done atomic.Bool
+		go func() {
+			takeAll(ctx, l, &a, 100)
+			done.Store(true)
+		}()
+		for range 200 {
+			time.Sleep(time.Millisecond)
+			l.HandleRequest(addressIn("b"), 1, corequota.Request{Account: corequota.IDOf(a.Name), FromHolder: true}.AppendTo(nil))
+		}
+		synctest.Wait()
+		assert.True(t, done.Load())
+	})
+}
+
 // unreachable returns a Limiter that holds nothing and reaches nobody.
 func unreachable() *quota.Limiter {
 	start := time.Now()
