--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -20,6 +20,7 @@
 	corequota "github.com/dottereltiller/dottereltiller/core/quota"
 	"github.com/dottereltiller/dottereltiller/core/route"
 	"github.com/dottereltiller/dottereltiller/core/servicetime"
+	"github.com/dottereltiller/dottereltiller/core/slots"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/inbound"
 )
@@ -86,6 +87,14 @@
 	cachedFingerprint *quarantine.Fingerprint
 }
 
+// accountNumber identifies the client account of the request in queues, zero if it has none.
+func (r *request) accountNumber() slots.Account {
+	if r.account == nil {
+		return 0
+	}
+	return slots.Account(r.account.Name.Number())
+}
+
 // closedByDaemon reports whether this daemon has closed the caller's connection.
 func (r *request) closedByDaemon() bool { return inbound.ClosedByServer(r.httpRequest.Context()) }
 
@@ -119,7 +128,7 @@
 	}
 	req := &request{httpRequest: r, id: attempt.ID, startedAt: e.daemon.now()}
 	if !e.daemon.inFlight.begin() {
-		e.respond(w, req, refusalResult(outcome.ReasonDraining, noUpstreamRetryAfter))
+		e.respond(w, req, refusalResult(outcome.ReasonDraining, jittered(noUpstreamRetryAfter)))
 		return
 	}
 	defer e.daemon.inFlight.end()
@@ -150,7 +159,7 @@
 func (e *entry) matchRoute(req *request, attempt Attempt) *Result {
 	table := e.daemon.config.table()
 	if table == nil {
-		return refusalResult(outcome.ReasonNotReady, notReadyRetryAfter)
+		return refusalResult(outcome.ReasonNotReady, jittered(notReadyRetryAfter))
 	}
 	path, _, _ := strings.Cut(req.httpRequest.RequestURI, "?")
 	matched, ok := table.Lookup(req.httpRequest.Host, path)
