Retries: a scarce budget goes first to requests that complete a run

While all upstreams of a called service reject half of their requests, the retry budget covers a third of what is rejected. It was spent first come, first served: also on runs that have failed, whose repetition sends all calls again, and on calls of runs that miss another call too.

Package callgroup takes requests of a route that arrive together for parallel calls of one run. Retries have classes by what they achieve, and a Reserve keeps from each class what the better ones are expected to need within the span of the budget. The bound over all daemons is the same, and nothing is exchanged between daemons.

The tests that call tryCharge and chargeRetry pass the best class, for which the budget is as before.

--- a/ablation/mechanisms_test.go
+++ b/ablation/mechanisms_test.go
@@ -64,6 +64,8 @@
 	coveredBy("sidecar TestHealthResponsesDoNotDecideRouting", disabledBy("the failing share", edits.New(load, "maxFailureRate = 0.95", "maxFailureRate = 0.0"))),
 	coveredBy("sidecar TestRetryBudgetAfterDaemonRestarts", disabledBy("the budget's part after starts", edits.New(retries, "return min(1, (1/usableBudgetShare-1)/startedFraction)", "return min(1, 1+startedFraction)"))),
 	coveredBy("sidecar TestRetriesAreChargedForNestedCalls", disabledBy("calls in the budget", edits.New(retries, "for _, o := range e.serviceStatesExcept(s) {", "for _, o := range e.serviceStatesExcept(s)[:0] {"))),
+	coveredBy("sidecar TestScarceRetriesGoToRunsThatTheyComplete", disabledBy("retries by what they achieve", edits.New(retries, "r.window.Remaining(now)-r.reserve.Kept(now, class) >= n && r", "r"))),
+	coveredBy("core/callgroup TestCalledServiceRejectsHalfWhileRunsNeedTwoCalls", disabledBy("groups of calls", edits.New("core/callgroup/callgroup.go", "now.Sub(a.newest.firstAt) > maxArrivalGap ||", "now.Sub(a.newest.firstAt) >= 0 ||"))),
 	disabledBy("the budget's margin", edits.New(retries, "usableBudgetShare = 0.75", "usableBudgetShare = 0.999")),
 	coveredBy("core/placement TestMissesDeadline", disabledBy("early refusal", edits.New(parameters, "maxRefusalAge = 30 * time.Millisecond", "maxRefusalAge = 0 * time.Millisecond"))),
 	disabledBy("refusal after a full guard", edits.New(placer, "return capacityRejections > 0 && left != 0 && c.Expected > left", "return capacityRejections > 99 && left != 0 && c.Expected > left")),
--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -93,7 +93,7 @@
 		{Refused, Trouble, "The entry refused a request; no upstream executed it.", completionFields},
 		{Failed, Trouble, "The entry responded with an error of its own; the request may have been executed.", completionFields},
 		{Aborted, State, "Code that served a request panicked. If `part` is `callers` or `peers`, the connection was closed without a response.", []string{"part", "error", "stack"}},
-		{Retried, Trouble, "The entry retried a request at another upstream after an attempt ended.", []string{"service", "upstream", "reason", "sends", "budget_left"}},
+		{Retried, Trouble, "The entry retried a request at another upstream after an attempt ended. `class` orders retries while the budget is scarce.", []string{"service", "upstream", "reason", "class", "sends", "budget_left"}},
 		{Hedged, Trouble, "The entry sent an idempotent request to a second upstream while the first was still running it.", []string{"service", "upstream", "instead_of", "waited_ms", "expected_ms", "budget_left"}},
 		{Rejected, Trouble, "The guard rejected a request without executing it, so that the entry can pick another upstream.", []string{"reason", "expected_ms", "alternative_ms", "slow", "slow_age_ms", "running", "waiting", "limit", "start_delay_ms"}},
 		{Withdrawn, Trouble, "The entry asked a guard over a new connection for the outcome of an attempt; the guard cancels it if it has not started.", []string{"upstream", "result"}},
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/retry"
 	"github.com/dottereltiller/dottereltiller/decision"
 )
 
@@ -120,7 +121,7 @@
 		latestEnd = f.request.deadline
 	}
 	if now.Add(attempt.choice.Expected) <= latestEnd {
-		attempt.charge = f.entry.chargeRetry(f.serviceState, now)
+		attempt.charge = f.entry.chargeRetry(f.serviceState, now, retry.Repeating)
 	}
 	if attempt.charge == nil {
 		f.releaseChoice(attempt)
--- a/sidecar/correction_test.go
+++ b/sidecar/correction_test.go
@@ -11,6 +11,7 @@
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
+	"github.com/dottereltiller/dottereltiller/core/retry"
 )
 
 // The tests in this file give a daemon the worst wrong state that it can have, and then
@@ -161,11 +162,11 @@
 	b := RetryBudget{Ratio: 0.2, Slack: 50, Span: 10 * time.Second}
 	r := newRetryLimiter(b)
 	now := model.Instant(time.Hour)
-	for r.tryCharge(now, 1, 2, 1) {
+	for r.tryCharge(now, retry.Completing, 1, 2, 1) {
 	}
-	require.False(t, r.tryCharge(now, 1, 2, 1))
+	require.False(t, r.tryCharge(now, retry.Completing, 1, 2, 1))
 	now = now.Add(b.Span + time.Second)
-	require.True(t, r.tryCharge(now, 1, 2, 1))
+	require.True(t, r.tryCharge(now, retry.Completing, 1, 2, 1))
 }
 
 // cancelledContext returns a cancelled context. With it, peers send nothing.
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/bodylimit"
+	"github.com/dottereltiller/dottereltiller/core/callgroup"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
@@ -89,6 +90,7 @@
 	splitter     route.Splitter
 	services     map[model.ServiceName]*serviceState
 	serviceTimes servicetime.Estimates
+	callGroups   callgroup.Tracker
 }
 
 func newEntry(d *Daemon) *entry {
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/core/callgroup"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/placement"
@@ -62,6 +63,7 @@
 	entry        *entry
 	request      *request
 	serviceState *serviceState
+	group        *callgroup.Group
 	// serviceTime is the estimate by serviceTimeOf of how long an upstream takes for the request.
 	serviceTime time.Duration
 	// results receives the result of each attempt.
@@ -100,14 +102,15 @@
 	}
 	capacity := req.maxAttempts() + maxUndelivered + placement.MaxRejections + 1
 	f := &forwarder{
-		entry: e, request: req, serviceState: s, serviceTime: e.serviceTimeOf(req.route.Name, req.deadline.Sub(req.startedAt)),
+		entry: e, request: req, serviceState: s, group: e.joinGroup(req), serviceTime: e.serviceTimeOf(req.route.Name, req.deadline.Sub(req.startedAt)),
 		results: make(chan attemptResult, capacity), unacknowledged: make(chan *attemptState, capacity), excluded: make(map[string]bool),
 	}
 	defer f.cancelAndReleaseAll()
-	if result := f.startNext(outcome.ReasonNone); result != nil {
-		return result
+	result := f.startNext(outcome.ReasonNone)
+	if result == nil {
+		result = f.waitForResult()
 	}
-	return f.waitForResult()
+	return f.recordGroupResult(result)
 }
 
 // waitForResult waits for the results of attempts until the request has ended, and returns the
@@ -268,14 +271,11 @@
 	if result.Outcome.Kind == outcome.Answered && result.Status < http.StatusInternalServerError && result.ServiceTime > 0 {
 		f.entry.recordServiceTime(f.request.route.Name, result.ServiceTime)
 	}
-	switch {
-	case result.Delivered:
+	if result.Delivered {
 		f.deliveredCount++
 		f.request.deliveredCount = f.deliveredCount
-	default:
+	} else {
 		attempt.charge.refund(now)
-	}
-	if !result.Delivered {
 		f.undeliveredCount++
 	}
 	switch result.Outcome.Reason {
@@ -319,14 +319,14 @@
 	if f.deliveredCount >= f.request.maxAttempts() || f.undeliveredCount > maxUndelivered || f.queueFullCount >= placement.MaxFullGuards {
 		return f.finalResult()
 	}
-	now := f.entry.daemon.now()
 	var charge *retryCharge
 	if f.deliveredCount > 0 {
-		if charge = f.entry.chargeRetry(f.serviceState, now); charge == nil {
+		if charge = f.chargeNext(); charge == nil {
 			f.entry.daemon.metrics.retriesDenied.Inc(1)
 			return f.finalResult()
 		}
 	}
+	now := f.entry.daemon.now()
 	attempt, ok := f.chooseUpstream(now)
 	if !ok && previousReason == outcome.ReasonWithdrawn || !ok && f.deliveredCount == 0 && len(f.excluded) > 0 {
 		// No other upstream is left. An upstream whose guard rejected the request is better than
@@ -350,7 +350,7 @@
 	attempt.charge = charge
 	if f.deliveredCount > 0 {
 		f.entry.daemon.metrics.retried.Inc(1)
-		f.logDecision(decision.Retried, attempt, slog.String("reason", string(previousReason)))
+		f.logDecision(decision.Retried, attempt, slog.String("reason", string(previousReason)), slog.String("class", charge.class.String()))
 	}
 	f.startAttempt(attempt)
 	return nil
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -20,6 +20,9 @@
 	hedged      tally.Counter
 	// retriesDenied counts the retries that the retry budget did not allow.
 	retriesDenied tally.Counter
+	// retriesHeldBack counts those of them that the budget of the service had room for, which was
+	// kept for retries that achieve more.
+	retriesHeldBack tally.Counter
 	// resolved counts the resolveRequests that this daemon sent.
 	resolved tally.Counter
 	// closedUnanswered counts the requests whose connection this daemon closed before it had
@@ -70,6 +73,7 @@
 		retried:          scope.Counter("resent"),
 		hedged:           scope.Counter("hedged"),
 		retriesDenied:    scope.Counter("resend_budget_empty"),
+		retriesHeldBack:  scope.Counter("resend_held_back"),
 		resolved:         scope.Counter("settled"),
 		closedUnanswered: scope.Counter("requests_cut"),
 		rateLimited:      scope.Counter("upstream_limit_responses"),
--- a/sidecar/retries.go
+++ b/sidecar/retries.go
@@ -1,10 +1,13 @@
 package sidecar
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/dottereltiller/dottereltiller/core/callgroup"
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/retry"
 )
 
@@ -14,6 +17,10 @@
 	// sends. A retry causes more, because the executions that fail and are retried are mostly those
 	// that send requests to other services. Second, daemons that crash lose their counts.
 	usableBudgetShare = 0.75
+	// groupWait is how long the retry of a request waits for the other requests in its group while
+	// the budget is scarce. Upstreams reject at once, so it covers what differs between two ways to
+	// an upstream of the region: the queries of loads and a round trip.
+	groupWait = 25 * time.Millisecond
 )
 
 // retryLimiter enforces this daemon's share of the retry budget of one service. It is safe for
@@ -25,6 +32,8 @@
 	slack float64
 	// window counts the requests and the retries of the last budget.Span.
 	window *retry.WindowBudget
+	// reserve decides how much of window is kept for retries of better classes.
+	reserve *retry.Reserve
 }
 
 func newRetryLimiter(b RetryBudget) *retryLimiter {
@@ -43,6 +52,7 @@
 	}
 	r.budget, r.slack = b, b.Slack*usableBudgetShare
 	r.window = retry.NewWindowBudget(b.Span, b.Ratio*usableBudgetShare, 0)
+	r.reserve = retry.NewReserve(b.Span)
 }
 
 func (r *retryLimiter) countRequest(now model.Instant) {
@@ -51,16 +61,17 @@
 	r.window.CountRequest(now)
 }
 
-// tryCharge charges n retries and returns true if the budget allows them. Otherwise it charges
-// nothing and returns false. daemonCount is the number of all daemons, among which the slack of
+// tryCharge charges n retries of a class and returns true if the budget allows them and is not kept
+// for better classes. Otherwise it charges nothing and returns false. daemonCount is the number of all daemons, among which the slack of
 // the budget is divided equally. startedFraction is the fraction of the daemons that started within
 // the last RetryBudget.Span; see budgetShareAfterStarts.
-func (r *retryLimiter) tryCharge(now model.Instant, n float64, daemonCount int, startedFraction float64) bool {
+func (r *retryLimiter) tryCharge(now model.Instant, class retry.Class, n float64, daemonCount int, startedFraction float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.window.SetSlack(r.slack / float64(max(daemonCount, 1)))
 	r.window.SetShare(budgetShareAfterStarts(startedFraction))
-	return r.window.TryCharge(now, n)
+	r.reserve.CountDemand(now, class, n)
+	return r.window.Remaining(now)-r.reserve.Kept(now, class) >= n && r.window.TryCharge(now, n)
 }
 
 // budgetShareAfterStarts returns the share of the budget that may be used while startedFraction
@@ -75,24 +86,25 @@
 // retryCharge is what one retry took from the retry budgets. A nil charge took nothing.
 type retryCharge struct {
 	service *serviceState
+	class   retry.Class
 	// otherServices are the other services whose budgets were charged for nested requests.
 	otherServices []*serviceState
 	// callsPerRun is the number of nested requests that each of otherServices was charged.
 	callsPerRun float64
 }
 
-// chargeRetry charges one retry to the budget of a service. It also charges the nested requests
+// chargeRetry charges one retry of a class to the budget of a service. It also charges the nested requests
 // that the retry will cause to the budget of each other service. If any of the budgets is
 // exhausted, it charges nothing and returns nil.
-func (e *entry) chargeRetry(s *serviceState, now model.Instant) *retryCharge {
+func (e *entry) chargeRetry(s *serviceState, now model.Instant, class retry.Class) *retryCharge {
 	daemonCount, startedFraction := e.daemon.peers.daemonsAndStartedShare(s.retryLimiter.span())
 	nestedCalls := s.currentCallsPerRun()
-	if !s.retryLimiter.tryCharge(now, 1, daemonCount, startedFraction) {
+	if !s.retryLimiter.tryCharge(now, class, 1, daemonCount, startedFraction) {
 		return nil
 	}
-	charge := &retryCharge{service: s, callsPerRun: nestedCalls}
+	charge := &retryCharge{service: s, class: class, callsPerRun: nestedCalls}
 	for _, o := range e.serviceStatesExcept(s) {
-		if !o.retryLimiter.tryCharge(now, nestedCalls, daemonCount, startedFraction) {
+		if !o.retryLimiter.tryCharge(now, class, nestedCalls, daemonCount, startedFraction) {
 			charge.refund(now)
 			return nil
 		}
@@ -156,3 +168,88 @@
 	defer r.mu.Unlock()
 	return r.window.Remaining(now)
 }
+
+// isScarce reports whether the budget has no room for a retry of the class.
+func (r *retryLimiter) isScarce(now model.Instant, class retry.Class) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.window.Remaining(now)-r.reserve.Kept(now, class) < 1
+}
+
+// joinGroup finds the group of a request that arrives.
+func (e *entry) joinGroup(req *request) *callgroup.Group {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.callGroups.Join(req.startedAt, req.route.Name)
+}
+
+// recordGroupResult records in the group of the request whether the request has failed. It returns
+// the result.
+func (f *forwarder) recordGroupResult(result *Result) *Result {
+	if result.Outcome.Kind != outcome.Answered || result.Status >= http.StatusInternalServerError {
+		f.entry.mu.Lock()
+		defer f.entry.mu.Unlock()
+		f.group.Fail()
+	}
+	return result
+}
+
+// chargeNext charges the next attempt of the request, which has reached an upstream before, to the
+// retry budgets. It returns nil if the budgets do not allow the attempt.
+func (f *forwarder) chargeNext() *retryCharge {
+	class := retry.Repeating
+	if !f.mayHaveRun {
+		f.updateGroup(f.group.Reject)
+		f.awaitGroup()
+		class = f.retryClass()
+	}
+	now := f.entry.daemon.now()
+	charge := f.entry.chargeRetry(f.serviceState, now, class)
+	switch {
+	case charge == nil && f.serviceState.retryLimiter.remaining(now) >= 1:
+		f.entry.daemon.metrics.retriesHeldBack.Inc(1)
+	case charge != nil && !f.mayHaveRun:
+		f.updateGroup(f.group.Resume)
+	}
+	return charge
+}
+
+func (f *forwarder) updateGroup(update func()) {
+	f.entry.mu.Lock()
+	defer f.entry.mu.Unlock()
+	update()
+}
+
+// awaitGroup waits until the other requests in the group may have been rejected as well. It does
+// not wait if the budget has room for them too.
+func (f *forwarder) awaitGroup() {
+	f.entry.mu.Lock()
+	alone := f.group.Size() == 1
+	f.entry.mu.Unlock()
+	if alone || !f.serviceState.retryLimiter.isScarce(f.entry.daemon.now(), retry.Partial) {
+		return
+	}
+	timer := time.NewTimer(groupWait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.request.ctx.Done():
+	case <-f.entry.daemon.aborting:
+	}
+}
+
+// retryClass returns the class of a retry of a request that no upstream has run.
+func (f *forwarder) retryClass() retry.Class {
+	f.entry.mu.Lock()
+	defer f.entry.mu.Unlock()
+	switch f.group.Prospect() {
+	case callgroup.Hopeless:
+		return retry.Hopeless
+	case callgroup.Partial:
+		return retry.Partial
+	}
+	if f.group.Size() > 1 || f.entry.daemon.guard.isUrgent(f.request.route.Rank) {
+		return retry.Completing
+	}
+	return retry.Single
+}
--- a/sidecar/retries_test.go
+++ b/sidecar/retries_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/core/retry"
 )
 
 // TestRetriesAreChargedForNestedCalls checks that the budget of a called service limits the
@@ -22,7 +24,7 @@
 	now := a.now()
 	chargedCount := 0
 	var lastCharge *retryCharge
-	for r := a.entry.chargeRetry(caller, now); r != nil; r = a.entry.chargeRetry(caller, now) {
+	for r := a.entry.chargeRetry(caller, now, retry.Completing); r != nil; r = a.entry.chargeRetry(caller, now, retry.Completing) {
 		lastCharge = r
 		chargedCount++
 	}
@@ -30,8 +32,8 @@
 	require.Equal(t, int(slack/caller.callsPerRun), chargedCount)
 	require.InDelta(t, slack-float64(chargedCount), caller.retryLimiter.remaining(now), 1e-6, "a denied retry is not charged")
 	lastCharge.refund(now)
-	require.NotNil(t, a.entry.chargeRetry(caller, now))
-	require.True(t, a.entry.chargeRetry(callee, now) != nil || callee.retryLimiter.remaining(now) < 1)
+	require.NotNil(t, a.entry.chargeRetry(caller, now, retry.Completing))
+	require.True(t, a.entry.chargeRetry(callee, now, retry.Completing) != nil || callee.retryLimiter.remaining(now) < 1)
 }
 
 // TestRefundMatchesCharge checks that a refund equals the original charge. Between the charge
@@ -43,15 +45,15 @@
 	now := a.now()
 	// If the daemon had just started, it could use only a part of the budget.
 	a.peers.local.Incarnation -= time.Hour.Milliseconds()
-	require.True(t, callee.retryLimiter.tryCharge(now, 0, 1, 0))
+	require.True(t, callee.retryLimiter.tryCharge(now, retry.Completing, 0, 1, 0))
 	before := callee.retryLimiter.remaining(now)
 	caller.callsPerRun = 4
-	charge := a.entry.chargeRetry(caller, now)
+	charge := a.entry.chargeRetry(caller, now, retry.Completing)
 	require.NotNil(t, charge)
 	require.InDelta(t, before-4, callee.retryLimiter.remaining(now), 1e-6)
 	caller.callsPerRun = 1
 	laterService := a.entry.serviceStateOf("later")
-	require.True(t, laterService.retryLimiter.tryCharge(now, 0, 1, 0))
+	require.True(t, laterService.retryLimiter.tryCharge(now, retry.Completing, 0, 1, 0))
 	laterServiceBefore := laterService.retryLimiter.remaining(now)
 	charge.refund(now)
 	require.InDelta(t, before, callee.retryLimiter.remaining(now), 1e-6)
@@ -66,7 +68,7 @@
 	s := newStore(documentOf(1, "b"))
 	a := startReady(t, s, "a", "a1")
 	caller, callee := a.entry.serviceStateOf("caller"), a.entry.serviceStateOf("callee")
-	require.True(t, callee.retryLimiter.tryCharge(a.now(), 0, 1, 0))
+	require.True(t, callee.retryLimiter.tryCharge(a.now(), retry.Completing, 0, 1, 0))
 	before := callee.retryLimiter.remaining(a.now())
 	done := make(chan struct{})
 	go func() {
@@ -78,7 +80,7 @@
 		}
 	}()
 	for range 1000 {
-		a.entry.chargeRetry(caller, a.now())
+		a.entry.chargeRetry(caller, a.now(), retry.Completing)
 	}
 	<-done
 	require.LessOrEqual(t, callee.retryLimiter.remaining(a.now()), before, "a denied retry is refunded")
@@ -109,7 +111,7 @@
 			}
 			exhaustBudgets := func(startedFraction float64) (sent int) {
 				for _, r := range limiters {
-					for r.tryCharge(now, 1, daemonCount, startedFraction) {
+					for r.tryCharge(now, retry.Completing, 1, daemonCount, startedFraction) {
 						sent++
 					}
 				}
@@ -131,3 +133,54 @@
 		})
 	}
 }
+
+// TestScarceRetriesGoToRunsThatTheyComplete has all upstreams of a called service reject requests. The
+// demand for retries that complete a run exceeds the budget. Retries that achieve less are denied,
+// although the budget has room left. Once the demand has ended, they are allowed again.
+func TestScarceRetriesGoToRunsThatTheyComplete(t *testing.T) {
+	b := RetryBudget{Ratio: 0.2, Slack: 50, Span: 10 * time.Second}
+	r := newRetryLimiter(b)
+	now := model.Instant(time.Hour)
+	others := []retry.Class{retry.Single, retry.Partial, retry.Repeating, retry.Hopeless}
+	for range 10 {
+		require.True(t, r.tryCharge(now, retry.Completing, 1, 1, 0))
+	}
+	require.Greater(t, r.remaining(now), 20.0)
+	for _, class := range others {
+		require.False(t, r.tryCharge(now, class, 1, 1, 0), class)
+		require.True(t, r.isScarce(now, class), class)
+	}
+	require.True(t, r.tryCharge(now, retry.Completing, 1, 1, 0))
+	now = now.Add(b.Span / 2)
+	for _, class := range others {
+		require.True(t, r.tryCharge(now, class, 1, 1, 0), class)
+	}
+}
+
+// TestRetryClassFollowsTheRun has upstreams reject two calls that a run has sent in parallel. While
+// the budget is scarce, neither is retried, because one retry would not complete the run. While it
+// is not, both are.
+func TestRetryClassFollowsTheRun(t *testing.T) {
+	for name, demand := range map[string]int{"scarce": 10, "ample": 0} {
+		t.Run(name, func(t *testing.T) {
+			d := startReady(t, newStore(documentOf(1, "b")), "a", "a1")
+			// If the daemon had just started, it could use only a part of the budget.
+			d.peers.local.Incarnation -= time.Hour.Milliseconds()
+			s := d.entry.serviceStateOf("called")
+			for range demand {
+				require.True(t, s.retryLimiter.tryCharge(d.now(), retry.Completing, 1, 1, 0))
+			}
+			req := request{route: &documentOf(1, "b").Routes[0], startedAt: d.now(), ctx: t.Context()}
+			calls := []*forwarder{
+				{entry: d.entry, serviceState: s, request: &req, group: d.entry.joinGroup(&req)},
+				{entry: d.entry, serviceState: s, request: &req, group: d.entry.joinGroup(&req)},
+			}
+			require.Equal(t, 2, calls[0].group.Size())
+			calls[0].group.Reject()
+			charged := calls[1].chargeNext() != nil
+			require.Equal(t, demand == 0, charged)
+			calls[1].recordGroupResult(notRunResult(outcome.ReasonUpstreamRefused))
+			require.Equal(t, retry.Hopeless, calls[0].retryClass())
+		})
+	}
+}
