Retries: nothing is spent while the budget is scarce on what misses its deadline

A retry whose usual service time exceeds the time left ends after the deadline even at an upstream without load. It gets the last class, so that the Reserve denies it while better retries need the budget.

TestRetryThatMissesItsDeadlineIsHopeless fails without it.

--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -12,5 +12,6 @@
 // Backoff returns a random delay before a retry. It returns false if the delay would leave
 // too little time until the deadline.
 //
-// A WindowBudget is one daemon's share of a retry budget that all daemons share.
+// A WindowBudget is one daemon's share of a retry budget that all daemons share. While it is scarce, a
+// Reserve keeps a part of it for those retries that achieve most.
 package retry
--- a/core/retry/reserve.go
+++ b/core/retry/reserve.go
@@ -22,7 +22,8 @@
 	// Repeating is the class of the retry of a request that may have run, and of a hedge. The run
 	// sends its calls again.
 	Repeating
-	// Hopeless is the class of the retry of a request whose run has failed already.
+	// Hopeless is the class of the retry of a request whose run has failed already, or that would miss
+	// its deadline.
 	Hopeless
 	classCount
 )
--- a/sidecar/retries.go
+++ b/sidecar/retries.go
@@ -197,13 +197,12 @@
 // chargeNext charges the next attempt of the request, which has reached an upstream before, to the
 // retry budgets. It returns nil if the budgets do not allow the attempt.
 func (f *forwarder) chargeNext() *retryCharge {
-	class := retry.Repeating
 	if !f.mayHaveRun {
 		f.updateGroup(f.group.Reject)
 		f.awaitGroup()
-		class = f.retryClass()
 	}
 	now := f.entry.daemon.now()
+	class := f.retryClass(now)
 	charge := f.entry.chargeRetry(f.serviceState, now, class)
 	switch {
 	case charge == nil && f.serviceState.retryLimiter.remaining(now) >= 1:
@@ -238,8 +237,15 @@
 	}
 }
 
-// retryClass returns the class of a retry of a request that no upstream has run.
-func (f *forwarder) retryClass() retry.Class {
+// retryClass returns the class of the next retry of the request. A retry that would end after the deadline
+// even at an upstream without load is hopeless.
+func (f *forwarder) retryClass(now model.Instant) retry.Class {
+	switch {
+	case now.Add(f.serviceTime) > f.request.deadline:
+		return retry.Hopeless
+	case f.mayHaveRun:
+		return retry.Repeating
+	}
 	f.entry.mu.Lock()
 	defer f.entry.mu.Unlock()
 	switch f.group.Prospect() {
--- a/sidecar/retries_test.go
+++ b/sidecar/retries_test.go
@@ -170,7 +170,7 @@
 			for range demand {
 				require.True(t, s.retryLimiter.tryCharge(d.now(), retry.Completing, 1, 1, 0))
 			}
-			req := request{route: &documentOf(1, "b").Routes[0], startedAt: d.now(), ctx: t.Context()}
+			req := request{route: &documentOf(1, "b").Routes[0], startedAt: d.now(), deadline: d.now().Add(time.Minute), ctx: t.Context()}
 			calls := []*forwarder{
 				{entry: d.entry, serviceState: s, request: &req, group: d.entry.joinGroup(&req)},
 				{entry: d.entry, serviceState: s, request: &req, group: d.entry.joinGroup(&req)},
@@ -180,7 +180,22 @@
 			charged := calls[1].chargeNext() != nil
 			require.Equal(t, demand == 0, charged)
 			calls[1].recordGroupResult(notRunResult(outcome.ReasonUpstreamRefused))
-			require.Equal(t, retry.Hopeless, calls[0].retryClass())
+			require.Equal(t, retry.Hopeless, calls[0].retryClass(d.now()))
 		})
 	}
 }
+
+// TestRetryThatMissesItsDeadlineIsHopeless has a request fail late. It is retried only if its usual
+// service time fits into the time left.
+func TestRetryThatMissesItsDeadlineIsHopeless(t *testing.T) {
+	const serviceTime = 100 * time.Millisecond
+	d := startReady(t, newStore(documentOf(1, "b")), "a", "a1")
+	now := model.Instant(time.Hour)
+	for _, mayHaveRun := range []bool{false, true} {
+		for timeLeft, hopeless := range map[time.Duration]bool{serviceTime - 1: true, serviceTime: false} {
+			req := request{route: &documentOf(1, "b").Routes[0], deadline: now.Add(timeLeft)}
+			f := &forwarder{entry: d.entry, request: &req, group: d.entry.joinGroup(&req), serviceTime: serviceTime, mayHaveRun: mayHaveRun}
+			require.Equal(t, hopeless, f.retryClass(now) == retry.Hopeless, timeLeft)
+		}
+	}
+}
