--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/dottereltiller/dottereltiller/bodylimit"
 	"github.com/dottereltiller/dottereltiller/core/account"
+	"github.com/dottereltiller/dottereltiller/core/callgroup"
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/quarantine"
@@ -111,6 +112,7 @@
 	splitter     route.Splitter
 	services     map[model.ServiceName]*serviceState
 	serviceTimes servicetime.Estimates
+	callGroups   callgroup.Tracker
 }
 
 func newEntry(d *Daemon) *entry {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -24,6 +24,9 @@
 	keyRefusals map[string]tally.Counter
 	// keyChecks counts the checks for newer keys, by whether they came to a result.
 	keyChecks map[bool]tally.Counter
+	// retriesHeldBack counts those of them that the budget of the service had room for, which was
+	// kept for retries that achieve more.
+	retriesHeldBack tally.Counter
 	// resolved counts the resolveRequests that this daemon sent.
 	resolved tally.Counter
 	// closedUnanswered counts the requests whose connection this daemon closed before it had
@@ -74,6 +77,7 @@
 		retried:          scope.Counter("resent"),
 		hedged:           scope.Counter("hedged"),
 		retriesDenied:    scope.Counter("resend_budget_empty"),
+		retriesHeldBack:  scope.Counter("resend_held_back"),
 		resolved:         scope.Counter("settled"),
 		closedUnanswered: scope.Counter("requests_cut"),
 		rateLimited:      scope.Counter("upstream_limit_responses"),
