--- a/core/quota/members.go
+++ b/core/quota/members.go
@@ -37,8 +37,9 @@
 	// replaced holds the daemons of the zone that were passed over because they are silent, until Node
 	// reports them.
 	replaced []string
-	// departures holds the daemons of the zone that can no longer be holders, oldest first. floor is
-	// when the newest departure that is not held, or the end of an isolation, occurred.
+	// departures holds the daemons of the zone that can no longer be holders, oldest first. floor is the
+	// time of the newest departure that is no longer in departures, or of the end of an isolation if
+	// that is later.
 	departures []departure
 	floor      model.Instant
 }
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -96,7 +96,8 @@
 type Node struct {
 	cfg     Config
 	members *members
-	// accounts holds the shares of all accounts of the configuration.
+	// accounts holds the shares of all accounts of the configuration. It bounds the three maps after
+	// it, which are keyed by account too: accounts come from the configuration, not from callers.
 	accounts map[ID]share
 	entries  map[ID]*entryAccount
 	pools    map[ID]*pool
@@ -106,10 +107,13 @@
 	nextExchange uint32
 	nextTicket   uint64
 	// silent holds the holders that did not answer and until when they are not asked.
-	silent      map[string]model.Instant
-	nextSweep   model.Instant
-	effects     Effects
-	local       []localMessage
+	silent    map[string]model.Instant
+	nextSweep model.Instant
+	// effects collects what the current call leads to. local holds the messages of the node to itself
+	// that it has not handled yet.
+	effects Effects
+	local   []localMessage
+	// zoneOrdinal is the place of the own zone in cfg.Zones.
 	zoneOrdinal int
 }
 
@@ -162,8 +166,7 @@
 	n.members.set(now, list, complete)
 }
 
-// Pools returns the number of buckets that the daemon holds, Leases the number of accounts of which it
-// has unused tokens.
+// Pools returns the number of buckets that the daemon holds.
 func (n *Node) Pools() int { return len(n.pools) }
 
 // Leases returns the number of accounts of which the daemon has unused tokens, and the age of the oldest.
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -143,14 +143,16 @@
 	})
 }
 
-func TestHoldersThatDoNotAnswer(t *testing.T) {
-	a := accountOf(30, 60)
+// A zone that is cut off has its own share and no more, and so have the others.
+func TestBothSidesOfACutHaveTheirShares(t *testing.T) {
+	a := accountOf(0.6, 60)
 	inBubble(t, a, func(t *testing.T, ctx context.Context, n *network) {
-		l := n.limiters[addressIn("a")]
-		n.down.Store(addressIn("b"), true)
-		n.down.Store(addressIn("c"), true)
-		verdicts := takeAll(ctx, l, &a, 100)
+		time.Sleep(time.Minute)
+		n.down.Store(addressIn("a"), true)
+		verdicts := takeAll(ctx, n.limiters[addressIn("a")], &a, 100)
 		assert.Equal(t, map[corequota.Kind]int{corequota.Allowed: 20, corequota.Denied: 80}, verdicts)
+		verdicts = takeAll(ctx, n.limiters[addressIn("b")], &a, 100)
+		assert.Equal(t, map[corequota.Kind]int{corequota.Allowed: 40, corequota.Denied: 60}, verdicts)
 	})
 }
 
