Quotas: a daemon that learns of the others late starts empty

A daemon that is cut off from its start, and that others do not know, took its whole life as the time for which it had held its shares, although others had held them; at first contact its buckets were full. They are now what filled for at most half of the overage times the window before that. Found by TestNoScheduleOfFaultsExceedsTheQuota with 1,500 checks (142 requests in a window of 141: all killed, then one daemon cut off). The simulated daemons also exchange what they know when they reach each other at last, as the real ones do.

--- a/core/quota/limits.go
+++ b/core/quota/limits.go
@@ -58,6 +58,12 @@
 	return share{rate: rate / zones, accountRate: rate, capacity: (burst + min(zones, tolerated/2)) / zones}
 }
 
+// startCredit returns for how long the buckets of a daemon that has just learned of the others have been filling.
+// Other daemons may have granted the same tokens meanwhile. Half of the overage covers that.
+func (r Rules) startCredit() time.Duration {
+	return time.Duration(min(amount(r.Overage)/2, 1) * float64(max(r.Window, 0)))
+}
+
 // timeFor returns the time in which a rate yields n tokens, at most limit.
 func timeFor(n, rate float64, limit time.Duration) time.Duration {
 	if n <= 0 {
--- a/core/quota/members.go
+++ b/core/quota/members.go
@@ -30,6 +30,9 @@
 	byAddress map[string]*member
 	// complete is set once this daemon has learned of the others.
 	complete bool
+	// startCredit is the longest time before complete was set for which a bucket was filling. Others may have
+	// held the shares until then.
+	startCredit time.Duration
 	// isolatedSince is since when this daemon has not reached a majority of its zone, zero if it does.
 	isolatedSince model.Instant
 	// nextRefresh is when the next silent daemon is to be passed over.
@@ -58,8 +61,8 @@
 	at   model.Instant
 }
 
-func newMembers(self string, zone model.AvailabilityZone, startedAt model.Instant) *members {
-	m := &members{self: self, zone: zone, startedAt: startedAt, byAddress: make(map[string]*member)}
+func newMembers(self string, zone model.AvailabilityZone, startedAt model.Instant, startCredit time.Duration) *members {
+	m := &members{self: self, zone: zone, startedAt: startedAt, startCredit: startCredit, byAddress: make(map[string]*member)}
 	m.set(startedAt, nil, false)
 	return m
 }
@@ -78,6 +81,9 @@
 // set replaces the list of the daemons. The local daemon need not be in it. complete states whether this
 // daemon has learned of the others.
 func (m *members) set(now model.Instant, list []Member, complete bool) {
+	if complete && !m.complete {
+		m.floor = max(m.floor, now.Add(-m.startCredit))
+	}
 	m.complete = complete
 	previous := m.byAddress
 	m.byAddress = make(map[string]*member, len(list)+1)
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -169,6 +169,7 @@
 		for _, other := range f.daemons {
 			if other != d && !other.down && !f.cut(d, other) {
 				d.changeView(life, func() { d.known = true })
+				d.exchangeRecords(life)
 				return
 			}
 		}
@@ -178,6 +179,24 @@
 	})
 }
 
+// exchangeRecords has a daemon and those that it reaches learn of each other.
+func (d *simDaemon) exchangeRecords(life int) {
+	f := d.fleet
+	for _, other := range f.daemons {
+		if other == d || other.down || f.cut(d, other) {
+			continue
+		}
+		otherLife := other.life
+		f.after(f.between(0, 300*time.Millisecond), func() {
+			if d.life != life || other.life != otherLife || f.cut(d, other) {
+				return
+			}
+			other.changeView(otherLife, func() { other.view[d.address] = Member{Address: d.address, Zone: d.zone} })
+			d.changeView(life, func() { d.view[other.address] = Member{Address: other.address, Zone: other.zone} })
+		})
+	}
+}
+
 func (d *simDaemon) setQuota(q account.Quota) {
 	d.node.SetAccounts(d.clock(), map[account.Name]account.Quota{testAccount: q})
 }
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -130,7 +130,7 @@
 		c.Zones = append(slices.Clone(c.Zones), c.Zone)
 	}
 	n := &Node{
-		cfg: c, members: newMembers(c.Self, c.Zone, now), accounts: make(map[ID]share),
+		cfg: c, members: newMembers(c.Self, c.Zone, now, c.Rules.startCredit()), accounts: make(map[ID]share),
 		entries: make(map[ID]*entryAccount), pools: make(map[ID]*pool), borrows: make(map[ID]*borrow),
 		exchanges: make(map[uint32]*exchange), silent: make(map[string]model.Instant),
 		// A reply to the daemon that was at the address before must not match an exchange.
