Quotas: watch the list of daemons without requests

A holder counts what it may grant from when it noticed that it is the holder, and it only looked when a request came or every 10 s. With a quota in force the list is looked at every 100 ms (TestMembersAreWatchedWithoutRequests).

--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -61,6 +61,8 @@
 	mu         sync.Mutex
 	node       *quota.Node
 	generation uint64
+	// limited is set while an account has a quota.
+	limited bool
 	// waiting holds the channels of the requests that wait for a verdict, by ticket.
 	waiting map[uint64]chan quota.Verdict
 	events  eventLog
@@ -70,7 +72,10 @@
 	// tickInterval is the time between two searches for timeouts while replies are due. It is short
 	// compared with the timeouts.
 	tickInterval = 5 * time.Millisecond
-	// idleInterval is the time between two searches for unused state.
+	// watchInterval is the time between two looks at the list of daemons while there are quotas. What a
+	// new holder may grant counts from when it noticed that it is the holder.
+	watchInterval = 100 * time.Millisecond
+	// idleInterval replaces watchInterval while there are no quotas.
 	idleInterval = 10 * time.Second
 )
 
@@ -87,7 +92,7 @@
 
 // Serve handles timeouts until the context ends.
 func (l *Limiter) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(idleInterval)
+	ticker := time.NewTicker(l.idleInterval())
 	defer ticker.Stop()
 	// A reset starts the interval anew, so the ticker is not reset while replies are due: they would
 	// never time out.
@@ -103,12 +108,22 @@
 			}
 		case <-ticker.C:
 			if ticking = l.tick(); !ticking {
-				ticker.Reset(idleInterval)
+				ticker.Reset(l.idleInterval())
 			}
 		}
 	}
 }
 
+// idleInterval returns the time between two ticks while no replies are due.
+func (l *Limiter) idleInterval() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limited {
+		return watchInterval
+	}
+	return idleInterval
+}
+
 // tick handles timeouts and reports whether replies are due.
 func (l *Limiter) tick() bool {
 	l.mu.Lock()
@@ -124,7 +139,22 @@
 	quotas := x.Quotas()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.node.SetAccounts(l.opts.Now(), quotas)
+	l.limited = false
+	for _, q := range quotas {
+		l.limited = l.limited || q.Limited()
+	}
+	now := l.opts.Now()
+	l.updateMembers(now)
+	l.node.SetAccounts(now, quotas)
+	l.wakeServe()
+}
+
+// wakeServe makes Serve look for timeouts, at the latest after tickInterval.
+func (l *Limiter) wakeServe() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Take returns whether a request of an account may pass. It waits for a holder if there is no token
@@ -237,10 +267,7 @@
 		l.events.log(now, event)
 	}
 	if l.node.Busy() {
-		select {
-		case l.wake <- struct{}{}:
-		default:
-		}
+		l.wakeServe()
 	}
 }
 
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -156,6 +156,35 @@
 	})
 }
 
+// A daemon that nobody asks notices all the same that it has become a holder, so that its buckets fill.
+func TestMembersAreWatchedWithoutRequests(t *testing.T) {
+	a := accountOf(30, 60)
+	bubble.Run(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		start := time.Now()
+		var complete atomic.Bool
+		l := quota.New(quota.Options{
+			Self: "self", Zone: "a", Zones: zones[:1], Now: func() model.Instant { return model.Instant(time.Since(start)) },
+			Members: func(uint64) quota.Membership {
+				if complete.Load() {
+					return quota.Membership{Generation: 2, Complete: true}
+				}
+				return quota.Membership{Generation: 1}
+			},
+			Scope: tally.NoopScope,
+		})
+		go func() { _ = l.Serve(ctx) }()
+		x, err := account.NewIndex([]account.Account{a})
+		require.NoError(t, err)
+		l.SetAccounts(x)
+		time.Sleep(time.Second)
+		complete.Store(true)
+		time.Sleep(time.Minute)
+		assert.Equal(t, 60, takeAll(ctx, l, &a, 100)[corequota.Allowed])
+	})
+}
+
 // Other requests must not keep those that wait for a silent holder from their verdict.
 func TestRepliesTimeOutUnderLoad(t *testing.T) {
 	a := accountOf(30, 60)
