Requests leave a zone whose queues take longer than a crossing

An entry kept a request in its zone as long as an upstream there was expected to respond within 0.85 of the target.

core/overflow: a request stays if it is in time and waits no longer than a crossing counts. Otherwise the shortest expected time in any zone decides, with the penalty that stood. The counter sent_to_other_zone tells how many leave.

--- a/ablation/alternatives_test.go
+++ b/ablation/alternatives_test.go
@@ -25,7 +25,7 @@
 	alternative("2 remote load queries", edits.New(parameters, "MaxRemoteQueries = 3", "MaxRemoteQueries = 2")),
 	alternative("cross-zone penalty of 20 ms", edits.New(placer, "DefaultCrossZonePenalty = 40 * time.Millisecond", "DefaultCrossZonePenalty = 20 * time.Millisecond")),
 	alternative("cross-zone penalty of 80 ms", edits.New(placer, "DefaultCrossZonePenalty = 40 * time.Millisecond", "DefaultCrossZonePenalty = 80 * time.Millisecond")),
-	alternative("another zone from 0.7 of the target", edits.New(placer, "targetShare = 0.85", "targetShare = 0.7")),
+	alternative("another zone from 0.7 of the target", edits.New(overflow, "targetShare = 0.85", "targetShare = 0.7")),
 	alternative("hedge after twice the expected time", edits.New(choose, "hedgeFactor = 1.4", "hedgeFactor = 2.0")),
 	alternative("the budget whole", edits.New(retries, "usableBudgetShare = 0.75", "usableBudgetShare = 0.9")),
 	alternative("earliest deadline first", edits.New(queue, "case !aLate && a.Arrived != b.Arrived:", "case !aLate && a.Arrived < 0 && b.Arrived < 0:")),
--- a/ablation/mechanisms_test.go
+++ b/ablation/mechanisms_test.go
@@ -30,6 +30,7 @@
 // The paths of the source files that contain the mechanisms.
 const (
 	placer     = "core/placement/placer.go"
+	overflow   = "core/overflow/overflow.go"
 	load       = "core/placement/load.go"
 	parameters = "core/placement/parameters.go"
 	queue      = "core/slots/slots.go"
@@ -60,6 +61,7 @@
 	disabledBy("cold starts", edits.New(load, "slowdown = max(slowdown, coldSlowdown)", "slowdown = max(slowdown, 1)")),
 	disabledBy("learned work", edits.New("core/servicetime/estimates.go", "	e.byRoute[route] = known\n", "	_ = known\n")),
 	disabledBy("the price of a crossing", edits.New(placer, "DefaultCrossZonePenalty = 40 * time.Millisecond", "DefaultCrossZonePenalty = time.Nanosecond")),
+	coveredBy("replay TestDemandMovesBetweenZones", disabledBy("overflow of queues", edits.New(overflow, " && l.Wait <= crossing", " && l.Wait <= l.Wait+crossing"))),
 	disabledBy("avoidance", edits.New(placer, "c.unreachableUntil = now.Add(unreachablePause)", "c.unreachableUntil = now.Add(0 * unreachablePause)")),
 	coveredBy("sidecar TestHealthResponsesDoNotDecideRouting", disabledBy("the failing share", edits.New(load, "maxFailureRate = 0.95", "maxFailureRate = 0.0"))),
 	coveredBy("sidecar TestRetryBudgetAfterDaemonRestarts", disabledBy("the budget's part after starts", edits.New(retries, "return min(1, (1/usableBudgetShare-1)/startedFraction)", "return min(1, 1+startedFraction)"))),
--- a/core/placement/doc.go
+++ b/core/placement/doc.go
@@ -14,6 +14,7 @@
 //
 // A request to another availability zone costs latency and money. A Placer therefore chooses an
 // upstream of the local zone if that upstream is expected to respond well within the target
-// latency. Otherwise the Placer chooses the upstream with the shortest expected time in any
-// zone, after adding Options.CrossZonePenalty to the expected times in other zones.
+// latency and the request hardly waits there (see package overflow). Otherwise the Placer chooses
+// the upstream with the shortest expected time in any zone, after adding Options.CrossZonePenalty
+// to the expected times in other zones.
 package placement
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/core/overflow"
 )
 
 // Upstream describes an upstream that a Placer can choose, also called a candidate.
@@ -45,9 +46,6 @@
 	// DefaultCrossZonePenalty is a few round trips between zones. Callers gain nothing from a
 	// request to another zone that saves less time than the penalty.
 	DefaultCrossZonePenalty = 40 * time.Millisecond
-	// targetShare is a share of the target latency. If an upstream of the local zone is
-	// expected to respond within this share, no upstream of another zone is chosen.
-	targetShare = 0.85
 	// jitter is the largest random increase of an expected time, as a share of that time. It
 	// spreads the requests of entries that know the same loads.
 	jitter = 0.1
@@ -197,15 +195,15 @@
 	return ups
 }
 
-// LocalMeetsTarget reports whether an upstream of the local zone is expected to respond
-// well within the target latency (see targetShare). For a request without a target, it
-// reports whether the local zone has a usable upstream.
+// LocalMeetsTarget reports whether an upstream of the local zone is expected to respond well within the
+// target latency, with hardly any wait (see package overflow). For a request without a target, it reports
+// whether the local zone has a usable upstream.
 func (p *Placer) LocalMeetsTarget(now model.Instant, req Request) bool {
 	_, _, bestLocal := p.findBest(now, req, preferredOnly)
 	if bestLocal.candidate == nil {
 		return false
 	}
-	return req.Target <= 0 || bestLocal.expected < time.Duration(targetShare*float64(req.Target))
+	return req.Target <= 0 || p.staysLocal(now, req, bestLocal)
 }
 
 // UpdateLoad records the load of the upstream with the given key. It does nothing if the
@@ -228,7 +226,7 @@
 		return Choice{}, false
 	}
 	chosen, alternative := best, second
-	if bestLocal.candidate != nil && bestLocal.candidate != best.candidate && req.Target > 0 && bestLocal.expected < time.Duration(targetShare*float64(req.Target)) {
+	if bestLocal.candidate != nil && bestLocal.candidate != best.candidate && req.Target > 0 && p.staysLocal(now, req, bestLocal) {
 		chosen, alternative = bestLocal, best
 	}
 	chosen.candidate.inFlight++
@@ -249,6 +247,11 @@
 	expected time.Duration
 }
 
+// staysLocal reports whether a request stays in the local zone, given the best upstream there.
+func (p *Placer) staysLocal(now model.Instant, req Request, local scoredCandidate) bool {
+	return overflow.Local{Expected: local.expected, Wait: p.wait(now, req, local.candidate)}.Stays(req.Target, p.opts.CrossZonePenalty)
+}
+
 // eligibility says which candidates may be chosen. Higher values allow more of them and
 // are used only if the lower ones leave no candidate.
 type eligibility uint8
@@ -310,6 +313,13 @@
 	return p.rttByZone[c.upstream.Zone] + ExpectedTime(req.ServiceTime, c.slowdown(now, p.meanSlowdown), c.expectedRequests(now), c.limit(), c.startDelay(now), c.failureRate(now))
 }
 
+// wait returns the part of the expected time that the request waits at the guard of the candidate.
+func (p *Placer) wait(now model.Instant, req Request, c *candidate) time.Duration {
+	slowdown, failureRate := c.slowdown(now, p.meanSlowdown), c.failureRate(now)
+	all := ExpectedTime(req.ServiceTime, slowdown, c.expectedRequests(now), c.limit(), c.startDelay(now), failureRate)
+	return all - ExpectedTime(req.ServiceTime, slowdown, 0, c.limit(), 0, failureRate)
+}
+
 // ObserveRTT records rtt, the round-trip time of a load query to the guard of the upstream with
 // the given key. If rtt is longer than the time stored for the upstream's zone, the stored time
 // rises only a little, because rtt may include a wait for a CPU. ObserveRTT does nothing if the
--- a/replay/mesh_test.go
+++ b/replay/mesh_test.go
@@ -53,6 +53,7 @@
 	burstSize        int  // additional requests in one tick every burstPeriodTicks
 	maxCallerRetries int  // retries of a refused caller, each after the Retry-After value
 	noJitter         bool // Retry-After values have no jitter
+	zones            zoneDemand
 	// recorded, if set, is a service of a recorded day. Its rates, upstreams and request
 	// kinds are used instead of rate, upstreamsInZone and defaultKinds.
 	recorded *recordedService
@@ -84,6 +85,7 @@
 	slots              int
 	coldUntil          model.Instant
 	down               bool
+	pastLoads          []placement.Load        // by tick, if loads are reported late
 	outstandingByNode  map[*meshNode]int       // requests in flight from this entry to each node
 	running            []*meshRequest          // in the upstream, including its own queue
 	waitingByID        map[uint64]*meshRequest // in the guard's queue, by ID
@@ -207,6 +209,7 @@
 		}
 		delete(m.scheduledByTick, m.tick)
 		m.updateAvailability()
+		m.applyZoneFaults()
 		for _, n := range m.nodes {
 			m.runUpstream(n)
 		}
@@ -256,7 +259,7 @@
 
 // arrive creates a request at a random entry and places it.
 func (m *mesh) arrive() {
-	r := &meshRequest{entry: m.nodes[m.rng.IntN(len(m.nodes))], arrivedAt: m.now, isRejectedByKey: map[string]bool{}}
+	r := &meshRequest{entry: m.drawEntry(), arrivedAt: m.now, isRejectedByKey: map[string]bool{}}
 	r.requestKind, r.remainingSeconds = m.drawRequest()
 	m.sentCount++
 	if m.onArrival != nil {
@@ -359,7 +362,7 @@
 func (m *mesh) queryLoads(p *placement.Placer, req placement.Request, rank int, local bool, limit int) {
 	for _, up := range p.QueryTargets(m.now, req, local, placement.MaxLoadAge, limit) {
 		n := m.nodeByKey(up.Key)
-		l := m.load(n)
+		l := m.reportedLoad(n)
 		l.Waiting = max(n.queue.Ahead(rank, 0)-l.Running, 0)
 		l.StartDelay = n.queue.StartDelay(m.now, l.Waiting)
 		p.UpdateLoad(m.now, up.Key, l)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -18,6 +18,8 @@
 	connsOpened tally.Counter
 	retried     tally.Counter
 	hedged      tally.Counter
+	// sentToOtherZone counts the attempts that were sent to another availability zone.
+	sentToOtherZone tally.Counter
 	// retriesDenied counts the retries that the retry budget did not allow.
 	retriesDenied tally.Counter
 	// resolved counts the resolveRequests that this daemon sent.
@@ -69,6 +71,7 @@
 		connsOpened:      scope.Counter("upstream_connections"),
 		retried:          scope.Counter("resent"),
 		hedged:           scope.Counter("hedged"),
+		sentToOtherZone:  scope.Counter("sent_to_other_zone"),
 		retriesDenied:    scope.Counter("resend_budget_empty"),
 		resolved:         scope.Counter("settled"),
 		closedUnanswered: scope.Counter("requests_cut"),
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -38,6 +38,9 @@
 		f.entry.daemon.metrics.recordStage(stageChoose, f.request.service, now.Sub(f.request.startedAt))
 	}
 	f.entry.daemon.metrics.recordStage(stageLoadAge, f.request.service, attempt.choice.LoadAge)
+	if attempt.choice.Upstream.Zone != f.entry.daemon.opts.Zone {
+		f.entry.daemon.metrics.sentToOtherZone.Inc(1)
+	}
 	f.startedCount++
 	f.inFlight = append(f.inFlight, attempt)
 	c := &Call{
