soak: two deliberate faults apply to the code as it is

"requests that crash upstreams are served" was not found, also on: the guard has refused such requests by itself since it checks the quarantine, so that the fault at the entry alone changed nothing. The fault is now made at both. The text of "retries have no budget" changed with the classes of retries (TestMutantsApply failed). Both are found:

DOTTERELTILLER_MUTANTS=1 go test ./soak -p 1 -parallel 2 \ -run 'TestMutantsAreFound/(requests_that_crash|retries_have)' ok, 41 s

--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -76,7 +76,7 @@
 		plan:  planLostResponses, wantViolation: "twice",
 	},
 	"retries have no budget": {
-		edits: []edits.Edit{edits.New("sidecar/retries.go", "	if !s.retryLimiter.tryCharge(now, 1, daemonCount, startedFraction) {\n		return nil\n	}\n", "	if daemonCount > 0 {\n		return &retryCharge{service: s}\n	}\n")},
+		edits: []edits.Edit{edits.New("sidecar/retries.go", "	if !s.retryLimiter.tryCharge(now, class, 1, daemonCount, startedFraction) {\n		return nil\n	}\n", "	if daemonCount > 0 {\n		return &retryCharge{service: s}\n	}\n")},
 		plan:  planUpstreamErrors, wantViolation: "budget",
 	},
 	"a stop aborts executing requests": {
@@ -92,8 +92,11 @@
 		plan:  planCutResponses, wantViolation: "mixed",
 	},
 	"requests that crash upstreams are served": {
-		edits: []edits.Edit{edits.New("sidecar/quarantine.go", "	if !q.store.HasRecords() {\n		return nil\n	}\n	remaining", "	if q.store != nil {\n		return nil\n	}\n	remaining")},
-		plan:  planPoison, wantViolation: "poison",
+		edits: []edits.Edit{
+			edits.New("sidecar/quarantine.go", "	if !q.store.HasRecords() {\n		return nil\n	}\n	remaining", "	if q.store != nil {\n		return nil\n	}\n	remaining"),
+			edits.New("sidecar/quarantine.go", "	if !q.store.HasRecords() {\n		return false\n	}\n	_, refused", "	if q.store != nil {\n		return false\n	}\n	_, refused"),
+		},
+		plan: planPoison, wantViolation: "poison",
 	},
 	"a reload ends the process": {
 		edits: []edits.Edit{
