Soak: quotas of client accounts

The soak had accounts without quotas, so nothing checked over real processes what core/quota promises. Checked: requests of an account that are sent and start within 5 s, against rate, burst, overage and slack of the settings; the lowered rate from 7 s after its publication where nothing disturbs; Retry-After with 429; no 429 for accounts far below their rate where nothing disturbs. The settings name the zones, as quotas are divided among them.

--- a/soak/accounts.go
+++ b/soak/accounts.go
@@ -26,15 +26,18 @@
 }
 
 // accounts returns the client accounts of a version, nil if the run has none.
-func (p *Plan) accounts(version int) []platformtest.Account {
+func (p *Plan) accounts(version, rate int) []platformtest.Account {
 	if !p.hasAccounts() {
 		return nil
 	}
 	var accounts []platformtest.Account
-	for n := range accountCount {
+	for n := range accountCount + 1 {
 		name := fmt.Sprintf("account %d", n)
 		accounts = append(accounts, platformtest.Account{Name: name, Keys: []string{keyOf(name, version), keyOf(name, version-1)}})
 	}
+	for n := range accounts {
+		accounts[n].PerSecond, accounts[n].Burst = p.quota(accounts[n].Name, version, rate)
+	}
 	return accounts
 }
 
@@ -44,6 +47,8 @@
 	account string
 	// version is the version of the configuration that added the key.
 	version int
+	// oldest is the oldest version that may have been in force when the attempt was sent.
+	oldest int
 }
 
 // keyFor returns a key that has been valid at all daemons for maxConfigDelay, if there is one.
@@ -52,7 +57,7 @@
 	if time.Since(publishedAt) < maxConfigDelay {
 		version--
 	}
-	return sentKey{account: accountOf(m), version: version}
+	return sentKey{account: accountOf(m), version: version, oldest: h.oldestInForce()}
 }
 
 // send sends a request with a key of the callers of a VM, if the run has accounts.
@@ -66,6 +71,9 @@
 	if err == nil && r.Status == http.StatusUnauthorized && quiet && m.faultCount() == faults && h.holds(key) && !h.opts.SafetyOnly {
 		h.checker.addViolation("key: %s got status 401 although its key is in force", attempt)
 	}
+	if err == nil && r.Status == http.StatusTooManyRequests && quiet && m.faultCount() == faults && h.undisturbed() && !h.opts.SafetyOnly {
+		h.checker.addViolation("refused: %s got status 429 although its account is far below its rate", attempt)
+	}
 	return r, err
 }
 
@@ -108,7 +116,7 @@
 		version, _ := h.latestPublication()
 		attempt := fmt.Sprintf("probe-removed-%s-%d", m.config.Name, i)
 		h.checker.recordSent(attempt, m.service(), false)
-		key := sentKey{account: accountOf(m), version: version - 2}
+		key := sentKey{account: accountOf(m), version: version - 2, oldest: h.oldestInForce()}
 		if r, err := h.sendWithKey(ctx, m, key, "/safe/x", attempt, false, requestDeadline); err == nil && r.NotExecuted() {
 			h.checker.checkResponse(attempt, r)
 		}
@@ -137,6 +145,9 @@
 	if account != rec.key.account {
 		c.addViolationLocked("account: %s was sent for account %q and reached %s for %q", attempt, rec.key.account, u.ID(), account)
 	}
+	if rec.key.account != "" && rec.executions == 0 {
+		c.checkQuotaLocked(rec)
+	}
 	if removedFor := c.removedFor(rec.key); rec.key.account != "" && removedFor-c.handlingDelay() > maxConfigDelay && c.inTouch(u) && !c.safetyOnly {
 		c.addViolationLocked("key: %s ran at %s %s after its key was removed", attempt, u.ID(), removedFor.Round(time.Millisecond))
 	}
--- a/soak/accounts_test.go
+++ b/soak/accounts_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -41,3 +43,47 @@
 		})
 	}
 }
+
+// TestCheckerFindsViolationsOfQuotas guards against a checker that counts requests which may have passed before
+// the window, or that applies a lowered rate to requests sent under a higher one.
+func TestCheckerFindsViolationsOfQuotas(t *testing.T) {
+	const bound, earlier = 3, 1
+	for name, c := range map[string]struct {
+		requests, sentBefore, oldest int
+		age                          time.Duration
+		want                         bool
+	}{
+		"as many as the quota allows":            {bound, 0, 2, 0, false},
+		"more than the quota allows":             {bound + 1, 0, 2, 0, true},
+		"sent before the window":                 {bound + 1, 0, 2, 2 * quotaWindow, false},
+		"sent while a higher rate was in force":  {bound + 1, 0, 1, 0, false},
+		"above the higher rate":                  {2*bound + 1, 0, 1, 0, true},
+		"one of them while it was still allowed": {bound, earlier, 2, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ck := newChecker()
+			ck.quotaBound = func(_ string, oldest int) float64 { return float64(bound * (3 - oldest)) }
+			for i := range c.requests + c.sentBefore {
+				attempt, oldest := fmt.Sprint(i), c.oldest
+				if i < c.sentBefore {
+					oldest = 1
+				}
+				ck.recordSent(attempt, "a", false)
+				ck.recordsByAttempt[attempt].sentAt = time.Now().Add(-c.age)
+				ck.recordKey(attempt, sentKey{account: "account 1", oldest: oldest})
+				ck.AccountStated(&platformtest.Upstream{}, attempt, "account 1", "")
+			}
+			require.Equal(t, c.want, len(ck.allViolations()) > 0, ck.allViolations())
+		})
+	}
+}
+
+// TestAnswerOverQuotaNamesATimeToReturn checks that 429 without Retry-After is a violation.
+func TestAnswerOverQuotaNamesATimeToReturn(t *testing.T) {
+	for retryAfter, want := range map[time.Duration]int{0: 1, time.Second: 0} {
+		ck := newChecker()
+		ck.recordSent("x", "a", false)
+		ck.checkResponse("x", platformtest.Result{Status: http.StatusTooManyRequests, RetryAfter: retryAfter})
+		require.Len(t, ck.allViolations(), want)
+	}
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -87,7 +88,12 @@
 	inTouch func(u *platformtest.Upstream) bool
 	// removedFor returns how long ago a key was removed, zero if it is valid.
 	removedFor func(sentKey) time.Duration
-	violations []string
+	// quotaBound returns how many requests of an account may run in a quotaWindow if the versions of the
+	// configuration from the given one on may be in force.
+	quotaBound func(account string, oldest int) float64
+	// startsByAccount holds the last starts of the requests of each account.
+	startsByAccount map[string][]accountStart
+	violations      []string
 }
 
 // crashCount counts the crashes caused by one request.
@@ -121,6 +127,8 @@
 	return &checker{
 		handlingDelay:    func() time.Duration { return 0 },
 		removedFor:       func(sentKey) time.Duration { return 0 },
+		quotaBound:       func(string, int) float64 { return math.Inf(1) },
+		startsByAccount:  make(map[string][]accountStart),
 		recordsByAttempt: make(map[string]*requestRecord), drainTimes: make(map[string]time.Time), crashCounts: make(map[string]*crashCount),
 		evacuatedZones: make(map[string]time.Time), leavingForwardedAt: make(map[string]time.Time), inTouch: func(*platformtest.Upstream) bool { return true },
 	}
@@ -285,8 +293,8 @@
 		if rec.nonIdempotent && rec.executions > 0 {
 			c.addViolationLocked("promise: %s got status %d (not executed) although it ran", attempt, r.Status)
 		}
-		if r.Status == 503 && r.RetryAfter <= 0 {
-			c.addViolationLocked("advice: %s got status 503 without Retry-After", attempt)
+		if (r.Status == 503 || r.Status == 429) && r.RetryAfter <= 0 {
+			c.addViolationLocked("advice: %s got status %d without Retry-After", attempt, r.Status)
 		}
 	case r.Status == 404 && !strings.Contains(attempt, "probe"):
 		c.addViolationLocked("denied: %s got status 404 for a route that always exists", attempt)
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -25,7 +25,7 @@
 	for g := range groupCount(h.plan.VMs) {
 		calledServices = append(calledServices, serviceOf(g, 0))
 	}
-	return platformtest.DocumentWithAccounts(h.version, h.plan.accounts(h.version), calledServices...)
+	return platformtest.DocumentWithAccounts(h.version, h.plan.accounts(h.version, h.opts.Rate), calledServices...)
 }
 
 // latestPublication returns the newest version of the configuration and when it was published.
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -51,6 +51,7 @@
 	planLeaving          = planHeader + "3000 leave 2 same-id 8000\n3000 leave 4 new-id 8000\n"
 	planEvacuations      = planHeader + "3000 evacuate 2 - 8000\n"
 	planKeys             = "soak 950 8 30000\n3000 config 0 - 300\n7000 config 0 - 300\n11000 config 0 - 300\n15000 config 0 - 300\n"
+	planKillAll          = "soak 950 8 30000\n4000 herd 0 - 300\n6000 herd 0 - 300\n8000 herd 0 - 300\n10000 herd 0 - 300\n12000 herd 0 - 300\n14000 herd 0 - 300\n16000 herd 0 - 300\n"
 	planNewConfigs       = planHeader + "3000 store 0 silent 3000\n9000 config 0 - 300\n13000 config 0 - 300\n17000 config 0 - 300\n"
 )
 
@@ -171,6 +172,13 @@
 		edits: []edits.Edit{edits.New("sidecar/send.go", "if c.Account != \"\" {", "if c.Account == \"none\" {")},
 		plan:  planKeys, wantViolation: "account",
 	},
+	"a holder hands out a full burst after each restart": {
+		edits: []edits.Edit{
+			edits.New("core/quota/pool.go", "p := &pool{share: s, updatedAt: startedAt}", "p := &pool{share: s, updatedAt: startedAt, level: s.capacity}"),
+			edits.New("core/quota/pool.go", "	p.level = min(p.level, max(now.Sub(startedAt).Seconds(), 0)*p.share.rate)\n", ""),
+		},
+		plan: planKillAll, wantViolation: "quota",
+	},
 	"a wrong caller is forwarded": {
 		edits: []edits.Edit{edits.New("sidecar/run.go", "Caller: c.Caller, Upstream: c.Upstream.ID", "Caller: c.Service + \"x\", Upstream: c.Upstream.ID")},
 		plan:  planShedding, wantViolation: "caller",
--- a/soak/run.go
+++ b/soak/run.go
@@ -87,6 +87,8 @@
 	mu          sync.Mutex
 	version     int
 	publishedAt time.Time
+	// oldestVersion is the oldest version that daemons may still have in force, see oldestInForce.
+	oldestVersion int
 	// publicationTimes holds when each version was published.
 	publicationTimes map[int]time.Time
 	requests         atomic.Int64 // see Result.Requests
@@ -109,6 +111,7 @@
 	defer h.close()
 	h.checker.inTouch = h.vmInTouch
 	h.checker.removedFor = h.removedFor
+	h.checker.quotaBound = h.quotaBound
 	h.checker.handlingDelay = func() time.Duration { return h.canary.delay(time.Now()) }
 	h.checker.safetyOnly = o.SafetyOnly
 	if err := h.startAll(ctx); err != nil {
@@ -228,6 +231,7 @@
 		wg.Go(func() { h.checkConfigInForce(ctx, m) })
 		wg.Go(func() { h.sendRemovedKeys(ctx, m) })
 	}
+	wg.Go(func() { h.sendBursts(ctx) })
 	for _, f := range h.plan.Faults {
 		select {
 		case <-time.After(time.Until(h.startedAt.Add(f.At))):
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -81,14 +81,15 @@
 // address of the store.
 func newVM(number, groupTotal int, ip, dir, binary, storeAddress string, c *checker) (*vm, error) {
 	addressAt := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
-	const zoneCount = 3
+	zones := []string{"z0", "z1", "z2"}
 	group := number % groupTotal
 	m := &vm{number: number, group: group, checker: c, binary: binary, exitErr: make(chan error, 1), stoppedAt: make(map[int]time.Time), config: platformtest.VM{
-		Name: fmt.Sprintf("vm-%d", number), IP: ip, Zone: fmt.Sprintf("z%d", number/groupTotal%zoneCount), Service: serviceOf(group, number/groupTotal%2),
+		Name: fmt.Sprintf("vm-%d", number), IP: ip, Zone: zones[number/groupTotal%len(zones)], Service: serviceOf(group, number/groupTotal%2),
 		Outbound: addressAt(portOutbound), Ready: addressAt(portReady), Control: addressAt(portControl), Upstream: addressAt(portUpstreamProxy), Store: addressAt(portStoreProxy),
 		InternalPort: portInternal, Advertised: addressAt(portPeerProxy), Bootstrap: true,
 		GraceS: gracePeriod.Seconds(), RetryBudgetRatio: retryBudgetRatio, RetryBudgetSlack: retryBudgetSlack, RetryBudgetWindowS: retryBudgetWindow.Seconds(),
 		ColdOverage: coldOverage, ColdSlack: coldSlack,
+		Zones: zones, QuotaWindowS: quotaWindow.Seconds(), QuotaOverage: quotaOverage, QuotaSlack: quotaSlack,
 	}}
 	m.settingsPath = filepath.Join(dir, m.config.Name+".yaml")
 	var err error
