--- a/core/route/document.go
+++ b/core/route/document.go
@@ -64,7 +64,7 @@
 	// service accepts. Zero means that the configuration sets none.
 	MaxConns int
 	// ColdRate is the number of requests per second that a cold upstream of the service
-	// tolerates (see package warmup). Zero means that the configuration sets none.
+	// tolerates (see package startrate). Zero means that the configuration sets none.
 	ColdRate float64
 	// ColdDuration is how long an upstream stays cold. Zero means that the configuration
 	// sets none.
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -38,8 +38,9 @@
 )
 
 // runCall sends a call to the upstream and stores the result in attempt. It does not send a call
-// that was cancelled, whose sender has disconnected, whose deadline is too close or whose request has
-// been quarantined or whose key has been removed while the call waited. At the end, it frees the slot of the call for waiting calls. arrivedAt is when the call arrived.
+// that was cancelled, whose sender has disconnected, whose deadline is too close, or whose request was
+// quarantined or whose key was removed while the call waited. At the end, it frees the slot of the call
+// for waiting calls. arrivedAt is when the call arrived.
 func (g *guard) runCall(ctx context.Context, c *Call, attempt *attempt, arrivedAt model.Instant) *Result {
 	timeLeft := c.Deadline - g.now().Sub(arrivedAt)
 	result := notRunResult(outcome.ReasonDeadline)
