soak: the harness does not hold its mutex while it calls the checker

The configuration is published again under h.mu, which is released before the checker is called. TestStoreIsRefilledWithoutDeadlock fails without (10 s) and passes.

--- a/soak/accounts_test.go
+++ b/soak/accounts_test.go
@@ -87,3 +87,31 @@
 		require.Len(t, ck.allViolations(), want)
 	}
 }
+
+// TestStoreIsRefilledWithoutDeadlock has the store lose its records while the checker, which locks its own
+// mutex first, needs the newest version. Once the injection held the harness' mutex while it waited for the
+// checker's, and the run never ended.
+func TestStoreIsRefilledWithoutDeadlock(t *testing.T) {
+	h := &harness{checker: newChecker(), store: platformtest.NewStore(), publicationTimes: make(map[int]time.Time), plan: Plan{VMs: 1}}
+	h.checker.mu.Lock()
+	injected, read := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(injected)
+		h.injectStoreFault(Fault{Mode: "forget"})
+	}()
+	go func() {
+		defer close(read)
+		for range 1000 {
+			h.latestPublication()
+			time.Sleep(100 * time.Microsecond)
+		}
+	}()
+	select {
+	case <-read:
+	case <-time.After(10 * time.Second):
+		h.checker.mu.Unlock()
+		t.Fatal("the newest version cannot be read while the store is refilled")
+	}
+	h.checker.mu.Unlock()
+	<-injected
+}
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -19,6 +19,14 @@
 	h.store.PutConfig(h.configLocked())
 }
 
+// publishAgain publishes the newest configuration once more. It releases h.mu before it returns: the
+// checker locks its own mutex before h.mu, so h.mu must not be held around calls of the checker.
+func (h *harness) publishAgain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.store.PutConfig(h.configLocked())
+}
+
 // configLocked returns the newest configuration. The caller must hold h.mu.
 func (h *harness) configLocked() []byte {
 	var calledServices []string
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -115,9 +115,7 @@
 func (h *harness) injectStoreFault(f Fault) {
 	if f.Mode == "forget" {
 		h.store.Truncate(platformtest.TopicOperator)
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.store.PutConfig(h.configLocked())
+		h.publishAgain()
 		h.repeatEvacuations()
 		return
 	}
