Guard: the key of a call is compared once for each decision

rejectReason looked the credential of a call up twice, and a version that came into force in between could have answered differently. The order of the cases and the answers are as before. The last paragraph of the package comment of core/slots is wrapped anew.

--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -20,9 +20,10 @@
 //
 // To prevent starvation, every eighth start goes to the last rank. This is the largest rank
 // among the waiting requests. With client accounts, there are more ranks, and none of them may
-// starve. Instead, each account and rank is guaranteed to be served a quarter as often as all. A
-// request that can no longer complete before its deadline is
-// refused at once. Its response would come too late for its caller.
+// starve. Instead, each account and rank is guaranteed to be served a quarter as often as all.
+//
+// A request that can no longer complete before its deadline is refused at once. Its response would
+// come too late for its caller.
 package slots
 
 import (
--- a/sidecar/guardreject.go
+++ b/sidecar/guardreject.go
@@ -23,6 +23,7 @@
 
 // rejectReason returns why a call cannot run here, or ReasonNone. g.mu is held.
 func (g *guard) rejectReason(current lifecycle.Report, c *Call) outcome.Reason {
+	keyRejection := g.keyRejection(c)
 	switch {
 	case g.closed, !g.endsBeforeStop(c):
 		return outcome.ReasonDraining
@@ -30,8 +31,8 @@
 		return outcome.ReasonNoUpstream
 	case current.State != lifecycle.Ready, g.evacuated:
 		return outcome.ReasonDraining
-	case g.keyRejection(c) != outcome.ReasonNone:
-		return g.keyRejection(c)
+	case keyRejection != outcome.ReasonNone:
+		return keyRejection
 	case g.configVersion() == 0:
 		// Neither evacuations nor what a cold upstream tolerates are known yet.
 		return outcome.ReasonNotReady
