Logs: who ended a request that an upstream may have been running

The incident's hypotheses (entry, hop or guard ended it) could not be told apart: connection-lost stood for either of two connections, no line said whether the daemon was stopping, how much time was left or whether an attempt was in flight, and a guard's line did not say that the sender had gone.

New fields in_flight, left_ms, stopping_ms and peer_error of the lines that end a request, sender_gone and stopping_ms of 'run failed', counter requests_ended_in_flight. No logic changes.

--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -82,13 +82,18 @@
 //   - candidates: number of upstreams from which the entry picked
 //   - sends: number of attempts that reached an upstream
 //   - given_back: number of attempts that a guard rejected
+//   - in_flight: number of attempts in flight when the entry ended the request
+//   - left_ms: time left until the deadline of the request, negative after the deadline
+//   - stopping_ms: how long the daemon had been stopping, 0 if it was not
+//   - peer_error: error of the connection to the daemon of the last attempt, only if that
+//     connection was lost; without it, reason connection-lost is about the upstream's connection
 //   - account: client account of the request, only if it has one
 //   - cause: why the reason applies, only for some reasons
 //   - cut: whether the daemon closed the caller's connection, so that the caller got
 //     no response
 var completionFields = []string{
 	"route", "service", "upstream", "reason", "status", "retry_after_ms", "took_ms",
-	"sends", "given_back", "candidates", "expected_ms", "config", "idempotent", "cut", "account", "cause",
+	"sends", "given_back", "candidates", "expected_ms", "config", "idempotent", "cut", "in_flight", "left_ms", "stopping_ms", "peer_error", "account", "cause",
 }
 
 // Declarations lists every kind once, in the order of the table in docs/LOGS.md.
@@ -103,7 +108,7 @@
 		{Rejected, Trouble, "The guard rejected a request without executing it, so that the entry can pick another upstream.", []string{"reason", "expected_ms", "alternative_ms", "slow", "slow_age_ms", "running", "waiting", "limit", "start_delay_ms", "account", "accounts_waiting"}},
 		{Withdrawn, Trouble, "The entry asked a guard over a new connection for the outcome of an attempt; the guard cancels it if it has not started.", []string{"upstream", "result"}},
 		{Ran, Plain, "The upstream executed a request that the guard forwarded.", []string{"upstream", "status", "ran_ms", "waited_ms", "slow", "running"}},
-		{RunFailed, Trouble, "The guard forwarded a request and got no complete response, or one with a status of 500 or above.", []string{"upstream", "outcome", "reason", "status", "ran_ms", "error", "idempotent"}},
+		{RunFailed, Trouble, "The guard forwarded a request and got no complete response, or one with a status of 500 or above.", []string{"upstream", "outcome", "reason", "status", "ran_ms", "error", "idempotent", "sender_gone", "stopping_ms"}},
 		{Suspected, State, "The upstream crashed while it ran a request. A request that was running in several crashes is refused.", []string{"upstream", "born", "fingerprint"}},
 		{UpstreamState, State, "The upstream of this VM changed its state.", []string{"upstream", "born", "sequence", "state", "cause"}},
 		{UpstreamLimited, State, "By its responses, the upstream of this VM takes `per_second` requests a second from now on; by the line before it took `previous`. If `limited` is false, it takes any number. There is at most one line a second.", []string{"upstream", "born", "limited", "per_second", "previous"}},
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -98,6 +98,9 @@
 	Delivered bool
 	// Version is the version of the configuration in force at the guard.
 	Version model.Version
+	// PeerError is set if the connection to the daemon of the guard was lost. It is not sent between
+	// daemons.
+	PeerError error
 }
 
 func notRunResult(r outcome.Reason) *Result {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -62,6 +62,8 @@
 	ready atomic.Bool
 	// stopping is set when draining begins.
 	stopping atomic.Bool
+	// stoppingSince is the model.Instant at which draining began. It is set before stopping.
+	stoppingSince atomic.Int64
 	// storeUnreachableSince is the model.Instant since which no daemon of the cell has reached
 	// the configuration store. A cell is a group of daemons of one zone, a few of which watch
 	// the store; see package watch. Zero means that some daemon of the cell reaches the store.
@@ -88,6 +90,7 @@
 	d.guard.healthPath = d.healthPath
 	d.guard.onPanic = d.recordPanic
 	d.guard.onDeparture = d.announceState
+	d.guard.stoppingFor = d.stoppingFor
 	d.guard.accountWeight = func(a slots.Account) float64 {
 		if table := d.config.table(); table != nil {
 			return table.Accounts().Weight(uint32(a))
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
+	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/decision"
 )
 
@@ -53,6 +54,7 @@
 	drainEnd := deadline.Add(-graceMargin)
 	now := d.now()
 	d.guard.setStop(now.Add(minDrainTime), now.Add(drainEnd.Sub(drainStart)))
+	d.stoppingSince.Store(int64(now))
 	d.stopping.Store(true)
 	d.opts.Decisions.Write(decision.Stopping, "", slog.Int("in_flight", d.inFlight.count()))
 	currentReport, _ := d.guard.reportAndDeparted()
@@ -94,6 +96,14 @@
 	d.guard.stopAdmitting()
 }
 
+// stoppingFor returns how long the daemon has been stopping, zero if it is not.
+func (d *Daemon) stoppingFor() time.Duration {
+	if !d.stopping.Load() {
+		return 0
+	}
+	return d.now().Sub(model.Instant(d.stoppingSince.Load()))
+}
+
 func (d *Daemon) isAborting() bool {
 	select {
 	case <-d.aborting:
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -84,6 +84,8 @@
 	upstreamKey  string
 	// quotaToken is the token that the request took from the quota of its account.
 	quotaToken corequota.Token
+	// endedInFlight is the number of attempts that were in flight when the request ended.
+	endedInFlight int
 	// cachedFingerprint is the result of the first call of fingerprint, nil before that call.
 	cachedFingerprint *quarantine.Fingerprint
 }
@@ -333,6 +335,9 @@
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, string(result.Outcome.Reason)+"\n")
 	kind := decision.Failed
+	if req.endedInFlight > 0 && result.Outcome.Reason != outcome.ReasonCancelled {
+		e.daemon.metrics.endedInFlight.Inc(1)
+	}
 	if result.Outcome.Kind == outcome.NotRun {
 		e.daemon.quotas.Return(req.account, req.quotaToken)
 		kind = decision.Refused
@@ -352,18 +357,33 @@
 	if k == decision.Answered && !req.closedByDaemon() && !e.daemon.opts.Decisions.Sampled(req.id) {
 		return
 	}
-	e.daemon.opts.Decisions.Write(k, req.id, req.withAccount(
+	extra := req.accountAttrs()
+	if result.PeerError != nil {
+		extra = append(extra, slog.String("peer_error", result.PeerError.Error()))
+	}
+	e.daemon.opts.Decisions.Write(k, req.id, append([]slog.Attr{
 		slog.String("route", routeName), slog.String("service", string(req.service)), slog.String("upstream", req.upstreamKey),
 		slog.String("reason", string(result.Outcome.Reason)), slog.Int("status", status),
 		slog.Int64("retry_after_ms", result.Outcome.RetryAfter.Milliseconds()), slog.Int64("took_ms", elapsed.Milliseconds()),
 		slog.Int("sends", req.deliveredCount), slog.Int("given_back", req.rejectionCount), slog.Int("candidates", req.candidateCount),
 		slog.Int64("expected_ms", req.expectedTime.Milliseconds()), slog.Uint64("config", uint64(e.daemon.config.version())),
-		slog.Bool("idempotent", req.route != nil && req.route.Idempotent), slog.Bool("cut", req.closedByDaemon()))...)
+		slog.Bool("idempotent", req.route != nil && req.route.Idempotent), slog.Bool("cut", req.closedByDaemon()),
+		slog.Int("in_flight", req.endedInFlight), slog.Int64("left_ms", e.timeLeft(req).Milliseconds()),
+		slog.Int64("stopping_ms", e.daemon.stoppingFor().Milliseconds()),
+	}, extra...)...)
+}
+
+// timeLeft returns the time until the deadline of a request, zero if it has none yet.
+func (e *entry) timeLeft(req *request) time.Duration {
+	if req.deadline == 0 {
+		return 0
+	}
+	return req.deadline.Sub(e.daemon.now())
 }
 
-// withAccount appends the account of the request and the cause of its refusal to the attributes of a
+// accountAttrs returns the account of the request and the cause of its refusal as attributes of a
 // log line, unless they are empty.
-func (r *request) withAccount(attrs ...slog.Attr) []slog.Attr {
+func (r *request) accountAttrs() (attrs []slog.Attr) {
 	if r.account != nil {
 		attrs = append(attrs, slog.String("account", string(r.account.Name)))
 	}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -108,6 +108,7 @@
 	if result == nil {
 		result = f.waitForResult()
 	}
+	req.endedInFlight = len(f.inFlight)
 	return f.recordGroupResult(result)
 }
 
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -48,6 +48,8 @@
 	isQuarantined func(c *Call) bool
 	// keyRejection returns why a call must not run under its account any more, or ReasonNone.
 	keyRejection func(c *Call) outcome.Reason
+	// stoppingFor returns how long the daemon has been stopping, zero if it is not.
+	stoppingFor func() time.Duration
 	// hasAccounts reports whether the configuration in force has client accounts.
 	hasAccounts func() bool
 	service     model.ServiceName
@@ -116,6 +118,7 @@
 		accountWeight: func(slots.Account) float64 { return 1 },
 		keyRejection:  func(*Call) outcome.Reason { return outcome.ReasonNone },
 		hasAccounts:   func() bool { return false },
+		stoppingFor:   func() time.Duration { return 0 },
 		queue:         slots.New(1),
 		waiters:       make(map[uint64]waiter),
 		slowdown:      1,
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -34,6 +34,10 @@
 	// closedUnanswered counts the requests whose connection this daemon closed before it had
 	// responded.
 	closedUnanswered tally.Counter
+	// endedInFlight counts the requests that this daemon ended with a response of its own while an
+	// attempt was in flight, so that an upstream may have been running them. Callers that left are
+	// not counted.
+	endedInFlight tally.Counter
 	// rateLimited counts the responses of the local upstream that limit the rate of its requests.
 	// leaving counts those that state that the upstream is leaving.
 	rateLimited tally.Counter
@@ -83,6 +87,7 @@
 		retriesHeldBack:  scope.Counter("resend_held_back"),
 		resolved:         scope.Counter("settled"),
 		closedUnanswered: scope.Counter("requests_cut"),
+		endedInFlight:    scope.Counter("requests_ended_in_flight"),
 		rateLimited:      scope.Counter("upstream_limit_responses"),
 		leaving:          scope.Counter("upstream_leaving_responses"),
 		panics:           scope.Counter("handlers_panicked"),
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -103,7 +103,7 @@
 	if result.Outcome.Reason == outcome.ReasonConnectionLost {
 		go g.crashes.recordLoss(newLostRun(c, incarnation))
 	}
-	g.logRun(c, result, err, waited, duration, running)
+	g.logRun(ctx, c, result, err, waited, duration, running)
 	return result
 }
 
@@ -238,7 +238,7 @@
 
 // logRun logs the execution of a call. Of the executions that succeeded, that is with a status
 // below 500, it logs only a sample. running is the number of running calls at its start.
-func (g *guard) logRun(c *Call, result *Result, err error, waited, duration time.Duration, running int) {
+func (g *guard) logRun(ctx context.Context, c *Call, result *Result, err error, waited, duration time.Duration, running int) {
 	attrs := []slog.Attr{slog.String("upstream", string(c.Upstream.ID)), slog.Int("status", result.Status), slog.Int64("ran_ms", duration.Milliseconds())}
 	if result.Outcome.Kind == outcome.Answered && result.Status < http.StatusInternalServerError {
 		if g.opts.Decisions.Sampled(c.ID) {
@@ -255,5 +255,6 @@
 	}
 	g.opts.Decisions.Write(decision.RunFailed, c.ID, append(attrs,
 		slog.String("outcome", result.Outcome.Kind.String()), slog.String("reason", string(result.Outcome.Reason)),
-		slog.Bool("idempotent", c.Idempotent))...)
+		slog.Bool("idempotent", c.Idempotent), slog.Bool("sender_gone", inbound.ClosedByClient(ctx)),
+		slog.Int64("stopping_ms", g.stoppingFor().Milliseconds()))...)
 }
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -122,7 +122,9 @@
 		if !requestErr.Sent {
 			return notRunResult(outcome.ReasonConnect), true
 		}
-		return unknownResult(outcome.ReasonConnectionLost), false
+		lost := unknownResult(outcome.ReasonConnectionLost)
+		lost.PeerError = requestErr
+		return lost, false
 	}
 	result := resultFromReply(reply)
 	e.daemon.onPeerVersion(attempt.endpoint.address, result.Version)
--- a/sidecar/unanswered_test.go
+++ b/sidecar/unanswered_test.go
@@ -80,7 +80,13 @@
 // send writes a request for /safe/ without a body.
 func (c *callerConn) send(t *testing.T, id string) {
 	t.Helper()
-	_, err := io.WriteString(c.conn, "GET /safe/ HTTP/1.1\r\nHost: h\r\nT-Id: "+id+"\r\nT-Deadline: 5000\r\n\r\n")
+	c.sendWithDeadline(t, id, "5000")
+}
+
+// sendWithDeadline writes a request for /safe/ with a deadline in milliseconds.
+func (c *callerConn) sendWithDeadline(t *testing.T, id, deadline string) {
+	t.Helper()
+	_, err := io.WriteString(c.conn, "GET /safe/ HTTP/1.1\r\nHost: h\r\nT-Id: "+id+"\r\nT-Deadline: "+deadline+"\r\n\r\n")
 	require.NoError(t, err)
 }
 
