--- a/cmd/dottereltiller/soak.go
+++ b/cmd/dottereltiller/soak.go
@@ -14,6 +14,9 @@
 	Seed      uint64        `arg:"--seed" default:"1" help:"seed of the random fault plan"`
 	For       time.Duration `arg:"--for" default:"60s" help:"duration of the run, including 14s without faults"`
 	Processes int           `arg:"--processes" default:"8" help:"number of daemons"`
+	Stops     bool          `arg:"--stops" help:"use a random plan of planned faults only: stops in series, reloads, new configurations, replaced upstreams"`
+	Rate      int           `arg:"--rate" help:"requests per second that the callers of each daemon send; default: 10, or less with many daemons"`
+	Processor float64       `arg:"--processor" help:"share of the time in which each daemon may run, as on a VM with a part of a core; default: all of it"`
 	Plan      string        `arg:"--plan" placeholder:"FILE" help:"file with a fault plan to run instead of a random one"`
 	PrintPlan bool          `arg:"--print-plan" help:"print the plan and exit"`
 	Shrink    bool          `arg:"--shrink" help:"if the run fails, remove faults from the plan as long as runs still fail, and print the smallest failing plan"`
@@ -47,7 +50,7 @@
 		}
 	}
 	runPlan := func(p soak.Plan) (soak.Result, error) {
-		return soak.Run(ctx, p, soak.Options{Binary: binary, Dir: c.Dir})
+		return soak.Run(ctx, p, soak.Options{Binary: binary, Dir: c.Dir, Rate: c.Rate, Processor: c.Processor})
 	}
 	r, err := runPlan(plan)
 	if err != nil {
@@ -74,6 +77,9 @@
 
 // plan returns the plan in the plan file or, without a plan file, a random plan.
 func (c *soakCmd) plan() (soak.Plan, error) {
+	if c.Plan == "" && c.Stops {
+		return soak.StopsPlan(c.Seed, c.Processes, c.For), nil
+	}
 	if c.Plan == "" {
 		return soak.RandomPlan(c.Seed, c.Processes, c.For), nil
 	}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -269,6 +269,24 @@
 	require.Equal(t, "a", choose(t, p, at(4)).Upstream.Key, "there is no other upstream")
 }
 
+// TestSilentStoppingDaemonIsNotChosen guards against requests that are sent to a daemon that has ended.
+// Where only daemons that are about to stop are left, they are queried, and those that do not reply are
+// not chosen, although unreachable upstreams are otherwise tried.
+func TestSilentStoppingDaemonIsNotChosen(t *testing.T) {
+	p := New(Options{Zone: "local", Rand: midpoint})
+	p.SetUpstreams([]Upstream{{Key: "a", Zone: "local", Slots: 6, Stopping: true}, {Key: "b", Zone: "far", Slots: 6, Stopping: true}})
+	request := Request{ServiceTime: serviceTime}
+	require.Len(t, p.QueryTargets(at(0), request, true, 0, 4), 1)
+	require.Len(t, p.QueryTargets(at(0), request, false, 0, 4), 1)
+	p.MarkUnreachable(at(0), "a")
+	require.Equal(t, "b", choose(t, p, at(1)).Upstream.Key)
+	p.MarkUnreachable(at(1), "b")
+	_, ok := p.Choose(at(2), request)
+	require.False(t, ok)
+	p.SetUpstreams([]Upstream{{Key: "a", Zone: "local", Slots: 6}, {Key: "b", Zone: "far", Slots: 6, Stopping: true}})
+	require.Equal(t, "a", choose(t, p, at(3)).Upstream.Key, "a daemon that has started again is tried")
+}
+
 // TestMissesTarget covers a burst that fills a service. Guards have rejected the request for
 // lack of capacity. The request must then be refused if it is expected to miss its target at
 // the next guard as well.
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -44,6 +44,9 @@
 	responsePollInterval = time.Millisecond
 )
 
+// shutdownMargin returns the part of a grace period that is reserved for shutting down after draining.
+func shutdownMargin(grace time.Duration) time.Duration { return graceMargin }
+
 // drain announces that the daemon is stopping and waits for the requests in flight, until
 // graceMargin before the end of the grace period at the latest. It then aborts those that remain.
 // If the local upstream is gone, it also removes the daemon's entry from the directory. It returns
--- a/soak/accounts.go
+++ b/soak/accounts.go
@@ -60,10 +60,10 @@
 	return sentKey{account: accountOf(m), version: version, oldest: h.oldestInForce()}
 }
 
-// send sends a request with a key of the callers of a VM, if the run has accounts.
-func (h *harness) send(ctx context.Context, m *vm, path, attempt string, nonIdempotent bool, timeout time.Duration) (platformtest.Result, error) {
+// send sends a request of a caller on a VM, with a key of the callers of the VM if the run has accounts.
+func (h *harness) send(ctx context.Context, m *vm, caller *platformtest.Caller, path, attempt string, nonIdempotent bool, timeout time.Duration) (platformtest.Result, error) {
 	if !h.plan.hasAccounts() {
-		return m.caller.Send(ctx, path, attempt, nonIdempotent, timeout)
+		return caller.Send(ctx, path, attempt, nonIdempotent, timeout)
 	}
 	key := h.keyFor(m)
 	quiet, faults := h.undisturbed(), m.faultCount()
--- a/soak/check.go
+++ b/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"strings"
 	"sync"
@@ -45,6 +46,10 @@
 	daemon string
 	// executions is the number of times that upstreams started the request.
 	executions int
+	// endedExecutions counts the executions that have ended, by how they ended.
+	endedExecutions map[platformtest.RunEnd]int
+	// executedAt holds when the executions at each upstream started.
+	executedAt map[*platformtest.Upstream]time.Time
 	// toldNotExecuted is set when the response tells the caller that the request did not run.
 	toldNotExecuted bool
 	// crashKey identifies a request that crashes upstreams. Such a request is sent with many
@@ -161,7 +166,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.recordsByAttempt[attempt] = &requestRecord{sentAt: now, nonIdempotent: nonIdempotent, callerService: service}
+	c.recordsByAttempt[attempt] = &requestRecord{
+		sentAt: now, nonIdempotent: nonIdempotent, callerService: service, endedExecutions: make(map[platformtest.RunEnd]int),
+		executedAt: make(map[*platformtest.Upstream]time.Time),
+	}
 	c.sendTimes = append(c.sendTimes, now)
 }
 
@@ -176,6 +184,7 @@
 		return
 	}
 	rec.executions++
+	rec.executedAt[u] = time.Now()
 	switch {
 	case rec.executions > 1 && rec.nonIdempotent:
 		c.addViolationLocked("twice: non-idempotent request %s ran %d times, the last time at %s", attempt, rec.executions, u.ID())
@@ -261,6 +270,15 @@
 	c.drainTimes[incarnation] = time.Now()
 }
 
+// RequestEnded records how an execution of a request ended. It implements platformtest.Observer.
+func (c *checker) RequestEnded(_ *platformtest.Upstream, attempt string, end platformtest.RunEnd) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rec := c.recordsByAttempt[attempt]; rec != nil {
+		rec.endedExecutions[end]++
+	}
+}
+
 // wasExecuted reports whether the request of an attempt has run at least once under this attempt
 // id.
 func (c *checker) wasExecuted(attempt string) bool {
@@ -270,6 +288,23 @@
 	return rec != nil && rec.executions > 0
 }
 
+// executionTimes returns when the executions of an attempt started, by upstream.
+func (c *checker) executionTimes(attempt string) map[*platformtest.Upstream]time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.recordsByAttempt[attempt].executedAt)
+}
+
+// wasTakenAway reports whether an upstream was executing the request of an attempt, had answered it, or
+// had it broken off by a daemon. If the caller then gets no response of an upstream, the
+// daemons have lost the request. Executions that upstreams broke off do not count.
+func (c *checker) wasTakenAway(attempt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rec := c.recordsByAttempt[attempt]
+	return rec != nil && rec.executions > rec.endedExecutions[platformtest.RunLost]
+}
+
 // checkResponse checks the response to an attempt. It also records in the record of the attempt
 // if the response tells the caller that the request did not run.
 func (c *checker) checkResponse(attempt string, r platformtest.Result) {
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -32,6 +32,9 @@
 	var calledServices []string
 	for g := range groupCount(h.plan.VMs) {
 		calledServices = append(calledServices, serviceOf(g, 0))
+		if h.plan.hasNestedRequests() {
+			calledServices = append(calledServices, serviceOf(g, 1))
+		}
 	}
 	return platformtest.DocumentWithAccounts(h.version, h.plan.accounts(h.version, h.opts.Rate), calledServices...)
 }
@@ -58,7 +61,7 @@
 		incarnation, stoppingOrExited := m.processState()
 		attempt := fmt.Sprintf("probe-%s-%d", m.config.Name, i)
 		h.checker.recordSent(attempt, m.service(), false)
-		r, err := h.send(ctx, m, fmt.Sprintf("/v%d/x", version), attempt, false, requestDeadline)
+		r, err := h.send(ctx, m, &m.caller, fmt.Sprintf("/v%d/x", version), attempt, false, requestDeadline)
 		if incarnationAfter, _ := m.processState(); err != nil || stoppingOrExited || incarnation != incarnationAfter {
 			continue
 		}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -229,7 +229,7 @@
 		attempt := fmt.Sprintf("%s%s-%d", poisonAttemptPrefix, key, n)
 		h.checker.recordSent(attempt, m.service(), false)
 		h.checker.recordPoison(attempt, key, m.undisturbed)
-		if r, err := h.send(context.Background(), m, path, attempt, false, requestDeadline); err == nil {
+		if r, err := h.send(context.Background(), m, &m.caller, path, attempt, false, requestDeadline); err == nil {
 			h.checker.checkResponse(attempt, r)
 		}
 		time.Sleep(poisonInterval)
--- a/soak/run.go
+++ b/soak/run.go
@@ -7,15 +7,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/loopback"
 	"github.com/dottereltiller/dottereltiller/platform/platformtest"
 )
@@ -35,6 +32,9 @@
 	// Rate is the number of requests a second that the callers of one VM send. The default is 10,
 	// or less (at least 1) if the callers of all VMs together would send more than 480 a second.
 	Rate int
+	// Processor is the share of the time in which a daemon may run, as on a VM with a part of a core.
+	// The default, zero, means all of the time.
+	Processor float64
 }
 
 // Result holds the violations that a soak found and how many requests its callers sent.
@@ -61,8 +61,11 @@
 	// for recovery. After all daemons were killed, requests that crash upstreams may do so again.
 	// The upstream that crashed is cold for platformtest.ColdSeconds.
 	crashRecovery         = (platformtest.ColdSeconds + 1) * time.Second
-	unsafeRequestInterval = 3  // one in this many requests is not idempotent
-	longRequestInterval   = 40 // one in this many requests is not idempotent and runs for seconds
+	unsafeRequestInterval = 3 // one in this many requests is not idempotent
+	nestedRequestInterval = 2 // one in this many requests needs nested requests, in plans that have any
+	// longRequestInterval is how many requests there are for one that is not idempotent and runs for
+	// seconds. In a StopsPlan there are fewer, because upstreams are slower and callers send more.
+	longRequestInterval, stopsLongRequestInterval = 40, 400
 	// distinctPaths is the number of paths under /safe/, and also the number under /unsafe/.
 	distinctPaths = 2000
 	// configCheckInterval is the time between two checks of a daemon's configuration.
@@ -92,6 +95,7 @@
 	// publicationTimes holds when each version was published.
 	publicationTimes map[int]time.Time
 	requests         atomic.Int64 // see Result.Requests
+	nestedRequests   atomic.Int64 // the requests that upstreams sent
 	served           atomic.Int64 // see Result.Served
 	finalRequests    atomic.Int64 // the requests sent in recoveryWindow
 	finalServed      atomic.Int64 // the requests sent in recoveryWindow that were served
@@ -164,6 +168,9 @@
 		if err != nil {
 			return err
 		}
+		if h.plan.onlyPlanned() {
+			h.prepareForStops(m, storeAddress)
+		}
 		h.vms = append(h.vms, m)
 		if err := m.start(); err != nil {
 			return err
@@ -200,7 +207,7 @@
 		for i := 0; ; i++ {
 			attempt := fmt.Sprintf("probe-last-%s-%d", m.config.Name, i)
 			h.checker.recordSent(attempt, m.service(), false)
-			r, err := h.send(ctx, m, "/safe/x", attempt, false, requestDeadline)
+			r, err := h.send(ctx, m, &m.caller, "/safe/x", attempt, false, requestDeadline)
 			if err == nil && r.Status == http.StatusOK {
 				break
 			}
@@ -228,6 +235,9 @@
 	var wg sync.WaitGroup
 	for _, m := range h.vms {
 		wg.Go(func() { h.runCallers(ctx, m) })
+		if o := h.opts.Processor; o > 0 && o < 1 {
+			wg.Go(func() { m.throttle(ctx, o) })
+		}
 		wg.Go(func() { h.checkConfigInForce(ctx, m) })
 		wg.Go(func() { h.sendRemovedKeys(ctx, m) })
 	}
@@ -268,42 +278,18 @@
 		return
 	}
 	n := h.requests.Add(1)
-	nonIdempotent, path, timeout := n%unsafeRequestInterval == 0, fmt.Sprintf("/safe/x%d", n%distinctPaths), requestDeadline
+	nonIdempotent, path, timeout := n%unsafeRequestInterval == 0, fmt.Sprintf("/safe/x%d", n%distinctPaths), h.plan.deadline(n)
 	switch {
-	case n%longRequestInterval == 0:
+	case h.plan.hasNestedRequests() && n%nestedRequestInterval == 1:
+		nonIdempotent, path = false, fmt.Sprintf("/safe/%s%d", platformtest.NestedPath, n%distinctPaths)
+	case n%h.plan.longRequestInterval() == 0:
 		nonIdempotent, path, timeout = true, platformtest.LongPath+"x", longRequestDeadline
 	case nonIdempotent:
 		path = fmt.Sprintf("/unsafe/x%d", n%distinctPaths)
 	}
 	attempt := fmt.Sprintf("r%d", n)
-	h.checker.recordSent(attempt, m.service(), nonIdempotent)
-	undisturbedBefore, faultsBefore := h.undisturbed(), m.faultCount()
-	incarnationBefore, stoppingOrExitedBefore := m.processState()
-	h.checker.recordDaemon(attempt, m.daemonIncarnation(incarnationBefore))
-	sentAt := time.Now()
-	inRecoveryWindow := sentAt.Sub(h.startedAt) > h.plan.Length-recoveryWindow
-	// The daemon may restart between sentAt and the connection.
-	connectedTo := incarnationBefore
-	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			connectedTo, _ = m.processState()
-			h.checker.recordDaemon(attempt, m.daemonIncarnation(connectedTo))
-		},
-	})
-	r, err := h.send(ctx, m, path, attempt, nonIdempotent, timeout)
-	incarnation, stoppingOrExited := m.processState()
-	// Every unplanned fault affects all VMs, and may end before the response is handled here.
-	if undisturbedBefore && m.faultCount() == faultsBefore && h.undisturbed() && h.checker.wasExecuted(attempt) {
-		switch {
-		case stoppingOrExited && !m.ranUntilGraceEnd(sentAt, connectedTo) && abortedByDaemon(r, err):
-			h.checker.addViolation("lost: %s ran and was aborted by a planned stop: status %d, error %v", attempt, r.Status, err)
-		case err != nil && abortedByDaemon(r, err) && !stoppingOrExitedBefore && !stoppingOrExited && incarnation == incarnationBefore:
-			h.checker.addViolation("unanswered: %s ran and its connection to %s was closed without a response: %v", attempt, m.config.Name, err)
-		}
-	}
-	if err == nil {
-		h.checker.checkResponse(attempt, r)
-	}
+	inRecoveryWindow := time.Since(h.startedAt) > h.plan.Length-recoveryWindow
+	r, err := h.sendChecked(context.Background(), m, &m.caller, path, attempt, nonIdempotent, timeout)
 	served := err == nil && r.Status == http.StatusOK
 	if served {
 		h.served.Add(1)
@@ -316,15 +302,6 @@
 	}
 }
 
-// abortedByDaemon reports whether a daemon aborted an executing request. To abort a request, it
-// closes the connection or responds with status 502 and reason outcome.ReasonDraining.
-func abortedByDaemon(r platformtest.Result, err error) bool {
-	if err != nil {
-		return !errors.Is(err, context.DeadlineExceeded)
-	}
-	return r.Status == http.StatusBadGateway && strings.TrimSpace(r.Body) == string(outcome.ReasonDraining)
-}
-
 // undisturbed reports whether all VMs have been without unplanned faults for quietPeriod.
 func (h *harness) undisturbed() bool {
 	for _, m := range h.vms {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -228,6 +229,22 @@
 	_ = m.process.Process.Signal(s)
 }
 
+// throttlePeriod is the period in which a daemon gets its share of the time, see Options.Processor.
+const throttlePeriod = 100 * time.Millisecond
+
+// throttle pauses the process of the daemon for a part of each throttlePeriod until ctx ends. share is
+// the part in which it may run.
+func (m *vm) throttle(ctx context.Context, share float64) {
+	running := time.Duration(share * float64(throttlePeriod))
+	defer m.signal(syscall.SIGCONT)
+	for ctx.Err() == nil {
+		time.Sleep(running)
+		m.signal(syscall.SIGSTOP)
+		time.Sleep(throttlePeriod - running)
+		m.signal(syscall.SIGCONT)
+	}
+}
+
 // processState returns the incarnation of the process, and whether the process has received
 // a SIGTERM or is not running.
 func (m *vm) processState() (incarnation int, stoppingOrExited bool) {
@@ -258,6 +275,17 @@
 	return ok && sentAt.Sub(stoppedAt) <= maxSendDelayAfterStop && time.Since(stoppedAt) >= gracePeriod-gracePeriod/graceTailDivisor
 }
 
+// ranUntilLastGraceEnd does the same as ranUntilGraceEnd for the incarnation that was stopped last.
+func (m *vm) ranUntilLastGraceEnd(sentAt time.Time) bool {
+	m.mu.Lock()
+	last := 0
+	for incarnation := range m.stoppedAt {
+		last = max(last, incarnation)
+	}
+	m.mu.Unlock()
+	return m.ranUntilGraceEnd(sentAt, last)
+}
+
 // disturb records that an unplanned fault affects the VM for the duration d from now.
 func (m *vm) disturb(d time.Duration) {
 	m.mu.Lock()
