Placement: a silent daemon that is about to stop is not chosen

Callers saw 502 'connection-lost' for requests, also ones that must not run twice, that no upstream had received.

Stopping daemons are now queried where no others are left. A guard that takes no calls does not reply, and a silent stopping daemon is not tried as a last resort, as other unreachable ones are: the request is refused as not run.

TestSilentStoppingDaemonIsNotChosen, TestCallToAnEndedDaemonHasNotRun: failed before (502, none queried). The latter waits until the load that it learned is out of date; without the change it ends with 502 all the same.

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -167,13 +167,15 @@
 
 // QueryTargets returns up to n upstreams to which to send a load query. If inLocalZone is set,
 // they are upstreams of the local zone, otherwise of other zones. Upstreams whose load is
-// younger than maxAge are left out, and so are unreachable, stopping and excluded ones. If more
+// younger than maxAge are left out, and so are unreachable and excluded ones. Stopping ones are left
+// out unless there are no others. If more
 // than n remain, the result holds the n-1 with the shortest expected times (increased at
 // random, see queryJitter) and one that is drawn at random from the others.
 func (p *Placer) QueryTargets(now model.Instant, req Request, inLocalZone bool, maxAge time.Duration, n int) []Upstream {
 	var stale []scoredCandidate
+	allowed := p.queryEligibility(now, req)
 	for _, c := range p.candidates {
-		if (c.upstream.Zone == p.opts.Zone) != inLocalZone || !preferredOnly.allows(c, now) {
+		if (c.upstream.Zone == p.opts.Zone) != inLocalZone || !allowed.allows(c, now) {
 			continue
 		}
 		if req.Exclude != nil && req.Exclude(c.upstream) || c.hasLoad && now.Sub(c.loadReceivedAt) < maxAge {
@@ -262,8 +264,8 @@
 	// includeStopping also allows upstreams whose daemons are about to stop. They serve
 	// requests until the daemon refuses them.
 	includeStopping
-	// includeUnreachable allows all upstreams, also those that recently could not be
-	// reached.
+	// includeUnreachable also allows upstreams that recently could not be reached, unless their
+	// daemons are about to stop: such a daemon has probably ended.
 	includeUnreachable
 )
 
@@ -274,10 +276,21 @@
 	case includeStopping:
 		return c.unreachableUntil <= now
 	default:
-		return true
+		return c.unreachableUntil <= now || !c.upstream.Stopping
 	}
 }
 
+// queryEligibility returns which candidates are queried. Those whose daemons are about to stop are
+// queried only if there are no others, because one of them may have ended.
+func (p *Placer) queryEligibility(now model.Instant, req Request) eligibility {
+	for _, c := range p.candidates {
+		if preferredOnly.allows(c, now) && (req.Exclude == nil || !req.Exclude(c.upstream)) {
+			return preferredOnly
+		}
+	}
+	return includeStopping
+}
+
 // findBest returns the best candidate, the second best, and the best candidate of the
 // local zone. The candidate field of a result is nil if there is no such candidate.
 func (p *Placer) findBest(now model.Instant, req Request, e eligibility) (best, second, bestLocal scoredCandidate) {
--- a/sidecar/brokenoff_test.go
+++ b/sidecar/brokenoff_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/core/placement"
 )
 
 // TestCallToAnEndedDaemonHasNotRun guards against 502 for a request that cannot have run. The only
@@ -29,6 +30,8 @@
 	status, _ = a.post(t, "/unsafe/")
 	require.Equal(t, http.StatusOK, status, "the daemon still takes calls")
 	b.guard.stopAdmitting()
+	// A daemon that ends refuses calls for longer than a known load is used without a query.
+	time.Sleep(2 * placement.MaxLoadAge)
 	// Connections that are still open take a call, and are closed before it is read.
 	b.peerServer.http.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 	resp, body := a.sendRequest(t, http.MethodPost, "/unsafe/", "pay")
--- a/sidecar/choose.go
+++ b/sidecar/choose.go
@@ -53,7 +53,7 @@
 
 // queryLoads queries the loads of up to maxQueries upstreams and stores the replies. If local is
 // set, the upstreams are in the local availability zone, otherwise in remote ones. A service's
-// only candidate is not queried.
+// only candidate is not queried, unless its daemon is about to stop.
 //
 // If a guard does not reply within the timeout, its upstream is avoided for a while. The
 // upstream is not avoided if its guard may be too far away to reply in time. This is assumed if
@@ -64,7 +64,7 @@
 func (f *forwarder) queryLoads(req placement.Request, local bool, maxQueries int, timeout time.Duration) {
 	now := f.entry.daemon.now()
 	upstreams := f.serviceState.placer.QueryTargets(now, req, local, placement.MaxLoadAge, maxQueries)
-	if len(upstreams) == 0 || len(upstreams) == 1 && f.serviceState.placer.Len() == 1 {
+	if len(upstreams) == 0 || len(upstreams) == 1 && f.serviceState.placer.Len() == 1 && !upstreams[0].Stopping {
 		return
 	}
 	beyondTimeout := f.serviceState.placer.ZonesBeyondRTT(timeout)
