--- a/sidecar/quota_test.go
+++ b/sidecar/quota_test.go
@@ -170,8 +170,10 @@
 
 func TestLoweredAndRemovedQuota(t *testing.T) {
 	s, members := startQuotaFleet(t, limitedAccount(1000, 1000))
-	// The buckets are empty at the start.
+	// The buckets are empty at the start. The pause lets them fill: without it, the tries themselves
+	// would send more than the rate.
 	eventually(t, "all served", func() bool {
+		time.Sleep(100 * time.Millisecond)
 		statuses, _ := sendMany(members, 60)
 		return statuses[http.StatusOK] == 60
 	})
