sidecar: a test of removed keys waits until the running requests have arrived

TestRemovedKeyStopsWaitingRequests counted the requests that the upstream had received as those that run, and failed once (4 expected, 5 found): the guard counts a request as running before the upstream has read it. It now expects as many as fill the slots, and waits until all of them have arrived; the check is the same number or stricter.

--- a/sidecar/accountqueue_test.go
+++ b/sidecar/accountqueue_test.go
@@ -77,7 +77,8 @@
 				require.NoError(t, r.err)
 				require.Equal(t, http.StatusUnauthorized, r.status)
 			}
-			ran := len(b.upstream.requests())
+			ran := len(running)
+			eventually(t, "the upstream has received the running requests", func() bool { return len(b.upstream.requests()) == ran })
 			release()
 			for _, response := range append(running, kept) {
 				require.Equal(t, http.StatusOK, (<-response).status)
