Stop: connections are accepted until no request is in flight, and none is reset

A stopping daemon closed its listener for callers 2.2 s after the signal, whatever was in flight. The local upstream could then send the nested requests of its runs over open connections only: runs that the guard had taken ended with 500.

The listeners of callers and of other daemons now end together with the drain: what is established is accepted and refused as not run, then the listener is closed (inbound.Listener.Stop), and connections with unread bytes count as pending. So that a daemon still becomes idle, requests on connections opened later than 2.2 s after the signal are refused with a time to come back, unless the local upstream is running requests.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -2,15 +2,22 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // trackedConn is a TCP connection that records whether the server has closed
 // it.
 type trackedConn struct {
 	*net.TCPConn
+	acceptedAt     time.Time
 	closedByServer atomic.Bool
 }
 
@@ -20,25 +27,95 @@
 	return c.TCPConn.Close()
 }
 
-// NewListener returns a listener whose connections ClosedByServer and
-// ClosedByClient can check.
-func NewListener(l net.Listener) net.Listener { return trackingListener{l} }
+// Listener is a listener whose connections ClosedByServer and ClosedByClient can
+// check. Unlike Close, Stop loses no connection that is established already.
+type Listener struct {
+	net.Listener
+	stopOnce sync.Once
+	// stopping is closed by Stop.
+	stopping chan struct{}
+	// stopped is closed once Accept has closed the listener after Stop.
+	stopped chan struct{}
+}
 
-// trackingListener wraps each accepted TCP connection in a trackedConn.
-type trackingListener struct{ net.Listener }
+// NewListener returns a Listener that accepts the connections of l.
+func NewListener(l net.Listener) *Listener {
+	return &Listener{Listener: l, stopping: make(chan struct{}), stopped: make(chan struct{})}
+}
 
-// Accept implements net.Listener.
-func (l trackingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+const (
+	// lastAcceptTimeout is how long no connection may arrive before a stopping
+	// Listener is closed.
+	lastAcceptTimeout = 2 * time.Millisecond
+	// maxStopTime bounds the time that Stop takes while connections keep arriving
+	// or the server accepts none.
+	maxStopTime = 100 * time.Millisecond
+)
+
+// Accept implements net.Listener. After Stop, it returns the connections that the
+// kernel holds for the process. Then it closes the listener and returns
+// net.ErrClosed.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &trackedConn{TCPConn: tcp}, nil
+		return &trackedConn{TCPConn: tcp, acceptedAt: time.Now()}, nil
 	}
 	return c, nil
 }
 
+func (l *Listener) accept() (net.Conn, error) {
+	select {
+	case <-l.stopping:
+		return l.acceptLast()
+	default:
+	}
+	c, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return l.acceptLast()
+	}
+	return c, err
+}
+
+// acceptLast accepts a connection that is established or arrives within
+// lastAcceptTimeout. If there is none, it closes the listener.
+func (l *Listener) acceptLast() (net.Conn, error) {
+	// Stop may set its deadline during the first try, which then ends without looking.
+	for range 2 {
+		l.setDeadline(time.Now().Add(lastAcceptTimeout))
+		if c, err := l.Listener.Accept(); err == nil {
+			return c, nil
+		}
+	}
+	l.stopOnce.Do(func() { close(l.stopped) })
+	_ = l.Listener.Close()
+	return nil, net.ErrClosed
+}
+
+// setDeadline sets the time after which Accept fails, if the listener has one.
+func (l *Listener) setDeadline(t time.Time) {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = d.SetDeadline(t)
+	}
+}
+
+// Stop has Accept return the connections that are established already, and then
+// closes the listener. It returns once the listener is closed, after maxStopTime at
+// the latest. It must be called at most once, and only if Accept is called.
+func (l *Listener) Stop() {
+	close(l.stopping)
+	l.setDeadline(time.Now())
+	timer := time.NewTimer(maxStopTime)
+	defer timer.Stop()
+	select {
+	case <-l.stopped:
+	case <-timer.C:
+		_ = l.Listener.Close()
+	}
+}
+
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
@@ -61,6 +138,37 @@
 	return ok && c.closedByServer.Load()
 }
 
+// AcceptedAt returns when the connection of the request with the given context was
+// accepted. It returns the zero time for a connection that no listener of
+// NewListener accepted.
+func AcceptedAt(ctx context.Context) time.Time {
+	c, ok := ctx.Value(connKey{}).(*trackedConn)
+	if !ok {
+		return time.Time{}
+	}
+	return c.acceptedAt
+}
+
+// HasUnreadBytes reports whether the kernel holds bytes of a connection that the
+// process has not read. It returns false for a connection that no listener of
+// NewListener accepted.
+func HasUnreadBytes(c net.Conn) bool {
+	if tlsConn, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = tlsConn.NetConn()
+	}
+	tracked, ok := c.(*trackedConn)
+	if !ok {
+		return false
+	}
+	raw, err := tracked.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	_ = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return unread > 0
+}
+
 // ClosedByClient reports whether the client has closed the connection of the
 // request with the given context. It returns false for a connection that no
 // listener of NewListener accepted, and true if the state of the connection cannot
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -72,25 +72,26 @@
 	d.awaitIdle(drainStart, drainEnd)
 	d.opts.Decisions.Write(decision.Stopped, "", slog.Int("in_flight", d.inFlight.count()), slog.Int64("took_ms", time.Since(drainStart).Milliseconds()))
 	close(d.aborting)
+	for _, s := range []*server{d.callerServer, d.peerServer} {
+		s.stopAccepting()
+	}
 	time.Sleep(min(refusalPeriod, time.Until(deadline)))
 	d.awaitResponses(deadline.Add(-connectionCloseMargin))
 	return deadline
 }
 
 // awaitIdle waits until minDrainTime has passed since drainStart and no request is in flight, but
-// until drainEnd at the latest. After minDrainTime, it accepts no more connections of callers.
-// From queueFlushMargin before drainEnd on, it rejects the requests that wait for the local
-// upstream. When it returns, the daemon has stopped forwarding requests.
+// until drainEnd at the latest. Connections are accepted all the while: the local upstream may need
+// them for the nested requests of its runs. From queueFlushMargin before drainEnd on, it rejects the
+// requests that wait for the local upstream. When it returns, the daemon has stopped forwarding
+// requests.
 func (d *Daemon) awaitIdle(drainStart, drainEnd time.Time) {
 	for time.Now().Before(drainEnd) {
 		if time.Until(drainEnd) < queueFlushMargin {
 			d.guard.stopAdmitting()
 		}
-		if time.Since(drainStart) > minDrainTime {
-			d.callerServer.stopAccepting()
-			if d.stopForwardingIfIdle() {
-				return
-			}
+		if time.Since(drainStart) > minDrainTime && d.stopForwardingIfIdle() {
+			return
 		}
 		time.Sleep(drainPollInterval)
 	}
@@ -107,6 +108,11 @@
 	return d.now().Sub(model.Instant(d.stoppingSince.Load()))
 }
 
+// callersLeftAt returns when the callers of a stopping daemon have had time to leave.
+func (d *Daemon) callersLeftAt() time.Time {
+	return d.startedAt.Add(time.Duration(d.stoppingSince.Load()) + minDrainTime)
+}
+
 func (d *Daemon) isAborting() bool {
 	select {
 	case <-d.aborting:
@@ -124,9 +130,10 @@
 	})
 }
 
-// awaitResponses waits until no connection waits for a response, or until the deadline.
+// awaitResponses waits until no connection waits for a response or holds a request that has not been
+// read, or until the deadline.
 func (d *Daemon) awaitResponses(deadline time.Time) {
-	for d.callerServer.numActiveConns()+d.peerServer.numActiveConns() > 0 && time.Now().Before(deadline) {
+	for d.callerServer.numPendingConns()+d.peerServer.numPendingConns() > 0 && time.Now().Before(deadline) {
 		time.Sleep(responsePollInterval)
 	}
 }
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -139,8 +139,7 @@
 	defer func() { req.buffer.Release() }()
 	refusal := e.matchRoute(req, attempt)
 	if refusal == nil && e.daemon.stopping.Load() {
-		timeLeft := req.deadline.Sub(req.startedAt)
-		refusal = e.daemon.guard.refuseIfTooLong(e.serviceTimeOf(req.route.Name, timeLeft), timeLeft)
+		refusal = e.refuseWhileStopping(req)
 	}
 	if refusal == nil {
 		refusal = e.checkQuota(req)
@@ -158,6 +157,19 @@
 	e.respond(w, req, e.forward(req))
 }
 
+// refuseWhileStopping returns the refusal of a request that a stopping daemon does not take, or nil. It
+// refuses a request that might still be running when the daemon ends. Once callers have had time to
+// leave, it also refuses requests on new connections, so that the daemon becomes idle, unless the local
+// upstream is running requests, which may send nested ones.
+func (e *entry) refuseWhileStopping(req *request) *Result {
+	g := e.daemon.guard
+	if inbound.AcceptedAt(req.httpRequest.Context()).After(e.daemon.callersLeftAt()) && !g.isRunning() {
+		return refusalResult(outcome.ReasonDraining, jittered(noUpstreamRetryAfter))
+	}
+	timeLeft := req.deadline.Sub(req.startedAt)
+	return g.refuseIfTooLong(e.serviceTimeOf(req.route.Name, timeLeft), timeLeft)
+}
+
 // matchRoute finds the route, the service and the deadline of a request and stores them in req.
 // It returns nil, or the result with which the request is refused.
 func (e *entry) matchRoute(req *request, attempt Attempt) *Result {
--- a/sidecar/guardstop.go
+++ b/sidecar/guardstop.go
@@ -54,6 +54,13 @@
 	return refusalResult(outcome.ReasonDraining, max(g.stopDeadline.Sub(g.now()), 0)+noUpstreamRetryAfter)
 }
 
+// isRunning reports whether the upstream is running calls.
+func (g *guard) isRunning() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Running() > 0
+}
+
 // stopAdmitting rejects the waiting calls, and lets no further call start.
 func (g *guard) stopAdmitting() {
 	g.mu.Lock()
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -36,6 +36,10 @@
 	listener net.Listener
 
 	mu sync.Mutex
+	// accepting is the listener of a running Serve, nil if there is none.
+	accepting *inbound.Listener
+	// openConns holds the connections that are not closed.
+	openConns map[net.Conn]struct{}
 	// idleConns holds the idle connections that are to be closed after the idle timeout.
 	idleConns map[net.Conn]*idleConn
 	// limits are the limits advertised to callers. They may change while the server runs. Zero
@@ -53,7 +57,7 @@
 }
 
 func newServer(name string, h http.Handler) *server {
-	s := &server{name: name, idleConns: make(map[net.Conn]*idleConn), activeConns: make(map[net.Conn]struct{})}
+	s := &server{name: name, idleConns: make(map[net.Conn]*idleConn), activeConns: make(map[net.Conn]struct{}), openConns: make(map[net.Conn]struct{})}
 	s.http = &http.Server{
 		Handler:                      inbound.AbortClosed(h),
 		ReadHeaderTimeout:            defaultHeaderTimeout,
@@ -99,7 +103,10 @@
 		delete(s.idleConns, c)
 	}
 	delete(s.activeConns, c)
+	s.openConns[c] = struct{}{}
 	switch {
+	case st == http.StateClosed, st == http.StateHijacked:
+		delete(s.openConns, c)
 	case st == http.StateActive:
 		s.activeConns[c] = struct{}{}
 	case st == http.StateIdle && s.limits.IdleTimeout > 0:
@@ -122,6 +129,20 @@
 	return len(s.activeConns)
 }
 
+// numPendingConns returns the number of connections that wait for a response, or on which the process
+// has yet to read what the client has sent.
+func (s *server) numPendingConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.openConns {
+		if _, active := s.activeConns[c]; active || inbound.HasUnreadBytes(c) {
+			n++
+		}
+	}
+	return n
+}
+
 // closeIdle closes a connection whose idle timer has fired. expected is the idleConn that the timer
 // belongs to. closeIdle does nothing if the connection is no longer idle or has a newer timer.
 func (s *server) closeIdle(c net.Conn, expected *idleConn) {
@@ -133,7 +154,18 @@
 	}
 }
 
-func (s *server) stopAccepting() { _ = s.listener.Close() }
+// stopAccepting closes the listener. Connections that are established already are accepted first, if the
+// server is running.
+func (s *server) stopAccepting() {
+	s.mu.Lock()
+	accepting := s.accepting
+	s.mu.Unlock()
+	if accepting == nil {
+		_ = s.listener.Close()
+		return
+	}
+	accepting.Stop()
+}
 
 // String implements fmt.Stringer. The supervisor logs this name.
 func (s *server) String() string { return s.name }
@@ -142,7 +174,14 @@
 func (s *server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
-	err := s.http.Serve(inbound.NewListener(s.listener))
+	accepting := inbound.NewListener(s.listener)
+	s.mu.Lock()
+	s.accepting = accepting
+	s.mu.Unlock()
+	err := s.http.Serve(accepting)
+	s.mu.Lock()
+	s.accepting = nil
+	s.mu.Unlock()
 	if errors.Is(err, net.ErrClosed) {
 		return suture.ErrDoNotRestart
 	}
