daemon: a shutdown resets no connection that is established already

The daemon of the product's own settings closed its listeners first, too, and the kernel reset what waited to be accepted. Its shutdown now accepts these connections before it closes the listener.

TestEstablishedConnectionsAreServedAtShutdown: connection reset before.

--- a/daemon/conns_test.go
+++ b/daemon/conns_test.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -66,3 +68,36 @@
 	<-requestRead
 	require.Empty(t, forwarded)
 }
+
+// TestEstablishedConnectionsAreServedAtShutdown guards against callers whose connection is reset
+// although it was established before the shutdown. The kernel holds such connections until the process
+// accepts them.
+func TestEstablishedConnectionsAreServedAtShutdown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := newServer(serverOptions{name: "test", listener: ln, maxConnections: 10, handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "served")
+	})})
+	go func() { _ = s.Serve(t.Context()) }()
+	// The server accepts one connection and waits for the lock to record its state.
+	s.tracker.mu.Lock()
+	var conns []net.Conn
+	for range 4 {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		conns = append(conns, conn)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.shutdown(t.Context()) }()
+	time.Sleep(10 * time.Millisecond)
+	s.tracker.mu.Unlock()
+	for _, conn := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	require.NoError(t, <-done)
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -74,6 +74,8 @@
 	listener net.Listener
 	// stopping is set when shutdown is called. Serve then does not listen again.
 	stopping bool
+	// accepting is the listener of a running Serve, nil if there is none.
+	accepting *inbound.Listener
 }
 
 // newServer returns a server that serves on o.listener once its Serve method is called.
@@ -116,24 +118,43 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.httpServer.Close() })
 	defer stop()
-	ln = inbound.NewListener(ln)
+	accepting := inbound.NewListener(ln)
+	s.setAccepting(accepting)
+	defer s.setAccepting(nil)
+	ln = accepting
 	if s.options.tls != nil {
 		err = s.httpServer.ServeTLS(ln, "", "")
 	} else {
 		err = s.httpServer.Serve(ln)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.isStopping() {
 		return suture.ErrDoNotRestart
 	}
 	return err
 }
 
-// shutdown stops accepting connections and waits for the requests in flight. It returns
-// an error if the context is done before they have been answered.
+func (s *server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+func (s *server) setAccepting(l *inbound.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepting = l
+}
+
+// shutdown accepts the connections that are established already, closes the listener and waits for
+// the requests in flight. It returns an error if the context is done before they have been answered.
 func (s *server) shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
+	accepting := s.accepting
 	s.mu.Unlock()
+	if accepting != nil {
+		accepting.Stop()
+	}
 	return s.tracker.shutdown(ctx, s.httpServer)
 }
 
