Guard: a connection ends with a refusal that names no request

Callers saw 503, which says that the request has not run and never will, for a request that its upstream was running, also for one that must not run twice. An upstream that sends a response a second time, late, sends it where the response to the next request is due. Responses are told apart by the id of the request, but a refusal was accepted without one: its copy was taken for the answer to the next request on the connection, which ran.

Such a refusal is still accepted, but it ends its connection, also as the response to a health check, so that no copy of it can be met.

TestLateCopyOfARefusalIsNotProof: 503 before, although the request ran (1 run).

--- a/hop/exchange.go
+++ b/hop/exchange.go
@@ -29,6 +29,9 @@
 	// Accept reports whether a response belongs to this request. Other
 	// responses are read and discarded. Nil accepts every response.
 	Accept func(*http.Response) bool
+	// CloseAfter, if set, reports whether the connection must not carry another request
+	// after a response that belongs to this request.
+	CloseAfter func(*http.Response) bool
 	// OnInformational, if set, is called for each informational (1xx) response
 	// other than 101 (Switching Protocols).
 	OnInformational func()
@@ -195,6 +198,7 @@
 		}
 		c.updateReuse(resp)
 		if matches {
+			c.reusable = c.reusable && (r.CloseAfter == nil || !r.CloseAfter(resp))
 			return &PoolResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 		}
 		c.gotUnmatchedResponse = true
--- a/sidecar/healthcheck.go
+++ b/sidecar/healthcheck.go
@@ -82,7 +82,13 @@
 	g.mu.Unlock()
 	g.metrics.healthChecks.Inc(1)
 	sent := g.now()
-	reply, err := pool.Do(ctx, hop.PoolRequest{Method: http.MethodGet, Target: path, Host: g.opts.Addresses.Upstream, Header: http.Header{}})
+	reply, err := pool.Do(ctx, hop.PoolRequest{
+		Method: http.MethodGet, Target: path, Host: g.opts.Addresses.Upstream, Header: http.Header{},
+		CloseAfter: func(r *http.Response) bool {
+			info := g.opts.Codec.ReadResponseInfo(r.StatusCode, r.Header)
+			return info.isAnonymousRefusal()
+		},
+	})
 	if err != nil {
 		return ResponseInfo{}, false
 	}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -81,6 +81,7 @@
 			info = g.opts.Codec.ReadResponseInfo(r.StatusCode, r.Header)
 			return info.belongsTo(c)
 		},
+		CloseAfter: func(*http.Response) bool { return info.isAnonymousRefusal() },
 	}
 	if !c.Idempotent {
 		req.MaxIdleTime = maxIdleNonIdempotent
@@ -130,9 +131,12 @@
 
 // belongsTo reports whether a response belongs to a call. The response may lack the id of the
 // call only if the upstream did not run the call.
-func (r *ResponseInfo) belongsTo(c *Call) bool {
-	return r.ID == c.ID || r.ID == "" && (r.NotRun || r.Misdirected)
-}
+func (r *ResponseInfo) belongsTo(c *Call) bool { return r.ID == c.ID || r.isAnonymousRefusal() }
+
+// isAnonymousRefusal reports whether a response states that its request has not run, but does not name
+// the request. A late copy of it would be taken for the response to the next request on the connection,
+// which may run, so the connection must not carry another one.
+func (r *ResponseInfo) isAnonymousRefusal() bool { return r.ID == "" && (r.NotRun || r.Misdirected) }
 
 // interpretResponse returns the result of a call, given the response or the error. If there is a
 // response, r describes it. interpretResponse stores the load and the statements from its headers, and
