Entry: a response that has arrived is delivered at the deadline

Callers saw 504 although the response of the upstream was at hand: where the deadline passed as it arrived, the entry chose between the two at random. It now looks for a response first, as it did already when a stop aborts requests, and an attempt that must not run twice hands on a reply that it has.

--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -133,9 +133,9 @@
 				timer.Reset(f.hedgeDelay(lateHedgeFactor))
 			}
 		case <-f.request.ctx.Done():
-			return f.timeoutResult()
+			return f.receivedOr(f.timeoutResult)
 		case <-f.entry.daemon.aborting:
-			return f.shutdownResult()
+			return f.receivedOr(func() *Result { return f.abandonedResult(outcome.ReasonDraining) })
 		}
 	}
 }
@@ -168,10 +168,10 @@
 	return f.abandonedResult(outcome.ReasonDeadline)
 }
 
-// shutdownResult returns the result of a request that has an attempt in flight when the daemon
-// ends. If the result of an attempt has arrived already and ends the request, shutdownResult
-// returns it.
-func (f *forwarder) shutdownResult() *Result {
+// receivedOr returns the result of a request whose attempts in flight are given up. If the response of an
+// upstream has arrived already and ends the request, receivedOr returns it, and otherwise what giveUp
+// returns.
+func (f *forwarder) receivedOr(giveUp func() *Result) *Result {
 	select {
 	case finished := <-f.results:
 		if result := f.finishAttempt(finished); result != nil {
@@ -179,7 +179,7 @@
 		}
 	default:
 	}
-	return f.abandonedResult(outcome.ReasonDraining)
+	return giveUp()
 }
 
 // idleShutdownResult returns the result of a request that has no attempt in flight when
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -189,8 +189,12 @@
 				queryTimer.Reset(outcomeQueryRetryDelay)
 			}
 		case <-ctx.Done():
-			// The request has ended, so nobody uses the result.
-			return unknownResult(outcome.ReasonCancelled)
+			select {
+			case directReply := <-directReplies:
+				return directReply.result
+			default:
+				return unknownResult(outcome.ReasonCancelled)
+			}
 		case <-queryTimer.C:
 			startQuery()
 		case <-ackTimer.C:
