Stop: no request is aborted before the last sixth of a grace period

With a grace period under 2.4 s, the fixed 400 ms that a stop kept for its end began before the last sixth: requests that an upstream was running were ended with 502 earlier than callers are told (1.6 s of 2 s; at once with 0.4 s). The margin is now a sixth of the grace period, 400 ms at most; with 6 s nothing changes.

TestRequestsAreNotAbortedBeforeTheEndOfTheGracePeriod: failed before for all grace periods under 2.4 s.

--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -69,7 +69,7 @@
 	// the store; see package watch. Zero means that some daemon of the cell reaches the store.
 	storeUnreachableSince atomic.Int64
 	inFlight              inFlightRequests
-	// aborting is closed when draining is over, at the latest graceMargin before the end of the
+	// aborting is closed when draining is over, at the latest shutdownMargin before the end of the
 	// grace period (Tunables.GracePeriod). Requests still in flight are then aborted.
 	aborting chan struct{}
 }
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -14,9 +14,12 @@
 	// minDrainTime is how long a stopping daemon continues to accept requests, even if none is in
 	// flight. Callers poll its readiness once a second and leave after two failed polls.
 	minDrainTime = 2200 * time.Millisecond
-	// graceMargin is the part of the grace period that is reserved for shutting down after
-	// draining.
+	// graceMargin bounds the part of the grace period that is reserved for shutting down after
+	// draining, see shutdownMargin.
 	graceMargin = 400 * time.Millisecond
+	// graceMarginDivisor sets that part of a short grace period: callers may rely on requests not
+	// being aborted before the last sixth.
+	graceMarginDivisor = 6
 	// drainPollInterval is how often a stopping daemon checks whether all requests in flight have
 	// ended.
 	drainPollInterval = 25 * time.Millisecond
@@ -25,7 +28,7 @@
 	// requests have not run.
 	queueFlushMargin = 300 * time.Millisecond
 	// componentStopTimeout bounds the wait for the components to stop. It is shorter than
-	// graceMargin, so that a component that hangs does not keep the process alive.
+	// half of graceMargin, so that a component that hangs does not keep the process alive.
 	componentStopTimeout = 150 * time.Millisecond
 	// logFlushTimeout bounds the wait for log lines to be written at the end.
 	logFlushTimeout = 100 * time.Millisecond
@@ -36,25 +39,25 @@
 	// closedConnLogWait bounds the wait, after all connections have been closed, for the log
 	// lines of requests that got no response.
 	closedConnLogWait = 20 * time.Millisecond
-	// connectionCloseMargin is how long before the end of the grace period the daemon stops
-	// waiting for responses to be written.
-	connectionCloseMargin = 200 * time.Millisecond
 	// responsePollInterval is how often the daemon checks whether connections still wait for
 	// a response.
 	responsePollInterval = time.Millisecond
 )
 
 // shutdownMargin returns the part of a grace period that is reserved for shutting down after draining.
-func shutdownMargin(grace time.Duration) time.Duration { return graceMargin }
+func shutdownMargin(grace time.Duration) time.Duration {
+	return min(graceMargin, grace/graceMarginDivisor)
+}
 
 // drain announces that the daemon is stopping and waits for the requests in flight, until
-// graceMargin before the end of the grace period at the latest. It then aborts those that remain.
-// If the local upstream is gone, it also removes the daemon's entry from the directory. It returns
+// shutdownMargin before the end of the grace period at the latest. It then aborts those that remain,
+// and waits for responses to be written during the first half of the margin. If the local upstream is gone, it also removes the daemon's entry from the directory. It returns
 // the end of the grace period.
 func (d *Daemon) drain() (deadline time.Time) {
 	drainStart := time.Now()
-	deadline = drainStart.Add(d.tunables.Load().GracePeriod)
-	drainEnd := deadline.Add(-graceMargin)
+	grace := d.tunables.Load().GracePeriod
+	deadline = drainStart.Add(grace)
+	drainEnd := deadline.Add(-shutdownMargin(grace))
 	now := d.now()
 	d.guard.setStop(now.Add(minDrainTime), now.Add(drainEnd.Sub(drainStart)))
 	d.stoppingSince.Store(int64(now))
@@ -76,7 +79,7 @@
 		s.stopAccepting()
 	}
 	time.Sleep(min(refusalPeriod, time.Until(deadline)))
-	d.awaitResponses(deadline.Add(-connectionCloseMargin))
+	d.awaitResponses(deadline.Add(-shutdownMargin(grace) / 2))
 	return deadline
 }
 
