--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -31,7 +31,8 @@
 // check. Unlike Close, Stop loses no connection that is established already.
 type Listener struct {
 	net.Listener
-	stopOnce sync.Once
+	stopOnce  sync.Once
+	closeOnce sync.Once
 	// stopping is closed by Stop.
 	stopping chan struct{}
 	// stopped is closed once Accept has closed the listener after Stop.
@@ -89,11 +90,17 @@
 			return c, nil
 		}
 	}
+	_ = l.Close()
 	l.stopOnce.Do(func() { close(l.stopped) })
-	_ = l.Listener.Close()
 	return nil, net.ErrClosed
 }
 
+// Close closes the listener. The error is nil if it is closed already, as after Stop.
+func (l *Listener) Close() (err error) {
+	l.closeOnce.Do(func() { err = l.Listener.Close() })
+	return err
+}
+
 // setDeadline sets the time after which Accept fails, if the listener has one.
 func (l *Listener) setDeadline(t time.Time) {
 	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
@@ -112,7 +119,7 @@
 	select {
 	case <-l.stopped:
 	case <-timer.C:
-		_ = l.Listener.Close()
+		_ = l.Close()
 	}
 }
 
