Guard: a stopping daemon starts no waiting call that it might have to abort

Callers of other daemons saw 502 'connection-lost' for requests that an upstream was running: their calls had been admitted by a daemon that was stopping, because calls of their route usually take a short time, had waited in its queue (its upstream limited the rate of its requests), and were started late in its grace period, at the end of which they were aborted.

What decides at arrival whether a call ends before the daemon does now decides again at its start. A call that might not is handed back as not run, and the entry picks another upstream.

TestCallThatWaitedIsNotStartedTooLate: the call ran before.

--- a/sidecar/guardreject.go
+++ b/sidecar/guardreject.go
@@ -25,7 +25,7 @@
 func (g *guard) rejectReason(current lifecycle.Report, c *Call) outcome.Reason {
 	keyRejection := g.keyRejection(c)
 	switch {
-	case g.closed, !g.endsBeforeStop(c):
+	case g.closed, g.spareTime(c.ServiceTime, c.Deadline) < 0:
 		return outcome.ReasonDraining
 	case current.State == lifecycle.Unknown, current.Service != c.Service, !current.Incarnation.Matches(c.Upstream):
 		return outcome.ReasonNoUpstream
--- a/sidecar/guardstop.go
+++ b/sidecar/guardstop.go
@@ -21,9 +21,13 @@
 // duration. A stopping daemon does not start a request that it might have to abort.
 const maxDurationFactor = 3
 
-// endsBeforeStop reports whether a call will end before the daemon does, even if it takes the
-// longest duration that is assumed (see maxDurationFactor). g.mu is held.
-func (g *guard) endsBeforeStop(c *Call) bool { return g.spareTime(c.ServiceTime, c.Deadline) >= 0 }
+// endsBeforeStop reports whether a call that starts now will end before the daemon does, even if it
+// takes the longest duration that is assumed (see maxDurationFactor).
+func (g *guard) endsBeforeStop(serviceTime, timeLeft time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.spareTime(serviceTime, timeLeft) >= 0
+}
 
 // spareTime returns the time between the latest possible end of a request and the end of the
 // daemon. It is negative if the request might have to be aborted. timeLeft is the time until the
@@ -46,11 +50,11 @@
 // ends. The Retry-After value is the time until a new daemon has presumably replaced this one.
 // For any other request, refuseIfTooLong returns nil.
 func (g *guard) refuseIfTooLong(serviceTime, timeLeft time.Duration) *Result {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.spareTime(serviceTime, timeLeft) >= 0 {
+	if g.endsBeforeStop(serviceTime, timeLeft) {
 		return nil
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return refusalResult(outcome.ReasonDraining, max(g.stopDeadline.Sub(g.now()), 0)+noUpstreamRetryAfter)
 }
 
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -39,7 +39,8 @@
 
 // runCall sends a call to the upstream and stores the result in attempt. It does not send a call
 // that was cancelled, whose sender has disconnected, whose deadline is too close, or whose request was
-// quarantined or whose key was removed while the call waited. At the end, it frees the slot of the call
+// quarantined or whose key was removed while the call waited, nor one that a stopping daemon might have
+// to abort. At the end, it frees the slot of the call
 // for waiting calls. arrivedAt is when the call arrived.
 func (g *guard) runCall(ctx context.Context, c *Call, attempt *attempt, arrivedAt model.Instant) *Result {
 	timeLeft := c.Deadline - g.now().Sub(arrivedAt)
@@ -49,6 +50,8 @@
 	case timeLeft < minTimeLeft:
 	case keyRejection != outcome.ReasonNone:
 		result = notRunResult(keyRejection)
+	case !g.endsBeforeStop(c.ServiceTime, timeLeft):
+		result = notRunResult(outcome.ReasonDraining)
 	case inbound.ClosedByClient(ctx), g.isQuarantined(c), !attempt.start():
 		result = notRunResult(outcome.ReasonWithdrawn)
 	default:
--- a/sidecar/stopping_test.go
+++ b/sidecar/stopping_test.go
@@ -59,6 +59,25 @@
 	}
 }
 
+// TestCallThatWaitedIsNotStartedTooLate guards against a call that a stopping daemon starts although it
+// might have to abort it. The call was admitted as a short one, waited until callers had had time to
+// leave, and has a long deadline.
+func TestCallThatWaitedIsNotStartedTooLate(t *testing.T) {
+	m := startReady(t, newStore(documentOf(1, "a")), "a", "a1")
+	call := &Call{ID: "one", Method: http.MethodPost, Target: "/unsafe/", Host: "h", Header: http.Header{}, Service: "a", Caller: "a", ServiceTime: time.Millisecond}
+	for deadline, want := range map[time.Duration]outcome.Kind{time.Minute: outcome.NotRun, 500 * time.Millisecond: outcome.Answered} {
+		now := m.guard.now()
+		m.guard.setStop(now, now.Add(2*time.Second))
+		call.Deadline = deadline
+		m.guard.mu.Lock()
+		call.Upstream = m.guard.tracker.Current().Incarnation
+		m.guard.mu.Unlock()
+		result := m.guard.runCall(t.Context(), call, newAttempt(call.Key()), now)
+		require.Equal(t, want, result.Outcome.Kind, deadline)
+	}
+	require.Len(t, m.upstream.requests(), 1)
+}
+
 // TestStoppingGuardRejectsWaitingCalls checks that the sender of a waiting call learns
 // that the call has not run.
 func TestStoppingGuardRejectsWaitingCalls(t *testing.T) {
