--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -27,6 +27,8 @@
 	// wantViolation is the kind of violation that the checker must record. The kind is the
 	// text before the first colon of a violation.
 	wantViolation string
+	// rate is Options.Rate.
+	rate int
 }
 
 // The plans of the mutants, in the text format of ReadPlan. planHeader is their first line.
@@ -38,6 +40,7 @@
 	planCutResponses     = planHeader + "3000 upstream 1 cut 8000\n3000 upstream 2 cut 8000\n"
 	planUpstreamErrors   = planHeader + "3000 upstream 0 err 11000\n"
 	planStops            = planHeader + "3000 term 1 - 300\n6000 term 2 - 300\n9000 term 3 - 300\n12000 term 4 - 300\n15000 term 5 - 300\n"
+	planSeriesOfStops    = planHeader + "3000 term 1 - 300\n3700 term 2 - 300\n4400 term 3 - 300\n5100 term 4 - 300\n5800 term 5 - 300\n6500 term 6 - 300\n7200 term 7 - 300\n7900 term 8 - 300\n8600 term 1 - 300\n9300 term 2 - 300\n10000 term 3 - 300\n10700 term 4 - 300\n11400 term 5 - 300\n12100 term 6 - 300\n12800 term 7 - 300\n13500 term 8 - 300\n14200 term 1 - 300\n14900 term 2 - 300\n15600 term 3 - 300\n16300 term 4 - 300\n"
 	planReloads          = planHeader + "3000 reload 1 - 300\n4000 reload 2 - 300\n5000 reload 3 - 300\n6000 reload 4 - 300\n"
 	planShedding         = planHeader + "3000 upstream 0 shed 4000\n"
 	planPoison           = planHeader + "3000 poison 0 - 300\n"
@@ -85,8 +88,11 @@
 		plan:  planStops, wantViolation: "lost",
 	},
 	"a stop does not wait for calls of other daemons": {
-		edits: []edits.Edit{edits.New("sidecar/drain.go", " && d.peerServer.numActiveConns() == 0 && d.guard.stopIfIdle()", "")},
-		plan:  planStops, wantViolation: "unanswered",
+		edits: []edits.Edit{
+			edits.New("sidecar/drain.go", " && d.peerServer.numActiveConns() == 0 && d.guard.stopIfIdle()", ""),
+			edits.New("sidecar/drain.go", "d.callerServer.numPendingConns()+d.peerServer.numPendingConns() > 0", "d.callerServer.numPendingConns() > 0"),
+		},
+		plan: planSeriesOfStops, wantViolation: "lost", rate: 30,
 	},
 	"connections of requests in flight are closed": {
 		edits: []edits.Edit{edits.New("sidecar/entry.go", "	e.respond(w, req, e.forward(req))\n", "	a := e.forward(req)\n	if req.id[len(req.id)-1] == '7' {\n		panic(http.ErrAbortHandler)\n	}\n	e.respond(w, req, a)\n")},
@@ -252,7 +258,7 @@
 			// different seeds, so that they start with different networks. Whether a run has client
 			// accounts depends on whether its seed is even.
 			p.Seed += 2 * uint64(i)
-			r, err := Run(t.Context(), p, Options{Binary: binary, Dir: dir})
+			r, err := Run(t.Context(), p, Options{Binary: binary, Dir: dir, Rate: m.rate})
 			require.NoError(t, err)
 			require.Contains(t, strings.Join(r.Violations, "\n"), m.wantViolation+":")
 		})
--- a/soak/run.go
+++ b/soak/run.go
@@ -65,7 +65,7 @@
 	nestedRequestInterval = 2 // one in this many requests needs nested requests, in plans that have any
 	// longRequestInterval is how many requests there are for one that is not idempotent and runs for
 	// seconds. In a StopsPlan there are fewer, because upstreams are slower and callers send more.
-	longRequestInterval, stopsLongRequestInterval = 40, 400
+	longRequestInterval, stopsLongRequestInterval = 40, 100
 	// distinctPaths is the number of paths under /safe/, and also the number under /unsafe/.
 	distinctPaths = 2000
 	// configCheckInterval is the time between two checks of a daemon's configuration.
