--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -51,8 +51,8 @@
 
 // drain announces that the daemon is stopping and waits for the requests in flight, until
 // shutdownMargin before the end of the grace period at the latest. It then aborts those that remain,
-// and waits for responses to be written during the first half of the margin. If the local upstream is gone, it also removes the daemon's entry from the directory. It returns
-// the end of the grace period.
+// and waits for responses to be written during the first half of the margin. If the local upstream is
+// gone, it also removes the daemon's entry from the directory. It returns the end of the grace period.
 func (d *Daemon) drain() (deadline time.Time) {
 	drainStart := time.Now()
 	grace := d.tunables.Load().GracePeriod
