--- a/ablation/mechanisms_test.go
+++ b/ablation/mechanisms_test.go
@@ -30,6 +30,7 @@
 // The paths of the source files that contain the mechanisms.
 const (
 	placer     = "core/placement/placer.go"
+	eligible   = "core/placement/eligibility.go"
 	overflow   = "core/overflow/overflow.go"
 	load       = "core/placement/load.go"
 	parameters = "core/placement/parameters.go"
@@ -76,7 +77,9 @@
 	disabledBy("the urgent's longer wait", edits.New(admit, "share = urgentDeadlineShare", "share = deadlineShare + 0*urgentDeadlineShare")),
 	coveredBy("replay TestRetryAfterJitterSpreadsBursts", disabledBy("the spread of advice", edits.New("core/retry/retry_after.go", "retryAfterJitter = 0.5", "retryAfterJitter = 0.0"))),
 	coveredBy("sidecar TestCrashingRequestIsQuarantined", disabledBy("quarantine", edits.New("sidecar/quarantine.go", "	if !q.store.HasRecords() {\n		return nil\n	}\n	remaining", "	if q.store != nil {\n		return nil\n	}\n	remaining"))),
-	coveredBy("sidecar TestLastUpstreamServesWhileItsDaemonStops", disabledBy("serving through a stopping daemon", edits.New(placer, "	case includeStopping:\n		return c.unreachableUntil <= now\n", "	case includeStopping:\n		return c.unreachableUntil <= now && !c.upstream.Stopping\n"))),
+	coveredBy("sidecar TestLastUpstreamServesWhileItsDaemonStops", disabledBy("serving through a stopping daemon",
+		edits.New(eligible, "	case includeStopping:\n		return c.unreachableUntil <= now\n", "	case includeStopping:\n		return c.unreachableUntil <= now && !c.upstream.Stopping\n"),
+		edits.New(eligible, "return c.unreachableUntil <= now || !c.upstream.Stopping", "return !c.upstream.Stopping"))),
 	disabledBy("relays", edits.New("sidecar/peers.go", "relaysPerZone = 2", "relaysPerZone = 1 << 20")),
 }
 
