sidecar: a test finds the daemons that watch the store before it kills any

It asked each daemon whether it watches between kills, so where a kill took long it also killed those that had taken over, and fewer than three were left.

--- a/sidecar/follow_test.go
+++ b/sidecar/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -34,9 +35,11 @@
 		m.waitForCandidates(t, "a", numDaemons)
 	}
 	eventually(t, "three daemons watch", func() bool { return len(watchers(members)) == wantedWatchers })
+	// Daemons start to watch while others are killed, so those to kill are found first.
+	watching := watchers(members)
 	var survivors []*member
 	for _, m := range members {
-		if m.follower.watchesStore() {
+		if slices.Contains(watching, m) {
 			m.kill()
 		} else {
 			survivors = append(survivors, m)
