soak: the check of lost requests waits until an upstream has noticed the end of a run

Its upstream had been crashed by a poisonous request, and the caller's 502 was judged before the stand-in's handler had noticed that its connection was closed, so the run counted as still at work. The check now waits up to a second for the end of a run, and what is at work after that is reported as before.

--- a/soak/answers.go
+++ b/soak/answers.go
@@ -62,6 +62,14 @@
 	return r.Seal == "" && timeLeft > deadlineTolerance && h.checker.wasTakenAway(attempt)
 }
 
+const (
+	// endNoticeTime is how long after the response to a request an upstream may notice that the
+	// request has ended there, for example because the upstream has crashed.
+	endNoticeTime = time.Second
+	// endNoticeInterval is the time between two looks whether it has.
+	endNoticeInterval = 10 * time.Millisecond
+)
+
 // reasonOf returns the reason that a daemon states in a response of its own.
 func reasonOf(r platformtest.Result) outcome.Reason {
 	if r.Seal != "" {
--- a/soak/check.go
+++ b/soak/check.go
@@ -297,14 +297,33 @@
 
 // wasTakenAway reports whether an upstream was executing the request of an attempt, had answered it, or
 // had it broken off by a daemon. If the caller then gets no response of an upstream, the
-// daemons have lost the request. Executions that upstreams broke off do not count.
+// daemons have lost the request. Executions that upstreams broke off do not count. If an execution has
+// not ended, wasTakenAway waits until it does, for endNoticeTime at most.
 func (c *checker) wasTakenAway(attempt string) bool {
+	for deadline := time.Now().Add(endNoticeTime); c.isExecuting(attempt) && time.Now().Before(deadline); {
+		time.Sleep(endNoticeInterval)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rec := c.recordsByAttempt[attempt]
 	return rec != nil && rec.executions > rec.endedExecutions[platformtest.RunLost]
 }
 
+// isExecuting reports whether an execution of an attempt has not ended.
+func (c *checker) isExecuting(attempt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rec := c.recordsByAttempt[attempt]
+	if rec == nil {
+		return false
+	}
+	ended := 0
+	for _, n := range rec.endedExecutions {
+		ended += n
+	}
+	return rec.executions > ended
+}
+
 // checkResponse checks the response to an attempt. It also records in the record of the attempt
 // if the response tells the caller that the request did not run.
 func (c *checker) checkResponse(attempt string, r platformtest.Result) {
