sidecar: a server keeps one state for each connection

openConns and activeConns held what one map from connections to their states says; each change of a state wrote both, and now writes one. Behaviour is unchanged.

--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -38,16 +38,14 @@
 	mu sync.Mutex
 	// accepting is the listener of a running Serve, nil if there is none.
 	accepting *inbound.Listener
-	// openConns holds the connections that are not closed.
-	openConns map[net.Conn]struct{}
+	// conns holds the states of the open connections. In http.StateActive, the request has been read
+	// and the response has not been written completely.
+	conns map[net.Conn]http.ConnState
 	// idleConns holds the idle connections that are to be closed after the idle timeout.
 	idleConns map[net.Conn]*idleConn
 	// limits are the limits advertised to callers. They may change while the server runs. Zero
 	// until setLimits is called: idle connections are then kept open.
 	limits route.Limits
-	// activeConns holds the connections whose request has been read and whose response has not
-	// been written completely.
-	activeConns map[net.Conn]struct{}
 }
 
 // idleConn is an idle connection and the timer that closes it.
@@ -57,7 +55,7 @@
 }
 
 func newServer(name string, h http.Handler) *server {
-	s := &server{name: name, idleConns: make(map[net.Conn]*idleConn), activeConns: make(map[net.Conn]struct{}), openConns: make(map[net.Conn]struct{})}
+	s := &server{name: name, idleConns: make(map[net.Conn]*idleConn), conns: make(map[net.Conn]http.ConnState)}
 	s.http = &http.Server{
 		Handler:                      inbound.AbortClosed(h),
 		ReadHeaderTimeout:            defaultHeaderTimeout,
@@ -102,13 +100,10 @@
 		i.timer.Stop()
 		delete(s.idleConns, c)
 	}
-	delete(s.activeConns, c)
-	s.openConns[c] = struct{}{}
+	s.conns[c] = st
 	switch {
 	case st == http.StateClosed, st == http.StateHijacked:
-		delete(s.openConns, c)
-	case st == http.StateActive:
-		s.activeConns[c] = struct{}{}
+		delete(s.conns, c)
 	case st == http.StateIdle && s.limits.IdleTimeout > 0:
 		s.scheduleClose(c, time.Now())
 	}
@@ -124,19 +119,21 @@
 
 // numActiveConns returns the number of connections that wait for a response.
 func (s *server) numActiveConns() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.activeConns)
+	return s.countConns(func(_ net.Conn, st http.ConnState) bool { return st == http.StateActive })
 }
 
 // numPendingConns returns the number of connections that wait for a response, or on which the process
 // has yet to read what the client has sent.
 func (s *server) numPendingConns() int {
+	return s.countConns(func(c net.Conn, st http.ConnState) bool { return st == http.StateActive || inbound.HasUnreadBytes(c) })
+}
+
+func (s *server) countConns(counts func(net.Conn, http.ConnState) bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for c := range s.openConns {
-		if _, active := s.activeConns[c]; active || inbound.HasUnreadBytes(c) {
+	for c, st := range s.conns {
+		if counts(c, st) {
 			n++
 		}
 	}
