sidecar: a refusal takes the guard's lock once, a health response is decoded once

refuseIfTooLong locked twice for one decision, and a health check read the same headers in CloseAfter and again afterwards.

--- a/sidecar/guardstop.go
+++ b/sidecar/guardstop.go
@@ -50,11 +50,11 @@
 // ends. The Retry-After value is the time until a new daemon has presumably replaced this one.
 // For any other request, refuseIfTooLong returns nil.
 func (g *guard) refuseIfTooLong(serviceTime, timeLeft time.Duration) *Result {
-	if g.endsBeforeStop(serviceTime, timeLeft) {
-		return nil
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.spareTime(serviceTime, timeLeft) >= 0 {
+		return nil
+	}
 	return refusalResult(outcome.ReasonDraining, max(g.stopDeadline.Sub(g.now()), 0)+noUpstreamRetryAfter)
 }
 
--- a/sidecar/healthcheck.go
+++ b/sidecar/healthcheck.go
@@ -82,17 +82,18 @@
 	g.mu.Unlock()
 	g.metrics.healthChecks.Inc(1)
 	sent := g.now()
+	var r ResponseInfo
 	reply, err := pool.Do(ctx, hop.PoolRequest{
 		Method: http.MethodGet, Target: path, Host: g.opts.Addresses.Upstream, Header: http.Header{},
-		CloseAfter: func(r *http.Response) bool {
-			info := g.opts.Codec.ReadResponseInfo(r.StatusCode, r.Header)
-			return info.isAnonymousRefusal()
+		Accept: func(resp *http.Response) bool {
+			r = g.opts.Codec.ReadResponseInfo(resp.StatusCode, resp.Header)
+			return true
 		},
+		CloseAfter: func(*http.Response) bool { return r.isAnonymousRefusal() },
 	})
 	if err != nil {
 		return ResponseInfo{}, false
 	}
-	r := g.opts.Codec.ReadResponseInfo(reply.Status, reply.Header)
 	g.recordLoad(r.Load)
 	g.recordColdness(sent, r.Coldness)
 	if r.Instance != "" {
