inbound: one Once closes a listener

Close now closes the channel that Stop waits for, so a listener that is closed already ends Stop at once. go test -race ./inbound, ./sidecar and ./daemon ok.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -31,17 +31,14 @@
 // check. Unlike Close, Stop loses no connection that is established already.
 type Listener struct {
 	net.Listener
-	stopOnce  sync.Once
 	closeOnce sync.Once
-	// stopping is closed by Stop.
-	stopping chan struct{}
-	// stopped is closed once Accept has closed the listener after Stop.
-	stopped chan struct{}
+	// stopping is closed by Stop, and closed by Close.
+	stopping, closed chan struct{}
 }
 
 // NewListener returns a Listener that accepts the connections of l.
 func NewListener(l net.Listener) *Listener {
-	return &Listener{Listener: l, stopping: make(chan struct{}), stopped: make(chan struct{})}
+	return &Listener{Listener: l, stopping: make(chan struct{}), closed: make(chan struct{})}
 }
 
 const (
@@ -91,13 +88,15 @@
 		}
 	}
 	_ = l.Close()
-	l.stopOnce.Do(func() { close(l.stopped) })
 	return nil, net.ErrClosed
 }
 
 // Close closes the listener. The error is nil if it is closed already, as after Stop.
 func (l *Listener) Close() (err error) {
-	l.closeOnce.Do(func() { err = l.Listener.Close() })
+	l.closeOnce.Do(func() {
+		err = l.Listener.Close()
+		close(l.closed)
+	})
 	return err
 }
 
@@ -117,7 +116,7 @@
 	timer := time.NewTimer(maxStopTime)
 	defer timer.Stop()
 	select {
-	case <-l.stopped:
+	case <-l.closed:
 	case <-timer.C:
 		_ = l.Close()
 	}
