--- a/sidecar/abort_test.go
+++ b/sidecar/abort_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/outcome"
 	"github.com/dottereltiller/dottereltiller/core/route"
 )
@@ -79,21 +80,29 @@
 // error instead.
 func TestReceivedResponsesAreDeliveredDuringAbort(t *testing.T) {
 	m := startWithLog(t, newStore(documentOf(1, "a")), "a1", &logRecorder{})
-	s := m.entry.serviceStateOf("a")
-	table := m.config.table()
-	eventually(t, "a configuration is in force", func() bool { table = m.config.table(); return table != nil })
-	matched, ok := table.Lookup("h", "/safe/")
-	require.True(t, ok)
 	original := m.aborting
 	defer func() { m.aborting = original }()
 	m.aborting = make(chan struct{})
 	close(m.aborting)
-	for range 64 {
+	requireReceivedResponsesDelivered(t, m, func() (context.Context, context.CancelFunc, model.Instant) {
 		ctx, cancel := context.WithCancel(t.Context())
+		return ctx, cancel, m.now().Add(minTimeLeft * 1000)
+	})
+}
+
+// requireReceivedResponsesDelivered has requests wait whose response has arrived already. newRequest
+// returns the context and the deadline of one. It tries often, as the daemon might choose at random.
+func requireReceivedResponsesDelivered(t *testing.T, m *member, newRequest func() (context.Context, context.CancelFunc, model.Instant)) {
+	t.Helper()
+	eventually(t, "a configuration is in force", func() bool { return m.config.table() != nil })
+	matched, ok := m.config.table().Lookup("h", "/safe/")
+	require.True(t, ok)
+	for range 64 {
+		ctx, cancel, deadline := newRequest()
 		now := m.now()
 		f := &forwarder{
-			entry: m.entry, serviceState: s, results: make(chan attemptResult, 1), excluded: make(map[string]bool),
-			request: &request{route: matched, service: "a", ctx: ctx, startedAt: now, deadline: now.Add(minTimeLeft * 1000)},
+			entry: m.entry, serviceState: m.entry.serviceStateOf("a"), results: make(chan attemptResult, 1), excluded: make(map[string]bool),
+			request: &request{route: matched, service: "a", ctx: ctx, startedAt: now, deadline: deadline},
 		}
 		attempt := &attemptState{cancel: cancel, sentAt: now, acknowledged: make(chan struct{})}
 		f.inFlight = []*attemptState{attempt}
--- a/sidecar/brokenoff_test.go
+++ b/sidecar/brokenoff_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/core/placement"
 )
 
@@ -183,24 +183,11 @@
 // response arrives just as the deadline of the request passes, and the caller gets 504 instead.
 func TestReceivedResponsesAreDeliveredAtTheDeadline(t *testing.T) {
 	m := startWithLog(t, newStore(documentOf(1, "a")), "a1", &logRecorder{})
-	s := m.entry.serviceStateOf("a")
-	table := m.config.table()
-	eventually(t, "a configuration is in force", func() bool { table = m.config.table(); return table != nil })
-	matched, ok := table.Lookup("h", "/safe/")
-	require.True(t, ok)
-	for range 64 {
+	requireReceivedResponsesDelivered(t, m, func() (context.Context, context.CancelFunc, model.Instant) {
 		ctx, cancel := context.WithDeadline(t.Context(), time.Now())
 		<-ctx.Done()
-		now := m.now()
-		f := &forwarder{
-			entry: m.entry, serviceState: s, results: make(chan attemptResult, 1), excluded: make(map[string]bool),
-			request: &request{route: matched, service: "a", ctx: ctx, startedAt: now, deadline: now},
-		}
-		attempt := &attemptState{cancel: cancel, sentAt: now, acknowledged: make(chan struct{})}
-		f.inFlight = []*attemptState{attempt}
-		f.results <- attemptResult{attempt: attempt, result: &Result{Outcome: outcome.ResponseComplete(), Status: http.StatusOK, Header: http.Header{}, Delivered: true}}
-		require.Equal(t, outcome.Answered, f.waitForResult().Outcome.Kind)
-	}
+		return ctx, cancel, m.now()
+	})
 }
 
 // TestRequestsAreNotAbortedBeforeTheEndOfTheGracePeriod guards against a stop that aborts requests
