--- a/soak/answers.go
+++ b/soak/answers.go
@@ -37,15 +37,16 @@
 	incarnation, stoppingOrExited := m.processState()
 	// Every unplanned fault affects all VMs, and may end before the response is handled here.
 	if undisturbedBefore && m.faultCount() == faultsBefore && h.undisturbed() && ctx.Err() == nil && h.lostByDaemon(attempt, r, err, routeTime(path, timeout)-took, faultsBefore == 0) {
+		violation := "unanswered"
+		if stoppingOrExitedBefore || stoppingOrExited || incarnation != incarnationBefore {
+			violation = "lost"
+		}
 		switch {
 		case m.ranUntilGraceEnd(sentAt, connectedTo):
 		case err == nil && reasonOf(r) != outcome.ReasonDraining && h.ranUntilGraceEndOfGuard(attempt):
-		case stoppingOrExitedBefore || stoppingOrExited || incarnation != incarnationBefore:
-			h.checker.addViolation("lost: %s ran and got no response of an upstream around a planned stop of %s: status %d %s, error %v, after %s",
-				attempt, m.config.Name, r.Status, reasonOf(r), err, took.Round(time.Millisecond))
 		default:
-			h.checker.addViolation("unanswered: %s ran and got no response of an upstream from %s: status %d %s, error %v, after %s",
-				attempt, m.config.Name, r.Status, reasonOf(r), err, took.Round(time.Millisecond))
+			h.checker.addViolation("%s: %s ran and got no response of an upstream from %s: status %d %s, error %v, after %s",
+				violation, attempt, m.config.Name, r.Status, reasonOf(r), err, took.Round(time.Millisecond))
 		}
 	}
 	if err == nil {
@@ -71,14 +72,6 @@
 	return r.Seal == "" && timeLeft > deadlineTolerance && h.checker.wasTakenAway(attempt)
 }
 
-const (
-	// endNoticeTime is how long after the response to a request an upstream may notice that the
-	// request has ended there, for example because the upstream has crashed.
-	endNoticeTime = time.Second
-	// endNoticeInterval is the time between two looks whether it has.
-	endNoticeInterval = 10 * time.Millisecond
-)
-
 // reasonOf returns the reason that a daemon states in a response of its own.
 func reasonOf(r platformtest.Result) outcome.Reason {
 	if r.Seal != "" {
--- a/soak/check.go
+++ b/soak/check.go
@@ -29,6 +29,11 @@
 	// retryBudgetSlack is the number of retries that a window may have in addition to those that
 	// retryBudgetRatio allows.
 	retryBudgetSlack = 40.0
+	// endNoticeTime is how long after the response to a request an upstream may notice that the
+	// request has ended there, for example because the upstream has crashed.
+	endNoticeTime = time.Second
+	// endNoticeInterval is the time between two looks whether it has.
+	endNoticeInterval = 10 * time.Millisecond
 	// maxViolations is the maximum number of violations that are recorded. Violations beyond this
 	// number are dropped.
 	maxViolations = 20
