Metrics: the test of outage gauges stops the peer that it reports as unreachable

Cause: a race of the test. The peer was reported as unreachable while it ran; the report makes the daemon push to it at once, and the gauge is zero again when the push succeeds before it is read. Evidence: with a pause of 20 ms between report and read, 10 of 10 runs fail; with the peer killed before the report, 0 of 10 with the pause and 0 of 120 without (race detector). The bound stays.

--- a/sidecar/metrics_test.go
+++ b/sidecar/metrics_test.go
@@ -77,6 +77,7 @@
 	eventually(t, "the store is unreachable", func() bool { return readGauge("config_source_lost_seconds") > 0 })
 	s.setDown(false)
 	eventually(t, "the store is reachable again", func() bool { return readGauge("config_source_lost_seconds") == 0 })
+	b.kill() // otherwise a soon reaches b again
 	a.peers.reportUnreachable(b.opts.Addresses.Peers, errStopped)
 	require.Positive(t, readGauge("peers_lost_seconds"))
 }
