Quarantine: a response shortly before a crash clears a request

Cause: a response cleared only what the daemon already had on record. A response just before the crashes did not count, nor one that came before another daemon's report of them. When upstreams crash at once none is left to run the request again within the half second before the verdict.

Fix: a daemon remembers for a second or two which requests it has seen answered. Crashes up to a second after a response do not count, whenever they are reported, and the daemons that report them learn so with the next exchange. A request that crashes upstreams gets no response.

Evidence: TestInnocentRequestIsNotQuarantined fails before ('shortly before the crashes').

--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -11,7 +11,7 @@
 //
 // Requests that only happened to run at the same time as the cause of a crash
 // must not be quarantined. Three rules protect them. First, a suspected request
-// that later gets a complete response is cleared. Second, when a request is
+// that gets a complete response later, or got one shortly before, is cleared. Second, when a request is
 // quarantined, its crashes are removed from the records of the service's other
 // requests. Requests that only ran at the same time are then no longer suspected.
 // Third, when more than maxQuarantinedTogether requests ran during the same
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -102,8 +102,9 @@
 	// Crashes are the crashes after ClearedAt during which the request was
 	// running. Only the oldest maxCrashes are kept.
 	Crashes []CrashReport `json:"deaths,omitempty"`
-	// ClearedAt is when the request last got a complete response or was released
-	// by an operator, in Unix milliseconds. Crashes up to ClearedAt do not count.
+	// ClearedAt is in Unix milliseconds. Crashes up to ClearedAt do not count, because the
+	// request got a complete response, at most survivalPeriod before, or was released by an
+	// operator.
 	ClearedAt int64 `json:"cleared,omitempty"`
 	// QuarantinedAt is the time of the newest crash in the record when the request
 	// was quarantined, in Unix milliseconds. If ClearedAt is at or after
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -47,6 +47,8 @@
 type Table struct {
 	opts    Options
 	records map[Fingerprint]*Record
+	// responses holds the requests that this daemon has recently seen answered.
+	responses recentResponses
 	// unsent contains the records that have changed since MarkSent was last
 	// called for them.
 	unsent map[Fingerprint]struct{}
@@ -114,9 +116,11 @@
 }
 
 // RecordResponse records that a request got a complete response. The response
-// clears the crashes recorded for the request so far. It does not lift a
+// clears the crashes recorded for the request so far, and those up to
+// survivalPeriod after it, whenever they are reported. It does not lift a
 // quarantine.
 func (t *Table) RecordResponse(now int64, f Fingerprint) {
+	t.responses.add(now, f)
 	if r := t.records[f]; r != nil && !r.Refused(now) && len(r.pruneCleared()) > 0 {
 		t.clear(now, r)
 	}
@@ -206,13 +210,27 @@
 		}
 	}
 	in.Crashes = t.unattributedCrashes(now, in)
-	if !r.mergeFrom(in) {
+	changed := r.mergeFrom(in)
+	cleared := t.clearSurvivedCrashes(now, r)
+	if !changed && !cleared {
 		return false
 	}
 	t.markChanged(r)
 	return true
 }
 
+// clearSurvivedCrashes clears the crashes of a record that do not count because of a response that
+// the request got shortly before or since. It reports whether there were any.
+func (t *Table) clearSurvivedCrashes(now int64, r *Record) bool {
+	until := t.responses.survivedUntil(r.Fingerprint)
+	if r.Refused(now) || !slices.ContainsFunc(r.Crashes, func(c CrashReport) bool { return c.At <= until }) {
+		return false
+	}
+	r.ClearedAt = max(r.ClearedAt, until)
+	r.pruneCleared()
+	return true
+}
+
 // unattributedCrashes returns the crashes of a record that may count against its request.
 // It leaves out every crash that is also in the record of another request of the
 // same service if that request is already under quarantine. Such a crash is
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -88,6 +88,58 @@
 	require.True(t, refused(table, 2500, "/crash"), "a late response does not lift the quarantine")
 }
 
+// TestInnocentRequestIsNotQuarantined guards against the quarantine of a request that completes
+// while upstreams crash under it. Its last response comes shortly before the crashes, as none of
+// the upstreams is left to run it after them, or comes before the first report of the crashes.
+// Responses that are older than survivalPeriod must not count.
+func TestInnocentRequestIsNotQuarantined(t *testing.T) {
+	popular := FingerprintOf(request("/popular"))
+	for _, c := range []struct {
+		name       string
+		answeredAt int64
+		refused    bool
+	}{
+		{"long before the crashes", 1000 - survivalPeriod.Milliseconds() - 1, true},
+		{"shortly before the crashes", 900, false},
+		{"after the crashes, before their reports", 1030, false},
+	} {
+		table, peer := newTable(), newTable()
+		table.RecordResponse(c.answeredAt, popular)
+		for i := range 3 {
+			peer.RecordCrash(1000, popular, request("/popular"), crash(i))
+			peer.RecordCrash(1000, FingerprintOf(request("/crash")), request("/crash"), crash(i))
+		}
+		for _, r := range peer.Unsent() {
+			table.Merge(1050, r)
+		}
+		for _, r := range table.Unsent() {
+			peer.Merge(1100, r)
+		}
+		for _, checked := range []*Table{table, peer} {
+			checked.Evaluate(3000)
+			require.Equal(t, c.refused, refused(checked, 3000, "/popular"), c.name)
+			require.True(t, refused(checked, 3000, "/crash"), c.name)
+		}
+	}
+}
+
+// TestRecentResponsesAreBounded records responses to many requests and checks that the newest are
+// known, and that old ones are forgotten.
+func TestRecentResponsesAreBounded(t *testing.T) {
+	var r recentResponses
+	fingerprintOf := func(i int) Fingerprint { return FingerprintOf(request(fmt.Sprint("/", i))) }
+	for i := range 3 * maxResponses {
+		r.add(1000, fingerprintOf(i))
+	}
+	require.LessOrEqual(t, len(r.current)+len(r.previous), 2*maxResponses)
+	require.Positive(t, r.survivedUntil(fingerprintOf(2*maxResponses)))
+	require.Zero(t, r.survivedUntil(fingerprintOf(0)))
+	for i := range 2 {
+		r.add(1000+int64(i+1)*survivalPeriod.Milliseconds(), fingerprintOf(-i))
+	}
+	require.Zero(t, r.survivedUntil(fingerprintOf(2*maxResponses)))
+}
+
 func TestSharedCrashesQuarantineNothingUntilDistinguished(t *testing.T) {
 	table := newTable()
 	targets := []string{"/crash", "/a", "/b", "/c", "/d"}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -14,7 +14,7 @@
 // are quarantined, that is refused for some time.
 type Quarantine interface {
 	// HasRecords reports whether any request is suspected of crashing upstreams or
-	// is quarantined. If not, RefusedFor and RecordResponse need not be called.
+	// is quarantined. If not, RefusedFor need not be called.
 	HasRecords() bool
 	// RefusedFor reports whether a request is quarantined, and for how much longer.
 	RefusedFor(quarantine.Fingerprint) (time.Duration, bool)
@@ -74,7 +74,7 @@
 // The quarantine then forgets the crashes recorded for the request. clearCrashes does
 // nothing for any outcome other than Answered.
 func (e *Entry) clearCrashes(req *request, o outcome.Outcome) {
-	if e.opts.Quarantine != nil && o.Kind == outcome.Answered && e.opts.Quarantine.HasRecords() {
+	if e.opts.Quarantine != nil && o.Kind == outcome.Answered {
 		e.opts.Quarantine.RecordResponse(req.fingerprint())
 	}
 }
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -22,6 +22,9 @@
 	// gossipTick is how often a daemon checks whether it has suspected requests to send to
 	// others.
 	gossipTick = 100 * time.Millisecond
+	// maxHashedBodyBytes is the size up to which the body of each request is hashed. Larger ones
+	// are hashed only while any request is suspected.
+	maxHashedBodyBytes = 64 << 10
 )
 
 // crashQuarantine quarantines requests that crash upstreams, so that they do not reach further
@@ -94,10 +97,10 @@
 	return refused
 }
 
-// clearSuspicion records that an upstream has survived a request. The request is then no longer
-// suspected of crashing upstreams.
+// clearSuspicion records that an upstream has survived a request. The request is then not
+// suspected of crashing upstreams, also by crashes that are reported a little later.
 func (q *crashQuarantine) clearSuspicion(req *request) {
-	if q.store.HasRecords() {
+	if len(req.body) <= maxHashedBodyBytes || q.store.HasRecords() {
 		q.store.RecordResponse(req.fingerprint())
 	}
 }
