--- a/soak/run.go
+++ b/soak/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -215,7 +216,7 @@
 				return ctx.Err()
 			}
 			if time.Now().After(deadline) {
-				h.checker.addViolation("recovery: %s does not serve requests", m.config.Name)
+				h.checker.addViolation("recovery: %s does not serve requests, last status %d %q, error %v", m.config.Name, r.Status, strings.TrimSpace(r.Body), err)
 				return nil
 			}
 			time.Sleep(configCheckInterval)
