proctest: a failed wait tells how each daemon's process has exited

Nothing said whether the process had exited, by which signal or code, so that a kill, an exit and a daemon that merely did not listen looked the same. The cause is still not known.

--- a/proctest/cluster_test.go
+++ b/proctest/cluster_test.go
@@ -55,9 +55,11 @@
 	binary       string
 	settingsPath string
 	upstream     *standin.Upstream
-	// cmd is the daemon process that was started last, and stderr the file with its log.
+	// cmd is the daemon process that was started last, stderr the file with its log. exited is closed
+	// once the process has exited; cmd.ProcessState says how.
 	cmd    *exec.Cmd
 	stderr *os.File
+	exited chan struct{}
 	// draining makes the announcements report that the upstream drains.
 	draining atomic.Bool
 }
@@ -181,6 +183,12 @@
 	v.cmd = exec.Command(v.binary, "--settings", v.settingsPath)
 	v.cmd.Stderr = stderr
 	require.NoError(v.t, child.Start(v.cmd))
+	cmd, exited := v.cmd, make(chan struct{})
+	v.exited = exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
 }
 
 func (v *vm) signal(s syscall.Signal) { require.NoError(v.t, v.cmd.Process.Signal(s)) }
@@ -188,18 +196,28 @@
 // kill kills the daemon process with SIGKILL and waits until it has exited.
 func (v *vm) kill() {
 	_ = v.cmd.Process.Kill()
-	_ = v.cmd.Wait()
+	<-v.exited
 	_ = v.stderr.Close()
 }
 
 // stop sends SIGTERM to the daemon, which then drains, and returns its exit code.
 func (v *vm) stop() int {
 	v.signal(syscall.SIGTERM)
-	_ = v.cmd.Wait()
+	<-v.exited
 	_ = v.stderr.Close()
 	return v.cmd.ProcessState.ExitCode()
 }
 
+// state says whether the daemon process runs, or how it has exited.
+func (v *vm) state() string {
+	select {
+	case <-v.exited:
+		return v.cmd.ProcessState.String()
+	default:
+		return "running"
+	}
+}
+
 // logOutput returns the log of the daemon process, or the text of the error if it cannot be read.
 func (v *vm) logOutput() string {
 	data, err := os.ReadFile(v.stderr.Name())
@@ -291,7 +309,7 @@
 	for !condition() {
 		if time.Now().After(deadline) {
 			for _, v := range c.vms {
-				c.t.Logf("%s:\n%s", v.upstream.ID, v.logOutput())
+				c.t.Logf("%s, %s:\n%s", v.upstream.ID, v.state(), v.logOutput())
 			}
 			require.FailNow(c.t, "condition did not become true", description)
 		}
