--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -27,8 +27,9 @@
 	// wantViolation is the kind of violation that the checker must record. The kind is the
 	// text before the first colon of a violation.
 	wantViolation string
-	// rate is Options.Rate.
-	rate int
+	// rate is Options.Rate, longInterval Options.LongInterval.
+	rate         int
+	longInterval int64
 }
 
 // The plans of the mutants, in the text format of ReadPlan. planHeader is their first line.
@@ -92,7 +93,7 @@
 			edits.New("sidecar/drain.go", " && d.peerServer.numActiveConns() == 0 && d.guard.stopIfIdle()", ""),
 			edits.New("sidecar/drain.go", "d.callerServer.numPendingConns()+d.peerServer.numPendingConns() > 0", "d.callerServer.numPendingConns() > 0"),
 		},
-		plan: planSeriesOfStops, wantViolation: "lost", rate: 30,
+		plan: planSeriesOfStops, wantViolation: "lost", longInterval: 20,
 	},
 	"connections of requests in flight are closed": {
 		edits: []edits.Edit{edits.New("sidecar/entry.go", "	e.respond(w, req, e.forward(req))\n", "	a := e.forward(req)\n	if req.id[len(req.id)-1] == '7' {\n		panic(http.ErrAbortHandler)\n	}\n	e.respond(w, req, a)\n")},
@@ -258,7 +259,7 @@
 			// different seeds, so that they start with different networks. Whether a run has client
 			// accounts depends on whether its seed is even.
 			p.Seed += 2 * uint64(i)
-			r, err := Run(t.Context(), p, Options{Binary: binary, Dir: dir, Rate: m.rate})
+			r, err := Run(t.Context(), p, Options{Binary: binary, Dir: dir, Rate: m.rate, LongInterval: m.longInterval})
 			require.NoError(t, err)
 			require.Contains(t, strings.Join(r.Violations, "\n"), m.wantViolation+":")
 		})
--- a/soak/run.go
+++ b/soak/run.go
@@ -7,8 +7,8 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,6 +33,9 @@
 	// Rate is the number of requests a second that the callers of one VM send. The default is 10,
 	// or less (at least 1) if the callers of all VMs together would send more than 480 a second.
 	Rate int
+	// LongInterval is how many requests there are for one that runs for seconds. The default is 40, or
+	// 100 in a plan of planned faults.
+	LongInterval int64
 	// Processor is the share of the time in which a daemon may run, as on a VM with a part of a core.
 	// The default, zero, means all of the time.
 	Processor float64
@@ -109,6 +112,9 @@
 	if o.Rate <= 0 {
 		o.Rate = max(min(defaultRate, defaultTotalRate/max(p.VMs, 1)), 1)
 	}
+	if o.LongInterval <= 0 {
+		o.LongInterval = p.longRequestInterval()
+	}
 	if o.Out == nil {
 		o.Out = io.Discard
 	}
@@ -283,7 +289,7 @@
 	switch {
 	case h.plan.hasNestedRequests() && n%nestedRequestInterval == 1:
 		nonIdempotent, path = false, fmt.Sprintf("/safe/%s%d", platformtest.NestedPath, n%distinctPaths)
-	case n%h.plan.longRequestInterval() == 0:
+	case n%h.opts.LongInterval == 0:
 		nonIdempotent, path, timeout = true, platformtest.LongPath+"x", longRequestDeadline
 	case nonIdempotent:
 		path = fmt.Sprintf("/unsafe/x%d", n%distinctPaths)
