Quotas: a former holder gives the new one what is left in its bucket

Cause: each new holder of a quota begins with an empty bucket, and what the old one had was lost, when a daemon stopped and when one came back and took over again. In a series of stops the buckets of all zones are new at once, so borrowing from the other zones doesn't help.

Fix: a holder whose bucket and other zones have too few tokens asks the daemons that were the holder before, by the messages that it borrows with. The old bucket loses what fills the new one, so both together hold no more than one would, and stands still while the zone has no holder. A daemon that stops ends as a holder before it tells the others, so no bucket fills twice.

--- a/core/quota/faults_test.go
+++ b/core/quota/faults_test.go
@@ -79,6 +79,62 @@
 	}
 }
 
+// retire begins a planned stop. The others notice within 300 ms. The daemon ends after a time, which the
+// others notice as they notice each end, or within 100 ms if they are to notice it promptly.
+func (d *simDaemon) retire(length time.Duration, promptly bool) {
+	f := d.fleet
+	life := d.life
+	d.node.Stop(d.clock())
+	for _, other := range f.daemons {
+		if other == d || f.cut(d, other) {
+			continue
+		}
+		otherLife := other.life
+		f.after(f.between(0, 300*time.Millisecond), func() {
+			if d.life == life {
+				other.notice(otherLife, d, Stopping)
+			}
+		})
+	}
+	f.after(length, func() {
+		if d.life != life {
+			return
+		}
+		d.stop()
+		for _, other := range f.daemons {
+			if otherLife, ended := other.life, d.life; promptly && other != d {
+				f.after(f.between(0, 100*time.Millisecond), func() {
+					if d.life == ended {
+						other.notice(otherLife, d, Gone)
+					}
+				})
+			}
+		}
+	})
+}
+
+// replace has daemons end by planned stops, one after another, and starts them again.
+func (f *fleet) replace(share float64, gap, length time.Duration) {
+	at := time.Duration(0)
+	for _, d := range f.daemons {
+		if d.down || f.random.Float64() >= share {
+			continue
+		}
+		life := d.life
+		f.after(at, func() {
+			if d.life == life {
+				d.do(func() { d.retire(length, false) })
+			}
+		})
+		f.after(at+length+f.between(100*time.Millisecond, 500*time.Millisecond), func() {
+			if d.down {
+				d.start(false)
+			}
+		})
+		at += gap
+	}
+}
+
 // freeze stops daemons for a time. The others regard them as silent meanwhile.
 func (f *fleet) freeze(share float64, length time.Duration) {
 	for _, d := range f.daemons {
@@ -108,13 +164,17 @@
 
 // faults are the failures that a schedule draws from.
 var faults = map[string]func(f *fleet, size float64){
-	"kill some":       func(f *fleet, size float64) { f.kill(size, 500*time.Millisecond) },
-	"kill all":        func(f *fleet, size float64) { f.kill(1, time.Second) },
-	"kill for long":   func(f *fleet, size float64) { f.kill(size, 15*time.Second) },
-	"freeze some":     func(f *fleet, size float64) { f.freeze(size, 500*time.Millisecond) },
-	"freeze for long": func(f *fleet, size float64) { f.freeze(size, 13*time.Second) },
-	"lose messages":   func(f *fleet, size float64) { f.lossRate = size },
-	"lose none":       func(f *fleet, size float64) { f.lossRate = 0 },
+	"kill some":        func(f *fleet, size float64) { f.kill(size, 500*time.Millisecond) },
+	"kill all":         func(f *fleet, size float64) { f.kill(1, time.Second) },
+	"kill for long":    func(f *fleet, size float64) { f.kill(size, 15*time.Second) },
+	"replace some":     func(f *fleet, size float64) { f.replace(size, time.Second, 3*time.Second) },
+	"replace all":      func(f *fleet, size float64) { f.replace(1, 300*time.Millisecond, 3*time.Second) },
+	"replace at once":  func(f *fleet, size float64) { f.replace(size, 0, 5*time.Second) },
+	"replace for long": func(f *fleet, size float64) { f.replace(size, 100*time.Millisecond, 15*time.Second) },
+	"freeze some":      func(f *fleet, size float64) { f.freeze(size, 500*time.Millisecond) },
+	"freeze for long":  func(f *fleet, size float64) { f.freeze(size, 13*time.Second) },
+	"lose messages":    func(f *fleet, size float64) { f.lossRate = size },
+	"lose none":        func(f *fleet, size float64) { f.lossRate = 0 },
 	"cut a zone": func(f *fleet, size float64) {
 		f.cutFor(15*time.Second, func(a, b *simDaemon) bool { return (a.zone == "zone-0") != (b.zone == "zone-0") })
 	},
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -137,3 +137,40 @@
 		}
 	}
 }
+
+// TestStopsInSeriesRefuseNoAccountBelowItsQuota guards against 429 for accounts far below their rate while daemons
+// stop one after another: each new holder begins with an empty bucket. Some daemons of each zone go on.
+func TestStopsInSeriesRefuseNoAccountBelowItsQuota(t *testing.T) {
+	for name := range patterns {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				random := rand.New(rand.NewPCG(seed, 5))
+				q := account.Quota{PerSecond: []float64{20, 60, 300}[random.IntN(3)], Burst: []float64{20, 100}[random.IntN(2)]}
+				f := newFleet(random, 9+random.IntN(20), 3, q)
+				f.runUntil(10 * time.Second)
+				gap := f.between(0, 600*time.Millisecond)
+				running := f.daemons[len(f.daemons)-3:]
+				for i, d := range f.daemons[:len(f.daemons)-len(running)] {
+					life := d.life
+					f.after(time.Duration(i)*gap, func() { d.retire(3*time.Second, true) })
+					f.after(time.Duration(i)*gap+3500*time.Millisecond, func() {
+						if d.life != life {
+							d.start(false)
+						}
+					})
+				}
+				choose := patterns[name](f)
+				f.demand(f.now, f.now+15*time.Second, constant(q.PerSecond/3), func(now time.Duration) *simDaemon {
+					if d := choose(now); !d.down {
+						return d
+					}
+					return running[f.random.IntN(len(running))]
+				}, nil)
+				f.runUntil(f.now + 16*time.Second)
+				f.checkWindows(t, []quotaChange{{0, q}})
+				assert.Emptyf(t, f.refused, "quota %+v: %d of %d requests refused, %d unknown", q, len(f.refused), len(f.passed)+len(f.refused), f.unknown)
+			})
+		}
+	}
+}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -9,7 +9,8 @@
 // borrow is the state that a holder keeps of an account while it takes tokens from other zones.
 type borrow struct {
 	waiting []pendingGrant
-	// tried is the number of zones that were asked.
+	// lenders are the daemons to ask, tried is the place among them of the one that was asked last.
+	lenders   []*member
 	tried     int
 	startedAt model.Instant
 }
@@ -39,7 +40,7 @@
 	n.members.refresh(now)
 	since, ok := n.members.holds(now, r.Account)
 	if !ok {
-		n.sendReply(from, number, Reply{Status: NotHolder})
+		n.sendReply(from, number, n.replyOfFormerHolder(now, r, s))
 		return
 	}
 	p := n.poolOf(now, r.Account, s)
@@ -68,7 +69,7 @@
 		n.borrowAhead(now, r.Account, p)
 		return
 	}
-	b := &borrow{waiting: []pendingGrant{g}, startedAt: now}
+	b := &borrow{waiting: []pendingGrant{g}, lenders: n.lenders(now, r.Account, p), tried: -1, startedAt: now}
 	n.borrows[r.Account] = b
 	n.continueBorrow(now, r.Account, b)
 }
@@ -84,7 +85,45 @@
 	return p
 }
 
-// continueBorrow asks the holder of the next zone for the tokens that are lacking. If there is
+// replyOfFormerHolder replies to a request for tokens of an account of which this daemon is not the
+// holder. The holder gets what is left in the bucket of a daemon that was the holder before.
+func (n *Node) replyOfFormerHolder(now model.Instant, r Request, s share) Reply {
+	if !r.FromHolder {
+		return Reply{Status: NotHolder}
+	}
+	p := n.pools[r.Account]
+	if since, until, ok := n.members.held(r.Account); ok && p == nil {
+		// Buckets that are full and not in use are dropped.
+		p = newPool(until, since, s)
+		p.flow = draining
+		n.pools[r.Account] = p
+	}
+	if p == nil || p.flow == filling {
+		return Reply{Status: NotHolder}
+	}
+	if r.ReturnedAgo >= 0 {
+		p.limitTo(now, now.Add(-r.ReturnedAgo))
+	}
+	return Reply{Granted: p.grantToHolder(now, r.Need, r.Need), AskAgain: maxAskInterval}
+}
+
+// lenders returns the daemons that a holder asks for tokens of an account that it lacks: the holders of the other
+// zones, then the former holders of its own zone and of the others.
+func (n *Node) lenders(now model.Instant, id ID, p *pool) []*member {
+	drainTime := timeFor(p.share.capacity, p.share.rate, maxDrainTime)
+	former := n.members.formerHolders(now, n.cfg.Zone, id, drainTime)
+	var lenders []*member
+	for i := 1; i < len(n.cfg.Zones); i++ {
+		zone, _ := n.zone(id, i)
+		if holder, ok := n.members.holder(zone, id); ok {
+			lenders = append(lenders, holder)
+		}
+		former = append(former, n.members.formerHolders(now, zone, id, drainTime)...)
+	}
+	return append(lenders, former...)
+}
+
+// continueBorrow asks the next lender for the tokens that are lacking. If there is
 // none, it replies to the requests that wait.
 func (n *Node) continueBorrow(now model.Instant, id ID, b *borrow) {
 	if n.borrows[id] != b {
@@ -96,14 +135,14 @@
 		lacking += b.waiting[i].short()
 	}
 	if p != nil && lacking > 0 && now.Sub(b.startedAt) < borrowLimit {
-		for b.tried++; b.tried < len(n.cfg.Zones); b.tried++ {
-			holder, ok := n.holderToAsk(now, id, b.tried)
-			if !ok || now < p.noLoanUntil(b.tried) {
+		for b.tried++; b.tried < len(b.lenders); b.tried++ {
+			lender := b.lenders[b.tried]
+			if now < n.silent[lender.Address] || now < p.loanDeniedUntil[lender.Address] {
 				continue
 			}
 			need := max(p.shortOf(now, lacking), 0)
 			r := Request{Account: id, Need: need, Want: need + p.capacity(now), FromHolder: true}
-			n.startExchange(now, holder, r, borrowTimeout, b)
+			n.startExchange(now, lender, r, borrowTimeout, b)
 			return
 		}
 	}
@@ -149,9 +188,9 @@
 	}
 	if b == x.borrow && !x.expired {
 		if granted+rounding < x.need {
-			p.denyLoans(now, b.tried, r.AskAgain)
+			p.denyLoans(now, x.to, r.AskAgain)
 		} else {
-			// The zone may have more for requests that have arrived since.
+			// The lender may have more for requests that have arrived since.
 			b.tried, b.startedAt = b.tried-1, now
 		}
 	}
@@ -177,18 +216,15 @@
 	return reply
 }
 
-// noLoanUntil returns until when the zone that is asked at place i is known to have no tokens to lend.
-func (p *pool) noLoanUntil(i int) model.Instant {
-	if i < len(p.loanDeniedUntil) {
-		return p.loanDeniedUntil[i]
+// denyLoans records that a daemon has no tokens to lend before a time has passed.
+func (p *pool) denyLoans(now model.Instant, lender string, retryAfter time.Duration) {
+	for address, until := range p.loanDeniedUntil {
+		if now >= until {
+			delete(p.loanDeniedUntil, address)
+		}
 	}
-	return 0
-}
-
-// denyLoans records that the zone that is asked at place i has no tokens before a time has passed.
-func (p *pool) denyLoans(now model.Instant, i int, retryAfter time.Duration) {
-	for len(p.loanDeniedUntil) <= i {
-		p.loanDeniedUntil = append(p.loanDeniedUntil, 0)
+	if p.loanDeniedUntil == nil {
+		p.loanDeniedUntil = make(map[string]model.Instant)
 	}
-	p.loanDeniedUntil[i] = now.Add(min(max(retryAfter, minAskInterval), maxAskInterval))
+	p.loanDeniedUntil[lender] = now.Add(min(max(retryAfter, minAskInterval), maxAskInterval))
 }
--- a/core/quota/members.go
+++ b/core/quota/members.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +19,8 @@
 	// holder. It is shorter than holderRetention, after which the majority replaces the daemon, since
 	// both sides notice a cut at different times.
 	isolationLimit = holderRetention / 2
+	// maxFormerHolders bounds the daemons of a zone that a holder asks for what their buckets have left.
+	maxFormerHolders = 3
 	// maxDepartures bounds the departures that members remembers.
 	maxDepartures = 256
 )
@@ -33,6 +37,8 @@
 	// startCredit is the longest time before complete was set for which a bucket was filling. Others may have
 	// held the shares until then.
 	startCredit time.Duration
+	// stoppedAt is since when this daemon has been stopping, zero if it is not.
+	stoppedAt model.Instant
 	// isolatedSince is since when this daemon has not reached a majority of its zone, zero if it does.
 	isolatedSince model.Instant
 	// nextRefresh is when the next silent daemon is to be passed over.
@@ -54,6 +60,8 @@
 	passedOver bool
 	// returnedAt is when passedOver was last reset, zero if never.
 	returnedAt model.Instant
+	// joinedAt is since when the daemon has been a possible holder, leftAt since when it is not.
+	joinedAt, leftAt model.Instant
 }
 
 type departure struct {
@@ -81,17 +89,25 @@
 // set replaces the list of the daemons. The local daemon need not be in it. complete states whether this
 // daemon has learned of the others.
 func (m *members) set(now model.Instant, list []Member, complete bool) {
-	if complete && !m.complete {
+	joinedAt := m.startedAt
+	switch {
+	case m.complete:
+		joinedAt = now
+	case complete:
 		m.floor = max(m.floor, now.Add(-m.startCredit))
 	}
 	m.complete = complete
 	previous := m.byAddress
 	m.byAddress = make(map[string]*member, len(list)+1)
 	m.byZone = make(map[model.AvailabilityZone][]*member)
-	m.insert(previous, Member{Address: m.self, Zone: m.zone})
+	self := Member{Address: m.self, Zone: m.zone}
+	if m.stoppedAt != 0 {
+		self.State = Stopping
+	}
+	m.insert(previous, self, m.startedAt)
 	for _, l := range list {
-		if l.Address != m.self || l.State != Reachable {
-			m.insert(previous, l)
+		if l.Address != m.self {
+			m.insert(previous, l, joinedAt)
 		}
 	}
 	m.updateIsolation(now)
@@ -104,10 +120,10 @@
 	}
 }
 
-func (m *members) insert(previous map[string]*member, l Member) {
+func (m *members) insert(previous map[string]*member, l Member, joinedAt model.Instant) {
 	p := previous[l.Address]
 	if p == nil {
-		p = &member{hash: xxhash.Sum64String(l.Address)}
+		p = &member{hash: xxhash.Sum64String(l.Address), joinedAt: joinedAt}
 	}
 	if q := m.byAddress[l.Address]; q != nil {
 		q.Member = l
@@ -122,7 +138,7 @@
 func (m *members) updateIsolation(now model.Instant) {
 	others, reached := 0, 0
 	for _, p := range m.byZone[m.zone] {
-		if p.Address == m.self || p.State == Gone {
+		if p.Address == m.self || p.State == Gone || p.State == Stopping {
 			continue
 		}
 		others++
@@ -149,7 +165,7 @@
 	}
 	m.nextRefresh = math.MaxInt64
 	for _, p := range m.byAddress {
-		passedOver := p.State == Gone
+		passedOver := p.State == Gone || p.State == Stopping
 		if p.State == Silent && (p.Zone != m.zone || m.isolatedSince == 0) {
 			passedOver = now.Sub(p.SilentSince) >= holderRetention
 			if !passedOver {
@@ -161,12 +177,13 @@
 		}
 		p.passedOver = passedOver
 		if passedOver {
+			p.leftAt = now
 			m.recordDeparture(p, now)
 			if p.State == Silent && p.Zone == m.zone {
 				m.replaced = append(m.replaced, p.Address)
 			}
 		} else {
-			p.returnedAt = now
+			p.returnedAt, p.joinedAt = now, now
 		}
 	}
 }
@@ -204,14 +221,78 @@
 	if m.isolatedSince != 0 && now.Sub(m.isolatedSince) >= isolationLimit {
 		return 0, false
 	}
-	since = max(m.startedAt, m.floor)
-	own := score(p.hash, id)
+	return m.firstSince(score(p.hash, id), id), true
+}
+
+// firstSince returns since when no daemon of the zone with a higher score than own has been a
+// possible holder of an account, if none is now.
+func (m *members) firstSince(own uint64, id ID) model.Instant {
+	since := max(m.startedAt, m.floor)
 	for _, d := range m.departures {
 		if d.at > since && score(d.hash, id) > own {
 			since = d.at
 		}
 	}
-	return since, true
+	return since
+}
+
+// flowOf returns the flow of this daemon's bucket of an account.
+func (m *members) flowOf(now model.Instant, id ID) flow {
+	if _, ok := m.holds(now, id); ok {
+		return filling
+	}
+	if _, ok := m.holder(m.zone, id); ok || m.stoppedAt == 0 {
+		return draining
+	}
+	return paused
+}
+
+// stop ends the time in which this daemon is a possible holder.
+func (m *members) stop(now model.Instant) {
+	m.stoppedAt = now
+	p := m.byAddress[m.self]
+	p.State, p.passedOver, p.leftAt = Stopping, true, now
+}
+
+// held returns from when to when this daemon was the holder of an account, if it is not any more.
+func (m *members) held(id ID) (since, until model.Instant, ok bool) {
+	if !m.complete || m.isolatedSince != 0 {
+		return 0, 0, false
+	}
+	own := score(m.byAddress[m.self].hash, id)
+	until = model.Instant(math.MaxInt64)
+	if m.stoppedAt != 0 {
+		until = m.stoppedAt
+	}
+	for _, p := range m.byZone[m.zone] {
+		if !p.passedOver && p.Address != m.self && score(p.hash, id) > own {
+			until = min(until, p.joinedAt)
+		}
+	}
+	since = m.firstSince(own, id)
+	return since, until, since < until
+}
+
+// formerHolders returns the daemons of a zone that held the share of an account until less than drainTime ago
+// and can be asked for the tokens that they have left: those that are stopping and came before the holder, and
+// those that come after it.
+func (m *members) formerHolders(now model.Instant, zone model.AvailabilityZone, id ID, drainTime time.Duration) []*member {
+	holder, ok := m.holder(zone, id)
+	var former []*member
+	for _, p := range m.byZone[zone] {
+		if p.Address == m.self || p == holder || p.State != Reachable && p.State != Stopping {
+			continue
+		}
+		lostAt := p.leftAt
+		if ok && score(p.hash, id) < score(holder.hash, id) {
+			lostAt = max(lostAt, holder.joinedAt)
+		}
+		if now.Sub(lostAt) < drainTime {
+			former = append(former, p)
+		}
+	}
+	slices.SortFunc(former, func(a, b *member) int { return cmp.Compare(score(b.hash, id), score(a.hash, id)) })
+	return former[:min(len(former), maxFormerHolders)]
 }
 
 // returnedAgo returns how long ago a daemon was first regarded as a possible holder again, after it
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -155,6 +155,9 @@
 	Reachable MemberState = iota
 	// Silent members do not answer. They may be alive on the other side of a cut.
 	Silent
-	// Gone members are stopping, or nothing listens at their address. They hold no shares.
+	// Gone members are those at whose address nothing listens. They hold no shares.
 	Gone
+	// Stopping members answer until they end. They hold no shares any more, but give the new holders
+	// what their buckets have.
+	Stopping
 )
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -240,7 +240,7 @@
 	}
 }
 
-// notice records that another daemon does not answer.
+// notice records that another daemon does not answer, or that it is stopping.
 func (d *simDaemon) notice(life int, other *simDaemon, state MemberState) {
 	d.changeView(life, func() {
 		if m, ok := d.view[other.address]; ok {
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -164,6 +164,32 @@
 // others. Until then it holds no shares.
 func (n *Node) SetMembers(now model.Instant, list []Member, complete bool) {
 	n.members.set(now, list, complete)
+	n.updateFlows(now)
+}
+
+// Stop has the daemon hold no shares any more. Until it ends it gives the new holders what its buckets have
+// left. The others must learn of the stop only after this call, or their buckets would fill at the same time.
+func (n *Node) Stop(now model.Instant) {
+	if n.members.stoppedAt == 0 {
+		n.members.stop(now)
+		n.updateFlows(now)
+	}
+}
+
+// updateFlows determines which buckets are filled.
+func (n *Node) updateFlows(now model.Instant) {
+	for id, p := range n.pools {
+		f := n.members.flowOf(now, id)
+		if f == p.flow {
+			continue
+		}
+		p.fill(now)
+		p.flow = f
+		if n.members.isolatedSince != 0 {
+			// Others may have replaced this daemon meanwhile.
+			p.level = 0
+		}
+	}
 }
 
 // Pools returns the number of buckets that the daemon holds.
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -34,6 +34,21 @@
 	minAskInterval   = 5 * time.Millisecond
 	usualAskInterval = 20 * time.Millisecond
 	maxAskInterval   = 100 * time.Millisecond
+	// maxDrainTime bounds the time for which a former holder is asked for tokens.
+	maxDrainTime = 10 * time.Second
+)
+
+// flow is what becomes of a bucket that nobody takes tokens from.
+type flow uint8
+
+const (
+	// filling is the flow of the holder's bucket.
+	filling flow = iota
+	// draining means that another daemon is the holder. The bucket loses what that of the other daemon is
+	// filled with, so that both together have no more than one.
+	draining
+	// paused means that there is no holder.
+	paused
 )
 
 // pool is the token bucket of a holder for one account.
@@ -42,6 +57,7 @@
 	level float64
 	// updatedAt is when level was computed.
 	updatedAt model.Instant
+	flow      flow
 	// ahead holds the tokens that were granted ahead of need in the current period of
 	// leaseValidity and clockMargin, and in the one before. Until they expire they take up capacity.
 	ahead       [2]float64
@@ -50,9 +66,8 @@
 	backlogEnd model.Instant
 	// usage counts the tokens granted to entries, asks the requests for tokens.
 	usage, asks usage
-	// loanDeniedUntil holds until when other zones are known to have no tokens to lend, by the place
-	// at which they are asked.
-	loanDeniedUntil []model.Instant
+	// loanDeniedUntil holds until when other daemons are known to have no tokens to lend, by address.
+	loanDeniedUntil map[string]model.Instant
 	// nextAheadAt is when the bucket may next borrow ahead of need.
 	nextAheadAt model.Instant
 }
@@ -66,11 +81,17 @@
 
 // fill brings the level up to date.
 func (p *pool) fill(now model.Instant) {
-	if now > p.updatedAt {
-		filled := p.level + now.Sub(p.updatedAt).Seconds()*p.share.rate
-		p.level = max(p.level, min(filled, p.capacity(now)))
-		p.updatedAt = now
+	if now <= p.updatedAt {
+		return
+	}
+	yield := now.Sub(p.updatedAt).Seconds() * p.share.rate
+	switch p.flow {
+	case filling:
+		p.level = max(p.level, min(p.level+yield, p.capacity(now)))
+	case draining:
+		p.level = max(p.level-yield, 0)
 	}
+	p.updatedAt = now
 }
 
 // trim cuts the level to the capacity.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -149,6 +149,14 @@
 	l.wakeServe()
 }
 
+// Stop has the daemon hold no shares any more. It must be called before the other daemons learn that this one
+// is stopping.
+func (l *Limiter) Stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.Stop(l.opts.Now())
+}
+
 // wakeServe makes Serve look for timeouts, at the latest after tickInterval.
 func (l *Limiter) wakeServe() {
 	select {
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -71,6 +71,7 @@
 			_ = d.opts.Directory.Remove(ctx, d.opts.Addresses.Peers)
 		}()
 	}
+	d.quotas.Stop()
 	d.peers.updateLocal(func(r *Record) { r.Stopping = true })
 	d.awaitIdle(drainStart, drainEnd)
 	d.opts.Decisions.Write(decision.Stopped, "", slog.Int("in_flight", d.inFlight.count()), slog.Int64("took_ms", time.Since(drainStart).Milliseconds()))
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -113,7 +113,10 @@
 		return m
 	}
 	add := func(r *Record, state corequota.MemberState, silentSince model.Instant) {
-		if r.Stopping {
+		switch {
+		case r.Stopping && state == corequota.Reachable:
+			state = corequota.Stopping
+		case r.Stopping:
 			state = corequota.Gone
 		}
 		m.Members = append(m.Members, corequota.Member{Address: r.Address, Zone: r.Zone, State: state, SilentSince: silentSince})
