Quarantine: requests that were answered are quarantined last

Cause: five requests of a burst ran beside the request that crashes upstreams, and their repeats beside its repeats, in four crashes within 0.8 s. The last answer was more than a second old, so the crashes counted, and at most three requests that ran in the same crashes are quarantined together.

Fix: of the requests that ran in the same crashes, those that were answered within a minute before the first are left out if there are others. Their crashes are taken off the record, as those of all bystanders; if the quarantined one was not the cause, the next crashes count against the others. The time of the answer travels in the records as before (cleared), once for each set of crashes.

Evidence: TestAnsweredRequestIsNotQuarantinedWithTheCause fails without it; TestResponsesOfSuspectedRequestsAreNotExchanged bounds what is sent.

--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -131,6 +131,12 @@
 	return r.Crashes
 }
 
+// wasAnswered reports whether a response at the given time, in Unix milliseconds, came less than
+// answeredPeriod before the first crash of the record.
+func (r *Record) wasAnswered(at int64) bool {
+	return at+answeredPeriod.Milliseconds() >= r.Crashes[0].At
+}
+
 // hasCrash reports whether the record contains the given crash.
 func (r *Record) hasCrash(crash Crash) bool {
 	for _, c := range r.Crashes {
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -211,22 +211,25 @@
 	}
 	in.Crashes = t.unattributedCrashes(now, in)
 	changed := r.mergeFrom(in)
-	cleared := t.clearSurvivedCrashes(now, r)
-	if !changed && !cleared {
+	answered := t.applyResponse(now, r)
+	if !changed && !answered {
 		return false
 	}
 	t.markChanged(r)
 	return true
 }
 
-// clearSurvivedCrashes clears the crashes of a record that do not count because of a response that
-// the request got shortly before or since. It reports whether there were any.
-func (t *Table) clearSurvivedCrashes(now int64, r *Record) bool {
+// applyResponse takes the last response that this daemon has seen to a request into its record, if it bears on the
+// crashes there. Other responses do not change the record, as each change is sent to all daemons.
+func (t *Table) applyResponse(now int64, r *Record) bool {
 	until := t.responses.survivedUntil(r.Fingerprint)
-	if r.Refused(now) || !slices.ContainsFunc(r.Crashes, func(c CrashReport) bool { return c.At <= until }) {
+	if r.Refused(now) || len(r.Crashes) == 0 || until <= r.ClearedAt {
 		return false
 	}
-	r.ClearedAt = max(r.ClearedAt, until)
+	if until < r.Crashes[0].At && (r.wasAnswered(r.ClearedAt) || !r.wasAnswered(until)) {
+		return false
+	}
+	r.ClearedAt = until
 	r.pruneCleared()
 	return true
 }
@@ -310,13 +313,14 @@
 	return true
 }
 
-// quarantine quarantines a request together with the other requests that ran
-// during all of its crashes. If these are more than maxQuarantinedTogether
-// requests in total, quarantine does nothing. The crashes then do not tell which
-// request is the cause, and most of the requests would be refused by mistake.
+// quarantine quarantines the requests that ran during all crashes of a request, which
+// may be one of them. Those that were answered less than answeredPeriod before are
+// left out if there are others. If more than maxQuarantinedTogether requests remain,
+// quarantine does nothing. The crashes then do not tell which request is the cause,
+// and most of the requests would be refused by mistake.
 func (t *Table) quarantine(r *Record) {
 	rule := t.opts.Rule(r.Service)
-	suspectedRequests := t.requestsInAllCrashesOf(r)
+	suspectedRequests := leaveOutAnswered(t.requestsInAllCrashesOf(r))
 	if len(suspectedRequests) > maxQuarantinedTogether {
 		return
 	}
@@ -346,6 +350,21 @@
 	return out
 }
 
+// leaveOutAnswered leaves out the requests that were answered less than answeredPeriod before their first
+// crash, unless that is true of all.
+func leaveOutAnswered(records []*Record) []*Record {
+	var unanswered []*Record
+	for _, r := range records {
+		if !r.wasAnswered(r.ClearedAt) {
+			unanswered = append(unanswered, r)
+		}
+	}
+	if len(unanswered) == 0 {
+		return records
+	}
+	return unanswered
+}
+
 // removeCrashes removes the given crashes from all records of a service
 // except the quarantined ones.
 func (t *Table) removeCrashes(s model.ServiceName, crashes []CrashReport, quarantined []*Record) {
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -123,6 +123,62 @@
 	}
 }
 
+// TestAnsweredRequestIsNotQuarantinedWithTheCause guards against the quarantine of a request that was answered some
+// time before it ran together with the cause in all of its crashes. The one that was never answered must be
+// quarantined alone, at daemons that saw the answer and at others. If it was not the cause, the other must
+// be quarantined after further crashes.
+func TestAnsweredRequestIsNotQuarantinedWithTheCause(t *testing.T) {
+	table, peer := newTable(), newTable()
+	table.RecordResponse(100_000, FingerprintOf(request("/popular")))
+	exchange := func(now int64) {
+		for _, r := range peer.Unsent() {
+			table.Merge(now, r)
+		}
+		for _, r := range table.Unsent() {
+			peer.Merge(now, r)
+		}
+	}
+	for i := range int64(2) {
+		for _, target := range []string{"/crash", "/popular"} {
+			peer.RecordCrash(110_000+100*i, FingerprintOf(request(target)), request(target), crash(int(i)))
+		}
+		exchange(110_000 + 100*i)
+	}
+	for _, checked := range []*Table{table, peer} {
+		checked.Evaluate(112_000)
+		require.True(t, refused(checked, 112_000, "/crash"))
+		require.False(t, refused(checked, 112_000, "/popular"))
+	}
+	for i := range 2 {
+		peer.RecordCrash(113_000, FingerprintOf(request("/popular")), request("/popular"), crash(2+i))
+	}
+	exchange(113_000)
+	for _, checked := range []*Table{table, peer} {
+		checked.Evaluate(115_000)
+		require.True(t, refused(checked, 115_000, "/popular"))
+	}
+}
+
+// TestResponsesOfSuspectedRequestsAreNotExchanged guards against daemons that tell each other of every response
+// to a request that is suspected.
+func TestResponsesOfSuspectedRequestsAreNotExchanged(t *testing.T) {
+	popular := FingerprintOf(request("/popular"))
+	tables := []*Table{newTable(), newTable()}
+	tables[0].RecordCrash(1000, popular, request("/popular"), crash(0))
+	sent := 0
+	for now := int64(1000); now < 60_000; now += 100 {
+		for i, from := range tables {
+			from.RecordResponse(now, popular)
+			for _, r := range from.Unsent() {
+				from.MarkSent(r.Fingerprint)
+				tables[1-i].Merge(now, r)
+				sent++
+			}
+		}
+	}
+	require.Less(t, sent, 10)
+}
+
 // TestRecentResponsesAreBounded records responses to many requests and checks that the newest are
 // known, and that old ones are forgotten.
 func TestRecentResponsesAreBounded(t *testing.T) {
@@ -135,7 +191,7 @@
 	require.Positive(t, r.survivedUntil(fingerprintOf(2*maxResponses)))
 	require.Zero(t, r.survivedUntil(fingerprintOf(0)))
 	for i := range 2 {
-		r.add(1000+int64(i+1)*survivalPeriod.Milliseconds(), fingerprintOf(-i))
+		r.add(1000+int64(i+1)*answeredPeriod.Milliseconds(), fingerprintOf(-i))
 	}
 	require.Zero(t, r.survivedUntil(fingerprintOf(2*maxResponses)))
 }
