Quotas: buckets of former holders are dropped once they are empty

Since former holders keep their buckets for the new ones, these were never dropped, and quota_shares_held counted them. They are dropped when they would be empty anyway, not sooner, as a bucket that is made anew for a former holder would hold what it gave away already. A daemon that was asked for what it may have left and was never the holder is no dispute, and is not asked again for 100 ms.

--- a/core/quota/exchange.go
+++ b/core/quota/exchange.go
@@ -71,8 +71,13 @@
 	}
 	delete(n.exchanges, number)
 	n.markAnswering(x.to)
-	if r.Status == NotHolder && x.to != n.cfg.Self {
+	switch {
+	case r.Status != NotHolder || x.to == n.cfg.Self:
+	case n.members.isHolder(x.to, x.account):
 		n.record(HolderDisputed, x.to)
+	default:
+		// It was asked for what it might have left.
+		r.AskAgain = maxAskInterval
 	}
 	granted := min(amount(r.Granted), maxAmountPerMessage)
 	if x.borrow != nil {
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -95,7 +95,7 @@
 	if since, until, ok := n.members.held(r.Account); ok && p == nil {
 		// Buckets that are full and not in use are dropped.
 		p = newPool(until, since, s)
-		p.flow = draining
+		p.setFlow(until, draining)
 		n.pools[r.Account] = p
 	}
 	if p == nil || p.flow == filling {
--- a/core/quota/members.go
+++ b/core/quota/members.go
@@ -212,6 +212,16 @@
 	return best, best != nil
 }
 
+// isHolder reports whether a daemon is the holder of an account in its zone.
+func (m *members) isHolder(address string, id ID) bool {
+	p := m.byAddress[address]
+	if p == nil {
+		return false
+	}
+	holder, _ := m.holder(p.Zone, id)
+	return holder == p
+}
+
 // holds reports whether this daemon is the holder of an account, and since when.
 func (m *members) holds(now model.Instant, id ID) (since model.Instant, ok bool) {
 	p, ok := m.holder(m.zone, id)
--- a/core/quota/node.go
+++ b/core/quota/node.go
@@ -183,8 +183,7 @@
 		if f == p.flow {
 			continue
 		}
-		p.fill(now)
-		p.flow = f
+		p.setFlow(now, f)
 		if n.members.isolatedSince != 0 {
 			// Others may have replaced this daemon meanwhile.
 			p.level = 0
@@ -192,8 +191,16 @@
 	}
 }
 
-// Pools returns the number of buckets that the daemon holds.
-func (n *Node) Pools() int { return len(n.pools) }
+// Pools returns the number of buckets that the daemon holds and that are filled.
+func (n *Node) Pools() int {
+	count := 0
+	for _, p := range n.pools {
+		if p.flow == filling {
+			count++
+		}
+	}
+	return count
+}
 
 // Leases returns the number of accounts of which the daemon has unused tokens, and the age of the oldest.
 func (n *Node) Leases(now model.Instant) (count int, oldest time.Duration) {
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -57,7 +57,9 @@
 	level float64
 	// updatedAt is when level was computed.
 	updatedAt model.Instant
+	// flow is in force since flowSince.
 	flow      flow
+	flowSince model.Instant
 	// ahead holds the tokens that were granted ahead of need in the current period of
 	// leaseValidity and clockMargin, and in the one before. Until they expire they take up capacity.
 	ahead       [2]float64
@@ -94,6 +96,12 @@
 	p.updatedAt = now
 }
 
+// setFlow changes the flow.
+func (p *pool) setFlow(now model.Instant, f flow) {
+	p.fill(now)
+	p.flow, p.flowSince = f, now
+}
+
 // trim cuts the level to the capacity.
 func (p *pool) trim(now model.Instant) {
 	p.fill(now)
@@ -205,8 +213,12 @@
 	return min(first, last), last
 }
 
-// idle reports whether a new pool of a daemon that was the holder for long would be the same.
+// idle reports whether a new pool of a daemon that was the holder for long, until flowSince if it is
+// not any more, would be the same.
 func (p *pool) idle(now model.Instant) bool {
 	p.fill(now)
+	if p.flow == draining {
+		return now.Sub(p.flowSince).Seconds()*p.share.rate >= p.share.capacity
+	}
 	return p.level >= p.share.capacity && p.backlogEnd <= now && p.usage.expected(now) == 0 && p.usage.current == 0
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -237,3 +238,37 @@
 	require.True(t, ok)
 	assert.Equal(t, testNow.Add(-250*time.Millisecond), since)
 }
+
+// TestBucketsOfFormerHoldersAreDropped has a daemon lose the shares of an account to one that joins. The bucket must be
+// given away once, must no longer count as held, and must be dropped once it would be empty anyway.
+func TestBucketsOfFormerHoldersAreDropped(t *testing.T) {
+	now := model.Instant(time.Hour)
+	id := IDOf(testAccount)
+	n := NewNode(now, Config{Self: "daemon-0", Zone: "z", Zones: []model.AvailabilityZone{"z"}, Rules: Rules{Window: 5 * time.Second, Slack: 20}, Random: func() float64 { return 0 }})
+	n.SetAccounts(now, map[account.Name]account.Quota{testAccount: {PerSecond: 10, Burst: 19}})
+	n.SetMembers(now, nil, true)
+	now = now.Add(time.Minute)
+	successor := ""
+	for i := 1; successor == ""; i++ {
+		address := fmt.Sprint("daemon-", i)
+		if score(xxhash.Sum64String(address), id) > score(xxhash.Sum64String("daemon-0"), id) {
+			successor = address
+		}
+	}
+	n.SetMembers(now, []Member{{Address: successor, Zone: "z"}}, true)
+	ask := func() float64 {
+		e := n.HandleRequest(now, successor, 1, Request{Account: id, Need: 20, Want: 20, FromHolder: true, ReturnedAgo: -1})
+		return e.Messages[0].Reply.Granted
+	}
+	now = now.Add(500 * time.Millisecond)
+	require.InDelta(t, 15, ask(), 0.1, "what fills the bucket of the successor is lost")
+	require.Zero(t, ask())
+	require.Zero(t, n.Pools())
+	now = now.Add(time.Second)
+	n.sweep(now)
+	require.Zero(t, ask(), "not given away again")
+	now = now.Add(time.Minute)
+	n.sweep(now)
+	require.Empty(t, n.pools)
+	require.Zero(t, ask())
+}
