--- a/soak/answers.go
+++ b/soak/answers.go
@@ -38,7 +38,7 @@
 	// Every unplanned fault affects all VMs, and may end before the response is handled here.
 	if undisturbedBefore && m.faultCount() == faultsBefore && h.undisturbed() && ctx.Err() == nil && h.lostByDaemon(attempt, r, err, routeTime(path, timeout)-took, faultsBefore == 0) {
 		violation := "unanswered"
-		if stoppingOrExitedBefore || stoppingOrExited || incarnation != incarnationBefore {
+		if stoppingOrExitedBefore || stoppingOrExited || incarnation != incarnationBefore || h.guardStopped(attempt) {
 			violation = "lost"
 		}
 		switch {
@@ -92,6 +92,17 @@
 	return false
 }
 
+// guardStopped reports whether the daemon of an upstream that executed an attempt has been stopped since.
+func (h *harness) guardStopped(attempt string) bool {
+	executedAt := h.checker.executionTimes(attempt)
+	for _, m := range h.vms {
+		if startedAt, ok := executedAt[m.upstream]; ok && m.stoppedSince(startedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // routeTime returns how long a request may take: until its deadline or the timeout of its route.
 func routeTime(path string, deadline time.Duration) time.Duration {
 	return min(deadline, platformtest.RouteTimeout(path))
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -286,6 +286,18 @@
 	return m.ranUntilGraceEnd(sentAt, last)
 }
 
+// stoppedSince reports whether any incarnation was stopped after the given time.
+func (m *vm) stoppedSince(t time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, stoppedAt := range m.stoppedAt {
+		if stoppedAt.After(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // disturb records that an unplanned fault affects the VM for the duration d from now.
 func (m *vm) disturb(d time.Duration) {
 	m.mu.Lock()
