--- a/sidecar/abort_test.go
+++ b/sidecar/abort_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -102,7 +103,9 @@
 		now := m.now()
 		f := &forwarder{
 			entry: m.entry, serviceState: m.entry.serviceStateOf("a"), results: make(chan attemptResult, 1), excluded: make(map[string]bool),
-			request: &request{route: matched, service: "a", ctx: ctx, startedAt: now, deadline: deadline},
+			request: &request{
+				httpRequest: httptest.NewRequest(http.MethodGet, "/safe/", nil), route: matched, service: "a", ctx: ctx, startedAt: now, deadline: deadline,
+			},
 		}
 		attempt := &attemptState{cancel: cancel, sentAt: now, acknowledged: make(chan struct{})}
 		f.inFlight = []*attemptState{attempt}
