--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -12,7 +12,8 @@
 // A token leaves one bucket before it enters another, so messages that are lost, late or received
 // twice never create tokens. The sum over all buckets bounds what passes, whoever reaches whom.
 // Members chooses the holder by rendezvous hashing over the daemons of a zone. A daemon that becomes
-// the holder starts with an empty bucket. A holder that is stopping gives it the tokens that it has left.
+// the holder starts with an empty bucket. It may ask the daemon that was the holder before for the tokens
+// that are left there.
 //
 // # Use
 //
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -213,8 +213,7 @@
 	return min(first, last), last
 }
 
-// idle reports whether a new pool of a daemon that was the holder for long, until flowSince if it is
-// not any more, would be the same.
+// idle reports whether the pool can be dropped, because a new one would hold the same number of tokens.
 func (p *pool) idle(now model.Instant) bool {
 	p.fill(now)
 	if p.flow == draining {
