soak: one loop looks for the guards that executed a request

ranUntilGraceEndOfGuard and guardStopped were the same loop with another condition. Behaviour and checks are the same; go vet and go test ./soak -short pass.

--- a/soak/answers.go
+++ b/soak/answers.go
@@ -38,12 +38,12 @@
 	// Every unplanned fault affects all VMs, and may end before the response is handled here.
 	if undisturbedBefore && m.faultCount() == faultsBefore && h.undisturbed() && ctx.Err() == nil && h.lostByDaemon(attempt, r, err, routeTime(path, timeout)-took, faultsBefore == 0) {
 		violation := "unanswered"
-		if stoppingOrExitedBefore || stoppingOrExited || incarnation != incarnationBefore || h.guardStopped(attempt) {
+		if stoppingOrExitedBefore || stoppingOrExited || incarnation != incarnationBefore || h.anyGuard(attempt, (*vm).stoppedSince) {
 			violation = "lost"
 		}
 		switch {
 		case m.ranUntilGraceEnd(sentAt, connectedTo):
-		case err == nil && reasonOf(r) != outcome.ReasonDraining && h.ranUntilGraceEndOfGuard(attempt):
+		case err == nil && reasonOf(r) != outcome.ReasonDraining && h.anyGuard(attempt, (*vm).ranUntilLastGraceEnd):
 		default:
 			h.checker.addViolation("%s: %s ran and got no response of an upstream from %s: status %d %s, error %v, after %s",
 				violation, attempt, m.config.Name, r.Status, reasonOf(r), err, took.Round(time.Millisecond))
@@ -80,23 +80,12 @@
 	return outcome.Reason(strings.TrimSpace(r.Body))
 }
 
-// ranUntilGraceEndOfGuard reports whether the daemon of an upstream that executed an attempt may have
-// aborted the execution at the end of its grace period, see vm.ranUntilGraceEnd.
-func (h *harness) ranUntilGraceEndOfGuard(attempt string) bool {
+// anyGuard reports whether condition holds for a VM whose upstream executed an attempt. The condition gets the
+// time at which the execution started.
+func (h *harness) anyGuard(attempt string, condition func(m *vm, startedAt time.Time) bool) bool {
 	executedAt := h.checker.executionTimes(attempt)
 	for _, m := range h.vms {
-		if startedAt, ok := executedAt[m.upstream]; ok && m.ranUntilLastGraceEnd(startedAt) {
-			return true
-		}
-	}
-	return false
-}
-
-// guardStopped reports whether the daemon of an upstream that executed an attempt has been stopped since.
-func (h *harness) guardStopped(attempt string) bool {
-	executedAt := h.checker.executionTimes(attempt)
-	for _, m := range h.vms {
-		if startedAt, ok := executedAt[m.upstream]; ok && m.stoppedSince(startedAt) {
+		if startedAt, ok := executedAt[m.upstream]; ok && condition(m, startedAt) {
 			return true
 		}
 	}
