--- a/review/.harness/lateextra.go
+++ b/review/.harness/lateextra.go
@@ -101,6 +101,9 @@
 		return true
 	case promises(status) && runs > 0:
 		w.logf("REFUSED: %s was answered %d and has run", id, status)
+		again := newID("release-again")
+		status = front.send(again, "desk", "/release/60/x", true, 1500*time.Millisecond)
+		w.logf("the client keeps to the promise and sends it once more as %s: %d, runs %d", again, status, w.runsOf(again))
 		return true
 	}
 	return false
