Guard: the log tells which response was taken for which run

The lines of a run did not say on which connection its response was read, whether that response named the request, nor whether responses to other requests came first.

'run failed' and 'request ran' now have attempt, conn, conn_request and unmatched, 'run failed' also response_named; runs with unmatched responses are always logged.

--- a/decision/kinds.go
+++ b/decision/kinds.go
@@ -1,5 +1,7 @@
 package decision
 
+import "slices"
+
 // Kind is a kind of decision. Its value is the message (msg) of the log line.
 type Kind string
 
@@ -96,6 +98,14 @@
 	"sends", "given_back", "candidates", "expected_ms", "config", "idempotent", "cut", "in_flight", "left_ms", "stopping_ms", "peer_error", "account", "cause",
 }
 
+// exchangeFields are the fields of the lines about the execution of a request by the upstream. The
+// following need an explanation:
+//   - attempt: number of the attempt of the request, from 0
+//   - conn: number of the guard's connection to the upstream, 0 if there was none
+//   - conn_request: number of the request on that connection, from 1
+//   - unmatched: number of responses to other requests that came first and were discarded
+var exchangeFields = []string{"upstream", "attempt", "status", "ran_ms", "conn", "conn_request", "unmatched"}
+
 // Declarations lists every kind once, in the order of the table in docs/LOGS.md.
 func Declarations() []Declaration {
 	return []Declaration{
@@ -107,8 +117,8 @@
 		{Hedged, Trouble, "The entry sent an idempotent request to a second upstream while the first was still running it.", []string{"service", "upstream", "instead_of", "waited_ms", "expected_ms", "budget_left"}},
 		{Rejected, Trouble, "The guard rejected a request without executing it, so that the entry can pick another upstream.", []string{"reason", "expected_ms", "alternative_ms", "slow", "slow_age_ms", "running", "waiting", "limit", "start_delay_ms", "account", "accounts_waiting"}},
 		{Withdrawn, Trouble, "The entry asked a guard over a new connection for the outcome of an attempt; the guard cancels it if it has not started.", []string{"upstream", "result"}},
-		{Ran, Plain, "The upstream executed a request that the guard forwarded.", []string{"upstream", "status", "ran_ms", "waited_ms", "slow", "running"}},
-		{RunFailed, Trouble, "The guard forwarded a request and got no complete response, or one with a status of 500 or above.", []string{"upstream", "outcome", "reason", "status", "ran_ms", "error", "idempotent", "sender_gone", "stopping_ms"}},
+		{Ran, Plain, "The upstream executed a request that the guard forwarded.", slices.Concat(exchangeFields, []string{"waited_ms", "slow", "running"})},
+		{RunFailed, Trouble, "The guard forwarded a request and got no complete response, or one with a status of 500 or above. `response_named` says whether the response held the id of the request.", slices.Concat(exchangeFields, []string{"outcome", "reason", "error", "response_named", "idempotent", "sender_gone", "stopping_ms"})},
 		{Suspected, State, "The upstream crashed while it ran a request. A request that was running in several crashes is refused.", []string{"upstream", "born", "fingerprint"}},
 		{UpstreamState, State, "The upstream of this VM changed its state.", []string{"upstream", "born", "sequence", "state", "cause"}},
 		{UpstreamLimited, State, "By its responses, the upstream of this VM takes `per_second` requests a second from now on; by the line before it took `previous`. If `limited` is false, it takes any number. There is at most one line a second.", []string{"upstream", "born", "limited", "per_second", "previous"}},
--- a/hop/exchange.go
+++ b/hop/exchange.go
@@ -42,6 +42,19 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Exchange tells where the response was read.
+	Exchange Exchange
+}
+
+// Exchange identifies the use of a connection by one request. It is zero if the request got no
+// connection.
+type Exchange struct {
+	// Conn is the number of the connection in its Pool, from 1.
+	Conn uint64
+	// Index is the number of the request on the connection, from 1.
+	Index int
+	// Unmatched is the number of responses that were discarded, because they belong to other requests.
+	Unmatched int
 }
 
 // RequestError is the error of a request that got no complete response. Sent
@@ -53,6 +66,8 @@
 	ResponseStarted bool
 	// Reused is set if the connection had carried a request before.
 	Reused bool
+	// Exchange tells which connection was used.
+	Exchange Exchange
 	// Err is the cause.
 	Err error
 }
@@ -118,6 +133,7 @@
 	defer stop()
 	failure := &RequestError{Reused: c.requestCount > 0}
 	c.requestCount++
+	failure.Exchange = Exchange{Conn: c.number, Index: c.requestCount}
 	writeDone, err := c.send(r)
 	failure.Sent = c.wroteBytes
 	if err != nil {
@@ -183,7 +199,7 @@
 
 // receive reads responses until one belongs to the request, and returns that
 // one. It sets failure.ResponseStarted once the headers of that response are
-// received.
+// received, and counts the other responses in failure.Exchange.
 func (c *pooledConn) receive(r *PoolRequest, failure *RequestError) (*PoolResponse, error) {
 	for range maxUnmatchedResponses {
 		resp, err := c.readResponse(r)
@@ -199,9 +215,10 @@
 		c.updateReuse(resp)
 		if matches {
 			c.reusable = c.reusable && (r.CloseAfter == nil || !r.CloseAfter(resp))
-			return &PoolResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+			return &PoolResponse{Status: resp.StatusCode, Header: resp.Header, Body: body, Exchange: failure.Exchange}, nil
 		}
 		c.gotUnmatchedResponse = true
+		failure.Exchange.Unmatched++
 		if !c.reusable {
 			break
 		}
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -59,7 +59,9 @@
 	// numOpen counts the connections that are open or being opened, idle ones
 	// included.
 	numOpen int
-	closed  bool
+	// lastConn is the number of the connection that was opened last.
+	lastConn uint64
+	closed   bool
 }
 
 // NewPool returns a Pool without connections.
@@ -156,7 +158,17 @@
 		p.opts.OnDial()
 	}
 	limiter := &headLimiter{source: conn}
-	return &pooledConn{conn: conn, headLimiter: limiter, reader: bufio.NewReaderSize(limiter, bufferSize), idleTimeout: p.opts.IdleTimeout}, nil
+	return &pooledConn{
+		conn: conn, number: p.nextConn(), headLimiter: limiter, reader: bufio.NewReaderSize(limiter, bufferSize), idleTimeout: p.opts.IdleTimeout,
+	}, nil
+}
+
+// nextConn returns the number of a new connection.
+func (p *Pool) nextConn() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastConn++
+	return p.lastConn
 }
 
 // reserve reports whether a connection may be opened. If so, it counts the
@@ -234,6 +246,8 @@
 // pooledConn is one connection of a Pool.
 type pooledConn struct {
 	conn net.Conn
+	// number is Exchange.Conn.
+	number uint64
 	// reader reads from headLimiter, which reads from conn.
 	reader      *bufio.Reader
 	headLimiter *headLimiter
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -107,10 +107,39 @@
 	if result.Outcome.Reason == outcome.ReasonConnectionLost {
 		go g.crashes.recordLoss(newLostRun(c, incarnation))
 	}
-	g.logRun(ctx, c, result, err, waited, duration, running)
+	g.logRun(ctx, &run{call: c, result: result, exchange: exchangeOf(reply, err), info: info, err: err, waited: waited, duration: duration, running: running})
 	return result
 }
 
+// run describes how the upstream executed a call, or did not, for the log.
+type run struct {
+	call   *Call
+	result *Result
+	// exchange tells on which connection the response was read.
+	exchange hop.Exchange
+	// info is what the headers of the response state. It is empty if there was none.
+	info ResponseInfo
+	err  error
+	// waited is the time from the arrival of the call until it was sent, duration the time from then
+	// until its end.
+	waited, duration time.Duration
+	// running is the number of running calls when the call was sent.
+	running int
+}
+
+// exchangeOf returns where the response was read, or the error that took its place occurred.
+func exchangeOf(reply *hop.PoolResponse, err error) hop.Exchange {
+	var requestErr *hop.RequestError
+	switch {
+	case reply != nil:
+		return reply.Exchange
+	case errors.As(err, &requestErr):
+		return requestErr.Exchange
+	default:
+		return hop.Exchange{}
+	}
+}
+
 // serviceTimeOf returns how long an execution that took the given duration would have taken at
 // slowdown 1, that is in an upstream that is as fast as usual. If the upstream does not
 // report its slowdown, serviceTimeOf returns the duration unchanged.
@@ -244,24 +273,29 @@
 }
 
 // logRun logs the execution of a call. Of the executions that succeeded, that is with a status
-// below 500, it logs only a sample. running is the number of running calls at its start.
-func (g *guard) logRun(ctx context.Context, c *Call, result *Result, err error, waited, duration time.Duration, running int) {
-	attrs := []slog.Attr{slog.String("upstream", string(c.Upstream.ID)), slog.Int("status", result.Status), slog.Int64("ran_ms", duration.Milliseconds())}
-	if result.Outcome.Kind == outcome.Answered && result.Status < http.StatusInternalServerError {
-		if g.opts.Decisions.Sampled(c.ID) {
+// below 500, it logs only a sample, and those with responses to other requests on their connection.
+func (g *guard) logRun(ctx context.Context, r *run) {
+	attrs := []slog.Attr{
+		slog.String("upstream", string(r.call.Upstream.ID)), slog.Int("attempt", r.call.AttemptIndex), slog.Int("status", r.result.Status),
+		slog.Int64("ran_ms", r.duration.Milliseconds()), slog.Uint64("conn", r.exchange.Conn), slog.Int("conn_request", r.exchange.Index),
+		slog.Int("unmatched", r.exchange.Unmatched),
+	}
+	if r.result.Outcome.Kind == outcome.Answered && r.result.Status < http.StatusInternalServerError {
+		if r.exchange.Unmatched > 0 || g.opts.Decisions.Sampled(r.call.ID) {
 			g.mu.Lock()
 			slowdown := g.slowdown
 			g.mu.Unlock()
-			g.opts.Decisions.Write(decision.Ran, c.ID, append(attrs, slog.Int64("waited_ms", waited.Milliseconds()),
-				slog.Float64("slow", slowdown), slog.Int("running", running))...)
+			g.opts.Decisions.Write(decision.Ran, r.call.ID, append(attrs, slog.Int64("waited_ms", r.waited.Milliseconds()),
+				slog.Float64("slow", slowdown), slog.Int("running", r.running))...)
 		}
 		return
 	}
-	if err != nil {
-		attrs = append(attrs, slog.String("error", err.Error()))
+	if r.err != nil {
+		attrs = append(attrs, slog.String("error", r.err.Error()))
 	}
-	g.opts.Decisions.Write(decision.RunFailed, c.ID, append(attrs,
-		slog.String("outcome", result.Outcome.Kind.String()), slog.String("reason", string(result.Outcome.Reason)),
-		slog.Bool("idempotent", c.Idempotent), slog.Bool("sender_gone", inbound.ClosedByClient(ctx)),
+	g.opts.Decisions.Write(decision.RunFailed, r.call.ID, append(attrs,
+		slog.Bool("response_named", r.info.ID != ""),
+		slog.String("outcome", r.result.Outcome.Kind.String()), slog.String("reason", string(r.result.Outcome.Reason)),
+		slog.Bool("idempotent", r.call.Idempotent), slog.Bool("sender_gone", inbound.ClosedByClient(ctx)),
 		slog.Int64("stopping_ms", g.stoppingFor().Milliseconds()))...)
 }
