Guard: a connection carries each id once

What callers saw: 503 for a request that must not run twice and has run (REFUSED). A caller that relies on the promise sends it again, and it runs twice.

Cause: a response is matched to a run by its connection and the id of the caller's request, which all attempts of that request share. An attempt that went to an upstream on the connection that had carried an earlier one shared all of the evidence with it, and a late copy of the first refusal was taken for the answer to the second run.

A connection now carries each id once, and is closed after 512 ids, so that it forgets none. On another connection no copy of an earlier response can come. This holds for all statuses, and for a request that comes through two daemons. Closing the connection after refusals would not: copies of other responses mislead as well.

--- a/hop/exchange.go
+++ b/hop/exchange.go
@@ -22,6 +22,10 @@
 	// adds Host and, where it is needed, Content-Length.
 	Header http.Header
 	Body   []byte
+	// ID identifies the request in its responses, empty if nothing does. A connection carries at most one
+	// request with the same ID, so that a late copy of the response to one is not taken for the response
+	// to another.
+	ID string
 	// MaxIdleTime limits how long the connection used for the request may have
 	// been idle. With zero, only the connection's idle timeout limits it. A negative
 	// value requires a new connection.
@@ -134,6 +138,9 @@
 	failure := &RequestError{Reused: c.requestCount > 0}
 	c.requestCount++
 	failure.Exchange = Exchange{Conn: c.number, Index: c.requestCount}
+	if r.ID != "" {
+		c.carried = append(c.carried, hashID(r.ID))
+	}
 	writeDone, err := c.send(r)
 	failure.Sent = c.wroteBytes
 	if err != nil {
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -5,10 +5,12 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -43,6 +45,9 @@
 	// connection may be reused. Near the end of the timeout the server could
 	// close the connection just as a request is sent.
 	idleTimeoutFraction = 0.7
+	// maxCarriedIDs is the number of requests with an ID after which a connection is closed. It bounds
+	// the memory for their IDs.
+	maxCarriedIDs = 512
 )
 
 // Pool keeps HTTP/1.1 connections to one address. Each connection carries one
@@ -101,7 +106,7 @@
 // Do sends a request once and returns the complete response. The error is a
 // *RequestError.
 func (p *Pool) Do(ctx context.Context, r PoolRequest) (*PoolResponse, error) {
-	c, err := p.get(ctx, r.MaxIdleTime)
+	c, err := p.get(ctx, &r)
 	if err != nil {
 		return nil, &RequestError{Err: err}
 	}
@@ -110,16 +115,15 @@
 	return resp, err
 }
 
-// get returns an idle connection that can be reused, or else a new connection.
-// maxIdle has the meaning of PoolRequest.MaxIdleTime. Each idle connection that get
-// finds unusable is closed.
-func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*pooledConn, error) {
-	for maxIdle >= 0 {
-		c := p.popIdle()
+// get returns an idle connection that can be reused for a request, or else a new connection. Each
+// idle connection that get finds unusable is closed.
+func (p *Pool) get(ctx context.Context, r *PoolRequest) (*pooledConn, error) {
+	for r.MaxIdleTime >= 0 {
+		c := p.popIdle(r.ID)
 		if c == nil {
 			break
 		}
-		if c.idleWithin(maxIdle) && c.readWouldBlock() {
+		if c.idleWithin(r.MaxIdleTime) && c.readWouldBlock() {
 			c.wroteBytes = false
 			return c, nil
 		}
@@ -128,20 +132,23 @@
 	return p.dial(ctx)
 }
 
-// popIdle removes and returns the connection that became idle last. It returns
-// nil if no connection is idle.
-func (p *Pool) popIdle() *pooledConn {
+// popIdle removes and returns the connection that became idle last, of those that have not carried a
+// request with the given ID. It returns nil if there is none.
+func (p *Pool) popIdle(id string) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if id == "" || !slices.Contains(c.carried, hashID(id)) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
+// hashID returns the hash under which a connection remembers the ID of a request.
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
+
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context) (*pooledConn, error) {
 	if !p.reserve() {
@@ -194,7 +201,7 @@
 // succeeded.
 func (p *Pool) put(c *pooledConn, ok bool) {
 	c.idleSince = time.Now()
-	if !ok || !c.reusable || c.gotUnmatchedResponse || c.reader.Buffered() > 0 {
+	if !ok || !c.reusable || c.gotUnmatchedResponse || len(c.carried) >= maxCarriedIDs || c.reader.Buffered() > 0 {
 		p.discard(c)
 		return
 	}
@@ -253,6 +260,8 @@
 	headLimiter *headLimiter
 	// requestCount is the number of requests sent on the connection.
 	requestCount int
+	// carried holds the hashes of the IDs of these requests.
+	carried []uint64
 	// wroteBytes is set once a byte of the current request was written.
 	wroteBytes bool
 	// reusable is set after a response that leaves the connection open.
--- a/sidecar/brokenoff_test.go
+++ b/sidecar/brokenoff_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -157,21 +156,7 @@
 // it has not run. The upstream sends an earlier refusal, which names no request, a second time.
 func TestLateCopyOfARefusalIsNotProof(t *testing.T) {
 	up := &repeatingUpstream{}
-	ln, err := net.Listen("tcp", unusedAddress(t))
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			if err == nil {
-				go up.serve(conn)
-			}
-		}
-	}()
-	m := startReadyWith(t, newStore(documentOf(1, "a")), "a", "a1", func(o *Options) { o.Addresses.Upstream = ln.Addr().String() })
+	m := startReadyWith(t, newStore(documentOf(1, "a")), "a", "a1", func(o *Options) { o.Addresses.Upstream = serveConns(t, up.serve) })
 	resp, _ := m.sendRequest(t, http.MethodPost, "/unsafe/", "first")
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "the upstream refuses it")
 	resp, body := m.sendRequest(t, http.MethodPost, "/unsafe/", "second")
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -79,7 +79,7 @@
 	g.opts.Codec.WriteRequestInfo(h, RequestInfo{ID: c.ID, Deadline: timeLeft, Caller: c.Caller, Upstream: c.Upstream.ID, Account: c.Account})
 	var info ResponseInfo
 	req := hop.PoolRequest{
-		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body,
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body, ID: c.ID,
 		Accept: func(r *http.Response) bool {
 			info = g.opts.Codec.ReadResponseInfo(r.StatusCode, r.Header)
 			return info.belongsTo(c)
@@ -161,8 +161,9 @@
 	return lostRun{id: c.ID, fingerprint: f, request: r, upstream: incarnation}
 }
 
-// belongsTo reports whether a response belongs to a call. The response may lack the id of the
-// call only if the upstream did not run the call.
+// belongsTo reports whether a response belongs to a call. All attempts of a request share its id, but no
+// two of them share a connection (see hop.PoolRequest.ID). The response may lack the id only if the
+// upstream did not run the call.
 func (r *ResponseInfo) belongsTo(c *Call) bool { return r.ID == c.ID || r.isAnonymousRefusal() }
 
 // isAnonymousRefusal reports whether a response states that its request has not run, but does not name
