Guard: health checks have connections of their own

A late second response to a request met a health check, which took it for its own. The upstream's own refusal of the check, which names no request, then came on a connection that carried the next request and was taken for its refusal; the upstream ran it, and so did the next one.

Cause: a health check has no id, so that its response is told apart by its place on a connection only, which requests shared. The same class as the late copy of a refusal.

Health checks now have connections of their own, and a response that names a request is not theirs. Among themselves, late copies can't be told apart; where a check may prove that the upstream is warm or its limit lifted, its connection is new.

TestLateHealthResponseIsNotTheResponseToARequest (it ran and was 'not run') and TestHealthChecksThatProveUseNewConnections failed before.

--- a/sidecar/attribution_test.go
+++ b/sidecar/attribution_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dottereltiller/dottereltiller/core/outcome"
+	"github.com/dottereltiller/dottereltiller/core/startrate"
 )
 
 // serveConns serves each connection to a new address in a goroutine, until the test ends. It returns the
@@ -102,3 +103,69 @@
 		})
 	}
 }
+
+// TestLateHealthResponseIsNotTheResponseToARequest guards against a request that must not run twice and does. The
+// upstream sends its response to the request before once more as a health check arrives, and refuses that check
+// only when the next request has arrived, which it runs.
+func TestLateHealthResponseIsNotTheResponseToARequest(t *testing.T) {
+	var ran atomic.Int64
+	m := startReadyWith(t, newStore(documentOf(1, "a")), "a", "a1", func(o *Options) {
+		o.Addresses.Upstream = serveConns(t, func(conn net.Conn) { serveWithLateHealthResponses(conn, &ran) })
+	})
+	first := m.guard.Do(t.Context(), callOf(m, "r1", 0))
+	require.Equal(t, outcome.Answered, first.Outcome.Kind)
+	_, healthy := m.guard.checkHealth(healthCheckTimeout)
+	before := ran.Load()
+	second := m.guard.Do(t.Context(), callOf(m, "r2", 0))
+	require.EqualValues(t, before+1, ran.Load(), "it runs")
+	require.Equal(t, outcome.Answered, second.Outcome.Kind)
+	require.False(t, healthy, "a response that names a request is not that to a health check")
+}
+
+// serveWithLateHealthResponses runs the requests of a connection. It sends the previous response once more when a
+// health check arrives, and refuses the check when the next request has arrived.
+func serveWithLateHealthResponses(conn net.Conn, ran *atomic.Int64) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	previous, late := "", ""
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/health" {
+			_, _ = io.WriteString(conn, previous)
+			late = "HTTP/1.1 503 Service Unavailable\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+			continue
+		}
+		_, _ = io.WriteString(conn, late)
+		late = ""
+		ran.Add(1)
+		previous = fmt.Sprintf("HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("T-Id"))
+		_, _ = io.WriteString(conn, previous)
+	}
+}
+
+// TestHealthChecksThatProveUseNewConnections guards against a proof that the upstream is warm, or that its limit is
+// lifted, by a late copy of an earlier response. Without limits, health checks share a connection.
+func TestHealthChecksThatProveUseNewConnections(t *testing.T) {
+	var conns atomic.Int64
+	m := startReadyWith(t, newStore(documentOf(1, "a")), "a", "a1", func(o *Options) {
+		o.Addresses.Upstream = serveConns(t, func(conn net.Conn) {
+			conns.Add(1)
+			(&latecomer{}).serve(conn)
+		})
+	})
+	check := func() int64 {
+		before := conns.Load()
+		_, healthy := m.guard.checkHealth(healthCheckTimeout)
+		require.True(t, healthy)
+		return conns.Load() - before
+	}
+	check()
+	require.Zero(t, check())
+	m.guard.setColdLimits(startrate.ColdLimits{Rate: 5, PeakRate: 5, Max: 10})
+	require.EqualValues(t, 1, check())
+	require.EqualValues(t, 1, check())
+}
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -58,7 +58,10 @@
 	mu      sync.Mutex
 	tracker lifecycle.Tracker
 	pool    *hop.Pool
-	queue   *slots.Queue
+	// healthPool holds the connections for health checks. A response to a health check names no request.
+	// Late, on a connection of pool, it would be taken for a refusal of the next request.
+	healthPool *hop.Pool
+	queue      *slots.Queue
 	// starts limits the rate at which calls start.
 	starts startrate.Limiter
 	cold   coldness
@@ -131,7 +134,7 @@
 	}
 	g.wakeTimer = time.AfterFunc(time.Hour, g.dispatch)
 	g.wakeTimer.Stop()
-	g.pool = g.newPool()
+	g.pool, g.healthPool = g.newPool(), g.newPool()
 	return g
 }
 
@@ -211,7 +214,8 @@
 		return
 	}
 	g.pool.Close()
-	g.pool = g.newPool()
+	g.healthPool.Close()
+	g.pool, g.healthPool = g.newPool(), g.newPool()
 	g.slowdownReported, g.failures, g.failingLogged, g.cold.invalidLogged = false, placement.FailureRate{}, false, false
 	g.stated = statements{}
 }
--- a/sidecar/healthcheck.go
+++ b/sidecar/healthcheck.go
@@ -77,20 +77,25 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	g.mu.Lock()
-	pool := g.pool
-	g.mu.Unlock()
-	g.metrics.healthChecks.Inc(1)
-	sent := g.now()
 	var r ResponseInfo
-	reply, err := pool.Do(ctx, hop.PoolRequest{
+	req := hop.PoolRequest{
 		Method: http.MethodGet, Target: path, Host: g.opts.Addresses.Upstream, Header: http.Header{},
 		Accept: func(resp *http.Response) bool {
 			r = g.opts.Codec.ReadResponseInfo(resp.StatusCode, resp.Header)
-			return true
+			return r.ID == ""
 		},
 		CloseAfter: func(*http.Response) bool { return r.isAnonymousRefusal() },
-	})
+	}
+	g.mu.Lock()
+	pool := g.healthPool
+	if g.checksAreProof() {
+		req.MaxIdleTime = -1
+		req.CloseAfter = func(*http.Response) bool { return true }
+	}
+	g.mu.Unlock()
+	g.metrics.healthChecks.Inc(1)
+	sent := g.now()
+	reply, err := pool.Do(ctx, req)
 	if err != nil {
 		return ResponseInfo{}, false
 	}
@@ -102,6 +107,15 @@
 	return r, reply.Status == http.StatusOK
 }
 
+// checksAreProof reports whether the response to a health check may prove that the upstream is warm, or
+// that it limits the rate of its requests no more. Responses to health checks name no request, so on a
+// connection that has carried another check, a late copy of the response to that one cannot be told
+// apart. It may have been true only before. g.mu is held.
+func (g *guard) checksAreProof() bool {
+	_, limited := g.starts.Named.Limit()
+	return limited || g.starts.Cold.Limited()
+}
+
 // discoverUpstream identifies the running upstream by a health check. A daemon that starts after
 // its upstream then need not wait for the next status report. If a status report has
 // arrived first, the health response does not replace it.
