Datagrams: replies to an earlier daemon at the address are dropped

A late reply to the daemon that was at this address before, as from a VM that was suspended, was taken for the reply to a question of the new one with the same id, since ids counted from 1 in each process. A reply of one kind was also taken for one of the other. Callers are not told anything wrong by it; a record could count as delivered that wasn't.

Ids start at a random number, and the kind of the reply is compared. TestRepliesToAnEarlierDaemonAreDropped and TestRepliesOfAnotherKindAreDropped failed before.

--- a/sidecar/datagrams.go
+++ b/sidecar/datagrams.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -29,8 +30,10 @@
 	conn      *net.UDPConn
 	closeOnce sync.Once
 
-	mu      sync.Mutex
-	nextID  uint32
+	mu sync.Mutex
+	// lastID is the id of the query that was registered last. The first one is random, so that a late reply
+	// to the daemon that was at this address before matches no query.
+	lastID  uint32
 	pending map[uint32]pendingQuery
 }
 
@@ -41,6 +44,8 @@
 	key string
 	// address is the address of the daemon that the query or the record was sent to.
 	address string
+	// replyKind is the kind of the reply. Datagrams of other kinds with the same id are no reply.
+	replyKind byte
 	// sent is when register was called, just before sending.
 	sent model.Instant
 	// replies receives the reply. Its buffer has room for it. If replies is nil, the sender does
@@ -126,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &datagrams{d: d, conn: conn, pending: make(map[uint32]pendingQuery)}, nil
+	return &datagrams{d: d, conn: conn, lastID: rand.Uint32(), pending: make(map[uint32]pendingQuery)}, nil
 }
 
 // String implements fmt.Stringer. The supervisor logs this name.
@@ -227,7 +232,7 @@
 	var ids []uint32
 	defer func() { a.cancel(ids) }()
 	for range pushAttempts {
-		id := a.register(pendingQuery{key: address, address: address, replies: acks})
+		id := a.register(pendingQuery{key: address, address: address, replyKind: kindRecordAck, replies: acks})
 		ids = append(ids, id)
 		a.transmit(append(a.header(kindRecordPush, id), bodies[0]...), recipient)
 		select {
@@ -244,10 +249,10 @@
 func (a *datagrams) register(q pendingQuery) uint32 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.nextID++
+	a.lastID++
 	q.sent = a.d.now()
-	a.pending[a.nextID] = q
-	return a.nextID
+	a.pending[a.lastID] = q
+	return a.lastID
 }
 
 // cancel drops the queries with the given ids. A query that has got its reply is gone already.
--- a/sidecar/datagrams_test.go
+++ b/sidecar/datagrams_test.go
@@ -67,6 +67,41 @@
 	require.Empty(t, lateLoads, "a duplicate reply is ignored")
 }
 
+// TestRepliesToAnEarlierDaemonAreDropped guards against a reply that is taken for that to another query. It was
+// sent to the daemon that was at this address before, and arrives late, as from a VM that was suspended.
+func TestRepliesToAnEarlierDaemonAreDropped(t *testing.T) {
+	firstID := func() uint32 {
+		o := optionsFor(t, newStore(documentOf(1, "a")), newUpstream(t, "a1"), "a")
+		o.Addresses.PeerBind = o.Addresses.Peers
+		a, err := newDatagrams(&Daemon{opts: o})
+		require.NoError(t, err)
+		defer a.close()
+		return a.register(pendingQuery{})
+	}
+	require.NotEqual(t, firstID(), firstID())
+}
+
+// TestRepliesOfAnotherKindAreDropped guards against a load reply that acknowledges a record, and the other way round.
+func TestRepliesOfAnotherKindAreDropped(t *testing.T) {
+	m := startReady(t, newStore(documentOf(1, "a")), "a", "a1")
+	replies := make(chan queryReply, 2)
+	for _, c := range []struct{ kind, other byte }{{kindLoadReply, kindRecordAck}, {kindRecordAck, kindLoadReply}} {
+		id := m.datagrams.register(pendingQuery{address: m.opts.Addresses.Peers, replyKind: c.kind, replies: replies})
+		receive := func(kind byte) {
+			raw := m.datagrams.header(kind, id)
+			if kind == kindLoadReply {
+				raw = appendLoad(raw, placement.Load{Limit: 1})
+			}
+			m.datagrams.receive(raw, netip.AddrPort{})
+		}
+		receive(c.other)
+		require.Empty(t, replies)
+		receive(c.kind)
+		require.Len(t, replies, 1)
+		<-replies
+	}
+}
+
 // TestDistantGuardsAreNotMarkedSilent queries a guard that does not reply within the timeout. If
 // its measured round-trip time is too long for a reply in time, the guard must stay among those
 // queried for the next request. If it should have replied, it must not.
--- a/sidecar/loadquery.go
+++ b/sidecar/loadquery.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return
 	}
-	id := a.register(pendingQuery{key: up.Key, address: string(up.Daemon), replies: replies, onLate: query.onLate})
+	id := a.register(pendingQuery{key: up.Key, address: string(up.Daemon), replyKind: kindLoadReply, replies: replies, onLate: query.onLate})
 	*ids = append(*ids, id)
 	a.transmit(query.messageFor(up).appendTo(a.header(kindLoadQuery, id)), recipient)
 }
--- a/sidecar/receive.go
+++ b/sidecar/receive.go
@@ -19,6 +19,8 @@
 	raw []byte
 }
 
+func (m *datagram) kind() byte { return m.raw[0] }
+
 func (m *datagram) body() []byte { return m.raw[datagramHeaderBytes:] }
 
 // handlerByKind holds the handler of each kind of datagram.
@@ -26,7 +28,7 @@
 	kindLoadQuery:      (*datagrams).handleLoadQuery,
 	kindLoadReply:      (*datagrams).handleLoadReply,
 	kindRecordPush:     (*datagrams).handleRecordPush,
-	kindRecordAck:      func(a *datagrams, m datagram) { a.deliverReply(m.id, placement.Load{}, m.version) },
+	kindRecordAck:      func(a *datagrams, m datagram) { a.deliverReply(m, placement.Load{}) },
 	kindVersion:        func(a *datagrams, m datagram) { a.d.onPeerVersion(string(m.body()), m.version) },
 	kindSuspects:       func(a *datagrams, m datagram) { a.d.quarantine.gossip.Receive(m.sender.String(), m.body()) },
 	kindHeartbeat:      (*datagrams).handleHeartbeat,
@@ -47,7 +49,7 @@
 	}
 	a.d.metrics.traffic.countReceived(raw)
 	m := datagram{id: binary.BigEndian.Uint32(raw[1:]), version: model.Version(binary.BigEndian.Uint64(raw[5:])), sender: sender, raw: raw}
-	if handle, ok := handlerByKind[raw[0]]; ok {
+	if handle, ok := handlerByKind[m.kind()]; ok {
 		handle(a, m)
 	}
 }
@@ -64,7 +66,7 @@
 // is ignored.
 func (a *datagrams) handleLoadReply(m datagram) {
 	if len(m.raw) == loadReplyBytes {
-		a.deliverReply(m.id, decodeLoad(m.raw), m.version)
+		a.deliverReply(m, decodeLoad(m.raw))
 	}
 }
 
@@ -122,10 +124,13 @@
 
 // deliverReply passes a reply to the query that waits for it. A reply without such a query is
 // dropped.
-func (a *datagrams) deliverReply(id uint32, l placement.Load, v model.Version) {
+func (a *datagrams) deliverReply(m datagram, l placement.Load) {
 	a.mu.Lock()
-	q, ok := a.pending[id]
-	delete(a.pending, id)
+	q, ok := a.pending[m.id]
+	ok = ok && q.replyKind == m.kind()
+	if ok {
+		delete(a.pending, m.id)
+	}
 	a.mu.Unlock()
 	if !ok {
 		return
@@ -137,5 +142,5 @@
 		// Does not block: the channel has a buffer for all replies.
 		q.replies <- reply
 	}
-	a.d.onPeerVersion(q.address, v)
+	a.d.onPeerVersion(q.address, m.version)
 }
