Guard: only health checks that are due as proof use new connections

Since health checks have connections of their own, each check of an upstream with limits for cold phases used a new one, to be proof that it is warm.

A proof is now due only while the upstream is cold or limited to a rate, or once half as many starts as it tolerates when cold lack one, so that requests don't wait for it. Other checks share a connection; that they find the upstream cold is believed, that they find it warm isn't.

--- a/core/startrate/cold.go
+++ b/core/startrate/cold.go
@@ -96,8 +96,8 @@
 	return left
 }
 
-// Report records that the upstream has reported to be cold for the time left. Reports may be late,
-// so one that says that the upstream is warm proves nothing.
+// Report records that the upstream has reported to be cold for the time left. Reports may be late, as may
+// responses to health checks that are no proof, so one that says that the upstream is warm proves nothing.
 func (c *Cold) Report(now model.Instant, left time.Duration) {
 	if left > 0 {
 		c.coldUntil = max(c.coldUntil, now.Add(c.bound(left)))
@@ -144,6 +144,12 @@
 // showed that the upstream is warm.
 func (c *Cold) NeedsProof(now model.Instant) bool { return !c.IsCold(now) && c.NextStart(now) > now }
 
+// ProofDue reports whether the response to a health check should prove that the upstream is warm: it is known
+// to be cold, or half as many starts as ColdLimits.Max allows lack a proof.
+func (c *Cold) ProofDue(now model.Instant) bool {
+	return c.Limited() && (c.IsCold(now) || c.starts.nextWithin(now, max(c.limits.Max/2, 1), coldWindow, c.warmUntil) > now)
+}
+
 // Delay returns how long a request has to wait for its start if ahead other requests start before
 // it. It is zero for an upstream that is not known to be cold.
 func (c *Cold) Delay(now model.Instant, ahead int) time.Duration {
--- a/core/startrate/cold_test.go
+++ b/core/startrate/cold_test.go
@@ -253,3 +253,22 @@
 	}
 	require.Equal(t, 45, total)
 }
+
+// TestProofIsDueBeforeRequestsWait starts requests without a proof that the upstream is warm. A proof must be due before
+// one is needed, so that no request waits for it, and not while few starts lack one.
+func TestProofIsDueBeforeRequestsWait(t *testing.T) {
+	c := &Cold{}
+	require.False(t, c.ProofDue(0), "nothing is limited")
+	c.SetLimits(ColdLimits{Rate: 4, PeakRate: 4, Max: 12})
+	now := model.Instant(time.Hour)
+	for range 6 {
+		require.False(t, c.ProofDue(now))
+		c.RecordStart(now)
+	}
+	require.True(t, c.ProofDue(now))
+	require.False(t, c.NeedsProof(now))
+	c.Observe(now.Add(maxTransit+1), now.Add(maxTransit+1), 0)
+	require.False(t, c.ProofDue(now), "all starts are proven")
+	c.Report(now, time.Second)
+	require.True(t, c.ProofDue(now), "the upstream is cold")
+}
--- a/core/startrate/limiter.go
+++ b/core/startrate/limiter.go
@@ -36,6 +36,13 @@
 	return l.Cold.NeedsProof(now) && l.Named.NextStart(now) == now
 }
 
+// ProofDue reports whether the response to a health check should be proof, see Cold.ProofDue. While there is a
+// named limit it should be, since it may show that the limit is lifted.
+func (l *Limiter) ProofDue(now model.Instant) bool {
+	_, limited := l.Named.Limit()
+	return limited || l.Cold.ProofDue(now)
+}
+
 // Replaced records that another incarnation of the upstream takes the place of the previous one.
 func (l *Limiter) Replaced(now model.Instant) {
 	l.Cold.Replaced(now)
--- a/sidecar/coldness.go
+++ b/sidecar/coldness.go
@@ -67,8 +67,9 @@
 }
 
 // recordColdness records what the response to a health check states. sent is when the health check
-// was sent. The first invalid value of an incarnation is logged.
-func (g *guard) recordColdness(sent model.Instant, c Coldness) {
+// was sent. Unless the response is proof, it is taken as a report, which may be late. The first invalid value of
+// an incarnation is logged.
+func (g *guard) recordColdness(sent model.Instant, c Coldness, proof bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.Invalid != "" && !g.cold.invalidLogged {
@@ -76,8 +77,12 @@
 		g.opts.Decisions.Write(decision.ReportRefused, "", slog.String("upstream", string(g.tracker.Current().ID)),
 			slog.String("error", fmt.Sprintf("health check: rest of the cold phase is ignored, got %q", c.Invalid)))
 	}
-	if c.Invalid == "" {
+	switch {
+	case c.Invalid != "":
+	case proof:
 		g.starts.Cold.Observe(g.now(), sent, c.Left)
+	default:
+		g.starts.Cold.Report(g.now(), c.Left)
 	}
 }
 
--- a/sidecar/healthcheck.go
+++ b/sidecar/healthcheck.go
@@ -86,36 +86,29 @@
 		},
 		CloseAfter: func(*http.Response) bool { return r.isAnonymousRefusal() },
 	}
+	sent := g.now()
 	g.mu.Lock()
-	pool := g.healthPool
-	if g.checksAreProof() {
+	pool, proof := g.healthPool, g.starts.ProofDue(sent)
+	g.mu.Unlock()
+	if proof {
+		// Responses to health checks name no request. A late copy of the response to another check on the
+		// connection could not be told apart, and may have been true only before.
 		req.MaxIdleTime = -1
 		req.CloseAfter = func(*http.Response) bool { return true }
 	}
-	g.mu.Unlock()
 	g.metrics.healthChecks.Inc(1)
-	sent := g.now()
 	reply, err := pool.Do(ctx, req)
 	if err != nil {
 		return ResponseInfo{}, false
 	}
 	g.recordLoad(r.Load)
-	g.recordColdness(sent, r.Coldness)
+	g.recordColdness(sent, r.Coldness, proof)
 	if r.Instance != "" {
 		g.recordStatements(&response{upstream: lifecycle.Incarnation{ID: r.Instance}, sentAt: sent, healthCheck: true, info: r})
 	}
 	return r, reply.Status == http.StatusOK
 }
 
-// checksAreProof reports whether the response to a health check may prove that the upstream is warm, or
-// that it limits the rate of its requests no more. Responses to health checks name no request, so on a
-// connection that has carried another check, a late copy of the response to that one cannot be told
-// apart. It may have been true only before. g.mu is held.
-func (g *guard) checksAreProof() bool {
-	_, limited := g.starts.Named.Limit()
-	return limited || g.starts.Cold.Limited()
-}
-
 // discoverUpstream identifies the running upstream by a health check. A daemon that starts after
 // its upstream then need not wait for the next status report. If a status report has
 // arrived first, the health response does not replace it.
