Bound all responses in hand together

What callers would see: a daemon that is killed for its memory, with all that it has in hand, because an upstream sends bodies without end; or requests held to their deadline while interim responses without end take the processor.

Causes: bodies were bounded one by one; closing a body that is too large read it to its end; the bound on heads began anew with each interim response; bodies of responses to other requests were buffered; the table of attempts kept answers of any size for senders that had gone.

A request may take no more than it leaves free, so that short responses find room while endless ones grow.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -65,6 +65,7 @@
 	ReasonConnect          Reason = "connect-failed"
 	ReasonConnectionLost   Reason = "connection-lost"
 	ReasonTruncated        Reason = "truncated"
+	ReasonResponseTooLarge Reason = "response-too-large"
 	ReasonCancelled        Reason = "cancelled"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonKeyInProgress    Reason = "key-in-progress"
@@ -107,7 +108,7 @@
 	switch o.Reason {
 	case ReasonNoUpstream, ReasonQueueFull, ReasonShed, ReasonDraining, ReasonWithdrawn,
 		ReasonUpstreamRefused, ReasonConnect, ReasonConnectionLost, ReasonTruncated,
-		ReasonUpstreamCrashed:
+		ReasonResponseTooLarge, ReasonUpstreamCrashed:
 		return true
 	default:
 		return false
--- a/core/outcome/reason.go
+++ b/core/outcome/reason.go
@@ -26,6 +26,7 @@
 	ReasonConnect:          "No connection could be made.",
 	ReasonConnectionLost:   "The connection was lost after the request had gone out.",
 	ReasonTruncated:        "The answer broke off.",
+	ReasonResponseTooLarge: "The answer is longer than the daemon's memory for answers allows.",
 	ReasonCancelled:        "The caller gave up.",
 	ReasonQuarantined:      "Requests like this one have killed upstreams and are refused for a time.",
 	ReasonKeyInProgress:    "A request with this key is still running.",
--- a/hop/exchange.go
+++ b/hop/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,6 +38,10 @@
 	// OnInformational, if set, is called for each informational (1xx) response
 	// other than 101 (Switching Protocols).
 	OnInformational func()
+	// MaxResponseBytes limits the response body, in bytes. Default: 16 MiB.
+	MaxResponseBytes int64
+	// Memory, if set, limits the memory for the response body.
+	Memory Memory
 }
 
 // PoolResponse is a complete response.
@@ -92,8 +95,6 @@
 func (e *RequestError) Unwrap() error { return e.Err }
 
 const (
-	// maxResponseBodyBytes limits the response body held in memory, in bytes.
-	maxResponseBodyBytes = 16 << 20
 	// maxUnmatchedResponses is the number of responses to other requests that are
 	// discarded before the connection is closed.
 	maxUnmatchedResponses = 3
@@ -106,7 +107,6 @@
 var (
 	errPoolFull           = errors.New("all connections are in use")
 	errNoMatchingResponse = errors.New("connection delivered only responses to other requests")
-	errBodyTooLarge       = errors.New("response body is too large")
 	errHeadersTooLarge    = errors.New("response headers are too large")
 )
 
@@ -215,7 +215,12 @@
 		}
 		matches := r.Accept == nil || r.Accept(resp)
 		failure.ResponseStarted = matches
-		body, err := readBody(resp)
+		var body []byte
+		if matches {
+			body, err = r.readBody(resp)
+		} else {
+			err = discardBody(resp)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -235,11 +240,12 @@
 
 // readResponse reads the status line and the headers of the next final response.
 // A response with status 101 (Switching Protocols) counts as final. For each
-// earlier informational (1xx) response it calls r.OnInformational.
+// earlier informational (1xx) response it calls r.OnInformational. The heads of all
+// of them together are limited in size.
 func (c *pooledConn) readResponse(r *PoolRequest) (*http.Response, error) {
+	c.headLimiter.setLimit(defaultMaxHeaderBytes)
 	defer c.headLimiter.clearLimit()
 	for {
-		c.headLimiter.setLimit(defaultMaxHeaderBytes)
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -253,23 +259,6 @@
 	}
 }
 
-// readBody reads and closes the body. It returns errBodyTooLarge if the body
-// exceeds maxResponseBodyBytes.
-func readBody(resp *http.Response) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }()
-	var buf bytes.Buffer
-	if n := resp.ContentLength; n > 0 && n <= maxResponseBodyBytes {
-		buf.Grow(int(n))
-	}
-	if _, err := io.Copy(&buf, io.LimitReader(resp.Body, maxResponseBodyBytes+1)); err != nil {
-		return nil, err
-	}
-	if buf.Len() > maxResponseBodyBytes {
-		return nil, errBodyTooLarge
-	}
-	return buf.Bytes(), nil
-}
-
 // updateReuse derives from a response whether the connection can be reused, and
 // for how long it may stay idle.
 func (c *pooledConn) updateReuse(resp *http.Response) {
--- a/sidecar/attempts.go
+++ b/sidecar/attempts.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
@@ -19,10 +20,10 @@
 	// maxRetainedAttempts limits how many ended attempts stay in the table.
 	maxRetainedAttempts = 1 << 14
 	// maxRetainedBody is the size, in bytes, of the largest response body that is kept after the
-	// response was sent. maxRetainedAttempts bodies of this size would take too much memory. In
-	// practice few bodies are kept, because only requests that must not run twice are in the
-	// table.
+	// response was sent.
 	maxRetainedBody = 64 << 10
+	// maxRetainedBytes bounds the response bodies in the table that nobody is waiting for, in bytes.
+	maxRetainedBytes = 4 << 20
 )
 
 // retentionPeriod returns how long after a call was sent the sender may rely on a guard's
@@ -49,11 +50,16 @@
 	// evictedUntil is the latest expiry among the attempts that were evicted early. Until this
 	// time, an attempt that is missing from the table may have run.
 	evictedUntil model.Instant
+
+	// retainedBytes is the size of the response bodies that are kept.
+	retainedBytes atomic.Int64
 }
 
 // attempt is the state of one call at the guard.
 type attempt struct {
 	key string
+	// table is the table that holds the attempt. It is nil if the outcome is never queried.
+	table *attemptTable
 	// retainUntil is when the attempt expires and may be evicted. An attempt that still waits or
 	// runs then is kept longer.
 	retainUntil model.Instant
@@ -67,6 +73,11 @@
 	cancelled bool
 	started   bool
 	result    *Result
+	// waiters counts those that wait for the result.
+	waiters int
+	// retainedBytes is what the result adds to table.retainedBytes.
+	retainedBytes int64
+	evicted       bool
 }
 
 func newAttemptTable(now func() model.Instant) *attemptTable {
@@ -93,6 +104,7 @@
 // add adds an attempt that has timeLeft until its deadline. t.mu is held.
 func (t *attemptTable) add(key string, timeLeft time.Duration) *attempt {
 	a := newAttempt(key)
+	a.table = t
 	a.retainUntil = t.now().Add(retentionPeriod(timeLeft))
 	t.byKey[key] = a
 	heap.Push(&t.byExpiry, a)
@@ -123,6 +135,7 @@
 		}
 		heap.Pop(&t.byExpiry)
 		delete(t.byKey, next.key)
+		next.evict()
 	}
 }
 
@@ -198,37 +211,97 @@
 }
 
 // finish stores the result of the attempt and wakes the goroutines that wait for it. If the
-// attempt has a result already, finish does nothing.
+// attempt has a result already, finish does nothing. A response that nobody waits for is kept for later
+// outcome queries if the table has room for it.
 func (a *attempt) finish(result *Result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.result == nil {
-		a.result = result
-		close(a.finished)
+	if a.result != nil {
+		return
+	}
+	a.result = result
+	if a.waiters == 0 && !a.retainBody() {
+		a.dropBody()
 	}
+	close(a.finished)
 }
 
 // discardBody frees the memory of a response that was returned to the entry. Later outcome
 // queries get an unknown outcome. If keepSmall is set, a response whose body has at most
-// maxRetainedBody bytes is kept for them instead.
+// maxRetainedBody bytes is kept for them instead, if the table has room for it.
 func (a *attempt) discardBody(keepSmall bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.result == nil || a.result.Outcome.Kind != outcome.Answered || keepSmall && len(a.result.Body) <= maxRetainedBody {
+	if a.result == nil || a.result.Outcome.Kind != outcome.Answered {
 		return
 	}
+	if !keepSmall || len(a.result.Body) > maxRetainedBody || !a.retainBody() {
+		a.dropBody()
+	}
+}
+
+// retainBody reports whether the table has room for the body of the result. If so, the table accounts for
+// it. a.mu is held.
+func (a *attempt) retainBody() bool {
+	size := int64(len(a.result.Body))
+	switch {
+	case size == 0 || a.retainedBytes > 0:
+		return true
+	case a.table == nil || a.evicted:
+		return false
+	case a.table.retainedBytes.Add(size) > maxRetainedBytes:
+		a.table.retainedBytes.Add(-size)
+		return false
+	}
+	a.retainedBytes = size
+	return true
+}
+
+// dropBody replaces a response by an unknown outcome. a.mu is held.
+func (a *attempt) dropBody() {
 	a.result = unknownResult(outcome.ReasonConnectionLost)
+	a.releaseRetained()
+}
+
+// releaseRetained returns what retainBody has taken. a.mu is held.
+func (a *attempt) releaseRetained() {
+	if a.retainedBytes > 0 {
+		a.table.retainedBytes.Add(-a.retainedBytes)
+		a.retainedBytes = 0
+	}
+}
+
+// evict is called when the table no longer holds the attempt.
+func (a *attempt) evict() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.evicted = true
+	a.releaseRetained()
 }
 
 // wait returns the result of the attempt. If the context ends first, it returns an unknown
 // outcome.
 func (a *attempt) wait(ctx context.Context) *Result {
+	a.addWaiter()
+	return a.await(ctx)
+}
+
+// addWaiter announces a call of await.
+func (a *attempt) addWaiter() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiters++
+}
+
+// await does the same as wait after a call of addWaiter.
+func (a *attempt) await(ctx context.Context) *Result {
 	select {
 	case <-a.finished:
 	case <-ctx.Done():
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.waiters--
 	if a.result == nil {
 		return unknownResult(outcome.ReasonCancelled)
 	}
--- a/sidecar/attempts_test.go
+++ b/sidecar/attempts_test.go
@@ -215,3 +215,39 @@
 		})
 	}
 }
+
+// TestRetainedResponsesAreBounded ends attempts that nobody waits for. The bodies that the table keeps for outcome
+// queries must stay within maxRetainedBytes, and an evicted attempt must make room again.
+func TestRetainedResponsesAreBounded(t *testing.T) {
+	table, now := newTestAttemptTable()
+	end := func(key string) *attempt {
+		a, _ := table.register(key, time.Second)
+		a.start()
+		a.finish(&Result{Outcome: outcome.ResponseComplete(), Body: make([]byte, maxRetainedBytes/2)})
+		return a
+	}
+	kind := func(key string) outcome.Kind { return table.cancelOrAwait(t.Context(), key, time.Second).Outcome.Kind }
+	end("a")
+	b := end("b")
+	end("c")
+	require.Equal(t, []outcome.Kind{outcome.Answered, outcome.Answered, outcome.Unknown}, []outcome.Kind{kind("a"), kind("b"), kind("c")})
+	b.discardBody(true)
+	end("d")
+	require.Equal(t, outcome.Answered, kind("d"), "b has returned what it took")
+	require.EqualValues(t, maxRetainedBytes, table.retainedBytes.Load())
+	*now = now.Add(time.Hour)
+	table.register("e", time.Second)
+	require.Zero(t, table.retainedBytes.Load())
+}
+
+// TestResponseThatIsWaitedForIsDelivered guards against a response that is too large for the table and is lost,
+// although the entry waits for it.
+func TestResponseThatIsWaitedForIsDelivered(t *testing.T) {
+	table, _ := newTestAttemptTable()
+	a, _ := table.register("k", time.Second)
+	a.start()
+	a.addWaiter()
+	a.finish(&Result{Outcome: outcome.ResponseComplete(), Body: make([]byte, maxRetainedBytes+1)})
+	require.Equal(t, outcome.Answered, a.await(t.Context()).Outcome.Kind)
+	require.Zero(t, table.retainedBytes.Load())
+}
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dottereltiller/dottereltiller/bodylimit"
 	"github.com/dottereltiller/dottereltiller/core/account"
 	"github.com/dottereltiller/dottereltiller/core/lifecycle"
 	"github.com/dottereltiller/dottereltiller/core/model"
@@ -68,6 +69,8 @@
 	Credential account.Credential
 	// AccountVersion is the version of the configuration by which the entry found the account.
 	AccountVersion model.Version
+	// Responses accounts for the memory of the response. It is not sent between daemons.
+	Responses *bodylimit.Holder
 }
 
 // kindOf returns the kind of a route's requests. The kind depends only on the name of the route,
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -49,6 +49,7 @@
 	guard        *guard
 	quarantine   *crashQuarantine
 	bodyLimiter  *bodylimit.Limiter
+	responses    *bodylimit.Budget
 	entry        *entry
 	quotas       *quota.Limiter
 	datagrams    *datagrams
@@ -124,6 +125,7 @@
 	}
 	d.peers.onFullSync = d.quarantine.gossip.SendDigest
 	d.bodyLimiter = bodylimit.New(o.MaxBodyBytes)
+	d.responses = bodylimit.NewBudget(o.MaxResponseBytes)
 	d.guard.crashes.onCrash = d.quarantine.recordCrash
 	d.guard.isQuarantined = d.quarantine.refusesCall
 	d.entry = newEntry(d)
--- a/sidecar/entry.go
+++ b/sidecar/entry.go
@@ -66,7 +66,9 @@
 	refusalCause string
 	body         []byte
 	// buffer holds the body and accounts for its memory.
-	buffer    *bodylimit.Body
+	buffer *bodylimit.Body
+	// responses accounts for the memory of the responses to all attempts.
+	responses *bodylimit.Holder
 	startedAt model.Instant
 	deadline  model.Instant
 	// targetTime is when the target latency of the route is exceeded, zero if the route has none.
@@ -136,6 +138,8 @@
 	}
 	defer e.daemon.inFlight.end()
 	defer func() { req.buffer.Release() }()
+	req.responses = e.daemon.responses.NewHolder()
+	defer req.responses.Release()
 	refusal := e.matchRoute(req, attempt)
 	if refusal == nil && e.daemon.stopping.Load() {
 		refusal = e.refuseWhileStopping(req)
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -260,7 +260,7 @@
 	if result.Load != nil {
 		f.serviceState.callsPerRun = result.CallsPerRun
 	}
-	if result.Load == nil && result.Outcome.Kind != outcome.Answered {
+	if result.Load == nil && result.Outcome.Kind != outcome.Answered && result.Outcome.Reason != outcome.ReasonResponseTooLarge {
 		f.serviceState.placer.MarkUnreachable(now, attempt.choice.Upstream.Key)
 	}
 	f.serviceState.mu.Unlock()
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -19,6 +19,7 @@
 	return []Gauge{
 		{"ready", "1 while requests are taken", func() float64 { return boolToFloat(d.ready.Load() && !d.stopping.Load()) }},
 		{"in_flight", "requests of local callers in hand", func() float64 { return float64(d.inFlight.count()) }},
+		{"response_bytes", "memory that the bodies of responses in hand take", func() float64 { return float64(d.responses.Used()) }},
 		{"config_version", "version of the configuration in force", func() float64 { return float64(d.config.version()) }},
 		{"config_age_seconds", "how long the configuration has been in force", func() float64 { return d.config.timeInForce().Seconds() }},
 		{"config_source_watched", "1 while this daemon watches the store of the configuration", func() float64 { return boolToFloat(d.follower.watchesStore()) }},
--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -264,9 +264,14 @@
 	}
 	// A non-idempotent run continues after the connection to its sender has broken. The sender
 	// then queries the outcome over another connection.
-	go g.runCall(context.WithoutCancel(ctx), c, attempt, arrivedAt)
-	result := attempt.wait(ctx)
-	attempt.discardBody(result.Outcome.Kind != outcome.Answered || len(result.Body) <= maxRetainedBody)
+	c.Responses.Retain()
+	attempt.addWaiter()
+	go func() {
+		defer c.Responses.Release()
+		g.runCall(context.WithoutCancel(ctx), c, attempt, arrivedAt)
+	}()
+	result := attempt.await(ctx)
+	attempt.discardBody(true)
 	return g.withLoad(result)
 }
 
--- a/sidecar/healthcheck.go
+++ b/sidecar/healthcheck.go
@@ -10,6 +10,9 @@
 	"github.com/dottereltiller/dottereltiller/hop"
 )
 
+// maxHealthResponseBytes bounds the body of the response to a health check, in bytes. It is not used.
+const maxHealthResponseBytes = 64 << 10
+
 // refreshSlowdown sends a health check to the upstream if one is due. It waits until the health check or
 // the context ends. Concurrent callers wait for the same response.
 func (g *guard) refreshSlowdown(ctx context.Context) {
@@ -84,7 +87,8 @@
 			r = g.opts.Codec.ReadResponseInfo(resp.StatusCode, resp.Header)
 			return r.ID == ""
 		},
-		CloseAfter: func(*http.Response) bool { return r.isAnonymousRefusal() },
+		MaxResponseBytes: maxHealthResponseBytes,
+		CloseAfter:       func(*http.Response) bool { return r.isAnonymousRefusal() },
 	}
 	sent := g.now()
 	g.mu.Lock()
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -41,8 +41,8 @@
 }
 
 const (
-	// maxSyncBytes bounds the body of a sync request, in bytes. It does not bound replies. Daemons
-	// send only their own record in a request, so requests are far smaller than this limit. The
+	// maxSyncBytes bounds the body of a sync request, and of every reply to a request that is not a call, in
+	// bytes. Daemons send only their own record in a request, so requests are far smaller than this limit. The
 	// limit has room for the records of several thousand daemons at 300 bytes each.
 	maxSyncBytes = 4 << 20
 )
@@ -103,7 +103,7 @@
 func requestPeer(ctx context.Context, pool *hop.Pool, method, path string, body []byte) (*hop.PoolResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	return pool.Do(ctx, hop.PoolRequest{Method: method, Target: path, Host: peerHost, Header: http.Header{}, Body: body})
+	return pool.Do(ctx, hop.PoolRequest{Method: method, Target: path, Host: peerHost, Header: http.Header{}, Body: body, MaxResponseBytes: maxSyncBytes})
 }
 
 // resolveRequest asks a guard for the final outcome of an attempt whose result has not arrived.
@@ -148,15 +148,15 @@
 // sendResolveRequest asks a guard over a new connection for the final outcome of an attempt. The
 // guard cancels the attempt if the attempt has not started. sendResolveRequest returns the result
 // of the attempt and true. If the guard was not reached or its response was lost, it returns a
-// result with an unknown outcome and false.
-func sendResolveRequest(ctx context.Context, pool *hop.Pool, q resolveRequest) (*Result, bool) {
+// result with an unknown outcome and false. responses accounts for the memory of the response.
+func sendResolveRequest(ctx context.Context, pool *hop.Pool, q resolveRequest, responses *bodylimit.Holder) (*Result, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	arrivalTimer := time.AfterFunc(resolveArrivalTimeout, cancel)
 	defer arrivalTimer.Stop()
 	r, err := pool.Do(ctx, hop.PoolRequest{
 		Method: http.MethodPost, Target: pathResolve + "?" + q.encode(), Host: peerHost,
-		Header: http.Header{}, MaxIdleTime: -1, OnInformational: func() { arrivalTimer.Stop() },
+		Header: http.Header{}, MaxIdleTime: -1, OnInformational: func() { arrivalTimer.Stop() }, Memory: responses,
 	})
 	if err != nil {
 		return unknownResult(outcome.ReasonConnectionLost), false
@@ -254,9 +254,13 @@
 		writePeerResult(w, r.Method, unknownResult(outcome.ReasonConnectionLost))
 		return
 	}
-	writePeerResult(w, r.Method, p.runAcknowledged(w, "", func() *Result {
+	result := p.runAcknowledged(w, "", func() *Result {
 		return p.d.guard.withLoad(p.d.guard.attempts.cancelOrAwait(r.Context(), q.key, q.timeLeft))
-	}))
+	})
+	responses := p.d.responses.NewHolder()
+	defer responses.Release()
+	responses.Add(int64(len(result.Body)))
+	writePeerResult(w, r.Method, result)
 }
 
 // call passes a call from the entry of another daemon to the guard, and responds with the result.
@@ -283,6 +287,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer body.Release()
+	c.Responses = p.d.responses.NewHolder()
+	defer c.Responses.Release()
 	c.Method, c.Target, c.Host, c.Header, c.Body = r.Method, r.RequestURI, r.Host, r.Header, body.Bytes
 	writePeerResult(w, r.Method, p.runAcknowledged(w, c.ID, func() *Result { return p.d.guard.Do(r.Context(), c) }))
 }
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -31,6 +31,9 @@
 	Tunables
 	// MaxBodyBytes bounds the memory for the bodies of the requests in flight. Default: 64 MiB.
 	MaxBodyBytes int64
+	// MaxResponseBytes bounds the memory for the bodies of all responses in hand. One response may take
+	// as much as it leaves free. Default: 64 MiB.
+	MaxResponseBytes int64
 	// Control returns the handler for the reports of the local upstream.
 	Control func(Registry) http.Handler
 	// ReadyPath is the path of the readiness check.
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -79,7 +79,7 @@
 	g.opts.Codec.WriteRequestInfo(h, RequestInfo{ID: c.ID, Deadline: timeLeft, Caller: c.Caller, Upstream: c.Upstream.ID, Account: c.Account})
 	var info ResponseInfo
 	req := hop.PoolRequest{
-		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body, ID: c.ID,
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body, ID: c.ID, Memory: c.Responses,
 		Accept: func(r *http.Response) bool {
 			info = g.opts.Codec.ReadResponseInfo(r.StatusCode, r.Header)
 			return info.belongsTo(c)
@@ -177,7 +177,10 @@
 func (g *guard) interpretResponse(ctx context.Context, c *Call, r *response, reply *hop.PoolResponse, err error) *Result {
 	var requestErr *hop.RequestError
 	if errors.As(err, &requestErr) {
+		var tooLarge *hop.BodyTooLargeError
 		switch {
+		case errors.As(err, &tooLarge):
+			return unknownResult(outcome.ReasonResponseTooLarge)
 		case !requestErr.Sent:
 			return notRunResult(outcome.ReasonConnect)
 		case errors.Is(ctx.Err(), context.Canceled):
--- a/sidecar/send.go
+++ b/sidecar/send.go
@@ -50,6 +50,7 @@
 		Service: f.request.service, Caller: f.entry.daemon.service(), Upstream: attempt.endpoint.upstream,
 		Idempotent: f.request.route.Idempotent, Rank: f.request.rank, Kind: kindOf(f.request.route), ServiceTime: f.serviceTime,
 		Deadline: f.request.deadline.Sub(now), RateLimit: attempt.endpoint.limit, Credential: f.request.credential,
+		Responses: f.request.responses,
 	}
 	if f.request.account != nil {
 		c.Account, c.AccountVersion = f.request.account.Name, f.request.routeTable.Version()
@@ -100,7 +101,8 @@
 }
 
 // sendOnConnection sends a call over a connection of the pool. It returns false if the
-// connection broke after the call may have been sent. If a new connection fails, it marks the
+// connection broke after the call may have been sent. A response that is too large for the memory
+// has an unknown outcome. If a new connection fails, it marks the
 // daemon as unreachable.
 func (e *entry) sendOnConnection(ctx context.Context, pool *hop.Pool, attempt *attemptState, c *Call) (*Result, bool) {
 	h := endToEndHeaders(c.Header)
@@ -113,7 +115,12 @@
 	}
 	reply, err := pool.Do(ctx, hop.PoolRequest{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body, OnInformational: attempt.acknowledge,
+		Memory: c.Responses,
 	})
+	var tooLarge *hop.BodyTooLargeError
+	if errors.As(err, &tooLarge) {
+		return unknownResult(outcome.ReasonResponseTooLarge), true
+	}
 	var requestErr *hop.RequestError
 	if errors.As(err, &requestErr) {
 		if ctx.Err() == nil && !requestErr.Reused {
@@ -225,7 +232,7 @@
 // outcome. queryOutcome returns false if the guard was not reached.
 func (e *entry) queryOutcome(ctx context.Context, pool *hop.Pool, attempt *attemptState, c *Call) (*Result, bool) {
 	e.daemon.metrics.resolved.Inc(1)
-	result, reached := sendResolveRequest(ctx, pool, resolveRequest{key: c.Key(), incarnation: attempt.endpoint.daemonIncarnation, timeLeft: c.Deadline})
+	result, reached := sendResolveRequest(ctx, pool, resolveRequest{key: c.Key(), incarnation: attempt.endpoint.daemonIncarnation, timeLeft: c.Deadline}, c.Responses)
 	e.daemon.opts.Decisions.Write(decision.Withdrawn, c.ID, slog.String("upstream", attempt.choice.Upstream.Key),
 		slog.String("result", result.Outcome.Kind.String()))
 	return result, reached
