--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -67,7 +67,7 @@
 	},
 	"responses to other requests are accepted": {
 		edits: []edits.Edit{
-			edits.New("hop/pool.go", "|| c.gotUnmatchedResponse || c.reader.Buffered() > 0", ""),
+			edits.New("hop/pool.go", "|| c.gotUnmatchedResponse || len(c.carried) >= maxCarriedIDs || c.reader.Buffered() > 0", ""),
 			edits.New("sidecar/run.go", "return r.ID == c.ID || r.isAnonymousRefusal()", "return r.ID != \"\" || c.ID != \"\""),
 		},
 		plan: planDoubledResponses, wantViolation: "mixed",
@@ -100,7 +100,7 @@
 		plan:  planReloads, wantViolation: "unanswered",
 	},
 	"truncated responses are delivered": {
-		edits: []edits.Edit{edits.New("hop/exchange.go", "if _, err := io.Copy(&buf, io.LimitReader(resp.Body, maxResponseBodyBytes+1)); err != nil {\n		return nil, err\n	}", "_, _ = io.Copy(&buf, io.LimitReader(resp.Body, maxResponseBodyBytes+1))")},
+		edits: []edits.Edit{edits.New("hop/body.go", "case err != nil:\n			return nil, err", "case err != nil:\n			return body, nil")},
 		plan:  planCutResponses, wantViolation: "mixed",
 	},
 	"requests that crash upstreams are served": {
@@ -138,7 +138,7 @@
 	},
 	"slots missing from the first report stay unknown": {
 		edits: []edits.Edit{
-			edits.New("sidecar/guard.go", "if effect == lifecycle.Same {", "if effect != lifecycle.Started {"),
+			edits.New("sidecar/reports.go", "if effect == lifecycle.Same {", "if effect != lifecycle.Started {"),
 			edits.New("sidecar/healthcheck.go", "report.Slots = g.slotsFromPeers(report.Incarnation)", "report.Slots = 1"),
 		},
 		plan: planUnreportedSlots, wantViolation: "recovery",
