Guard: the process at the address decides whose report counts

What callers saw: 503 for every request to a healthy upstream, for good, after a single report of another writer (RECOVER), or after a late report of an ended incarnation at a daemon that had just started. The upstream went on reporting and was told 200.

Cause: without start times, another id counted as a newer incarnation. It replaced the current one, which was marked as departed and never accepted again.

A report must name the service of this VM. One that would replace an incarnation that lives, or is the first, is settled by a health check on a new connection, which says who is at the address; without an answer by start times, else by silence. What was replaced has departed only if the process at the address is the new one. This works because the process at the address is the only one that can run a request: whoever else writes can't make it say another id.

--- a/core/lifecycle/lifecycle.go
+++ b/core/lifecycle/lifecycle.go
@@ -92,6 +92,8 @@
 	// Started reports are the first report of an incarnation that became the
 	// current one.
 	Started
+	// Refused reports claim that an upstream is ready that is not the current one. They were ignored.
+	Refused
 )
 
 // maxDeparted is the maximum number of departed incarnations that a Tracker
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -23,7 +24,7 @@
 
 // Registry receives what the local upstream reports about itself.
 type Registry interface {
-	// Report records a state report of the upstream and returns what changed: nothing if stale.
+	// Report records a state report of the upstream and returns what changed: nothing if stale or refused.
 	Report(r lifecycle.Report) lifecycle.Effect
 	// Leave records the final deregistration of an incarnation of the upstream and returns what
 	// the deregistration changed.
@@ -240,6 +241,10 @@
 
 // Report implements Registry.
 func (d *Daemon) Report(r lifecycle.Report) lifecycle.Effect {
+	if r.Service != d.service() {
+		d.LogInvalidReport(string(r.ID), &ServiceError{Service: r.Service})
+		return lifecycle.Refused
+	}
 	effect := d.guard.handleReport(r, "report")
 	// The first report after a health check tells the start time of the upstream.
 	startTimeLearned := effect == lifecycle.Same && d.peers.localRecord().Upstream != r.Incarnation
@@ -258,6 +263,14 @@
 	return effect
 }
 
+// ServiceError reports that a report names another service than that of the local upstream.
+type ServiceError struct{ Service model.ServiceName }
+
+// Error names the service.
+func (e *ServiceError) Error() string {
+	return fmt.Sprintf("report of service %q, which is not that of the upstream of this VM", e.Service)
+}
+
 // restoreDeparted handles the departed incarnations of the local upstream that another daemon holds
 // in a record of this daemon.
 func (d *Daemon) restoreDeparted(departed []lifecycle.Incarnation) {
--- a/sidecar/healthcheck.go
+++ b/sidecar/healthcheck.go
@@ -58,7 +58,7 @@
 
 // runHealthCheck sends one health check and closes done.
 func (g *guard) runHealthCheck(done chan struct{}) {
-	g.checkHealth(healthCheckTimeout)
+	g.checkHealth(healthCheckTimeout, false)
 	g.mu.Lock()
 	g.healthCheckDone = nil
 	waiting := g.queue.Waiting() > 0
@@ -72,8 +72,9 @@
 
 // checkHealth sends a health check to the upstream and records the load from the response. It
 // returns what the upstream reported in the headers, and true if the status is 200. Without a
-// path for health checks or without a response, it returns false.
-func (g *guard) checkHealth(timeout time.Duration) (ResponseInfo, bool) {
+// path for health checks or without a response, it returns false. If proof is set, or a proof that the upstream is
+// warm or no longer limited is due, no late response to another check can be taken for the response.
+func (g *guard) checkHealth(timeout time.Duration, proof bool) (ResponseInfo, bool) {
 	path := g.healthPath()
 	if path == "" {
 		return ResponseInfo{}, false
@@ -92,7 +93,8 @@
 	}
 	sent := g.now()
 	g.mu.Lock()
-	pool, proof := g.healthPool, g.starts.ProofDue(sent)
+	pool := g.healthPool
+	proof = proof || g.starts.ProofDue(sent)
 	g.mu.Unlock()
 	if proof {
 		// Responses to health checks name no request. A late copy of the response to another check on the
@@ -117,7 +119,7 @@
 // its upstream then need not wait for the next status report. If a status report has
 // arrived first, the health response does not replace it.
 func (g *guard) discoverUpstream() {
-	r, healthy := g.checkHealth(startHealthCheckTimeout)
+	r, healthy := g.checkHealth(startHealthCheckTimeout, true)
 	if !healthy || r.Instance == "" {
 		return
 	}
@@ -135,6 +137,7 @@
 	g.mu.Lock()
 	report.Service = g.service
 	known := g.tracker.Current().State != lifecycle.Unknown
+	g.identity, g.identityAt = lifecycle.Identity{ID: r.Instance, Leaving: r.Leaving}, g.now()
 	g.mu.Unlock()
 	if !known {
 		g.handleReport(report, "health answer")
