Guard: a departure counts also before the first report

What callers saw: nothing; an upstream that had left, and whose departure was acknowledged, got a request again (DRAIN) after all daemons had been killed and a late report arrived.

Cause: only daemons knew of the departure. What the upstream answers to the first health check of a daemon that starts, that it is leaving, was thrown away with the unhealthy response, and the late report was taken for its state.

An upstream that answers so is draining from then on. The departed incarnation's start is unknown then: a later report under its id is settled by a health check, so that one that has started again is accepted and a late report is not.

--- a/core/lifecycle/identity_test.go
+++ b/core/lifecycle/identity_test.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// TestDepartureBeforeTheFirstReportBinds guards against a late report that makes an upstream ready which has said that
+// it is leaving, to a daemon that had no report yet. Another incarnation under its id must be accepted.
+func TestDepartureBeforeTheFirstReportBinds(t *testing.T) {
+	tr := trackerOf(report("a", 0, 0, Draining))
+	late := report("a", 5, 9, Ready)
+	require.True(t, tr.NeedsIdentity(late))
+	require.Equal(t, Stale, tr.Settle(late, Identity{}, true), "nobody responds")
+	require.Equal(t, Stale, tr.Settle(late, Identity{ID: "a", Leaving: true}, false))
+	require.Equal(t, Stale, tr.Observe(report("a", 5, 10, Ready)), "it is known now which one has left")
+	restarted := report("a", 8, 1, Ready)
+	require.False(t, tr.NeedsIdentity(restarted))
+	require.Equal(t, Started, tr.Observe(restarted))
+
+	tr = trackerOf(report("a", 0, 0, Draining))
+	require.Equal(t, Started, tr.Settle(restarted, Identity{ID: "a"}, false), "it responds, and isn't leaving")
+	require.Equal(t, Ready, tr.Current().State)
+}
+
 // TestLiveUpstreamGetsBack plays reports of the upstream at the address, of other writers and of incarnations that have
 // ended, in random order, with and without start times, and health checks that fail now and then. An upstream that lives
 // and goes on reporting must be the current one after its next report to which its health check responds. Another
--- a/core/lifecycle/lifecycle.go
+++ b/core/lifecycle/lifecycle.go
@@ -126,6 +126,9 @@
 	}
 	if t.current.State == Unknown {
 		t.current = r
+		if r.State > Ready {
+			t.markDeparted(r.Incarnation)
+		}
 		return Started
 	}
 	if r.Incarnation == t.current.Incarnation {
--- a/sidecar/healthcheck.go
+++ b/sidecar/healthcheck.go
@@ -117,10 +117,11 @@
 
 // discoverUpstream identifies the running upstream by a health check. A daemon that starts after
 // its upstream then need not wait for the next status report. If a status report has
-// arrived first, the health response does not replace it.
+// arrived first, the health response does not replace it. An upstream that responds that it is leaving is
+// taken as draining, so that a late report does not make it ready.
 func (g *guard) discoverUpstream() {
 	r, healthy := g.checkHealth(startHealthCheckTimeout, true)
-	if !healthy || r.Instance == "" {
+	if r.Instance == "" || !healthy && !r.Leaving {
 		return
 	}
 	report := lifecycle.Report{
@@ -134,6 +135,9 @@
 	} else {
 		report.Slots = g.slotsFromPeers(report.Incarnation)
 	}
+	if r.Leaving {
+		report.State = lifecycle.Draining
+	}
 	g.mu.Lock()
 	report.Service = g.service
 	known := g.tracker.Current().State != lifecycle.Unknown
--- a/sidecar/reports_test.go
+++ b/sidecar/reports_test.go
@@ -119,3 +119,26 @@
 	}
 	require.LessOrEqual(t, o.checks.Load()-before, 1+int64(m.now().Sub(started)/maxIdentityAge))
 }
+
+// TestUpstreamThatLeftBeforeItsDaemonStartedStaysOut guards against a late report that makes an upstream ready again
+// after a restart of all daemons, although it responds that it is leaving.
+func TestUpstreamThatLeftBeforeItsDaemonStartedStaysOut(t *testing.T) {
+	for name, born := range map[string]int64{"with start times": 5, "without start times": 0} {
+		t.Run(name, func(t *testing.T) {
+			o, address := newOccupant(t, "a1")
+			o.leaving.Store(true)
+			m := startBeside(t, address, false, &logRecorder{})
+			require.Equal(t, lifecycle.Refused, m.Report(readyReport("a1", born, 7, "a")), "perhaps before the daemon has asked")
+			eventually(t, "the daemon has asked", func() bool { return m.guard.trackerReport().State == lifecycle.Draining })
+			m.guard.forgetIdentity()
+			require.Equal(t, lifecycle.Refused, m.Report(readyReport("a1", born, 8, "a")))
+			o.leaving.Store(false)
+			m.guard.forgetIdentity()
+			require.Equal(t, lifecycle.Refused, m.Report(readyReport("a1", born, 9, "a")), "one that has left never returns")
+			require.Equal(t, lifecycle.Draining, m.guard.trackerReport().State)
+			if born != 0 {
+				require.Equal(t, lifecycle.Started, m.Report(readyReport("a1", born+1, 1, "a")), "started again under its id")
+			}
+		})
+	}
+}
