soak: reports that arrive late or come from another writer

The soak drew neither. It sends reports of a service that is not configured, which must not be acknowledged, of the upstream's service under another id and without a start time, and the upstream's own late; one for each VM right after a kill of all daemons. That they take no upstream out for good is checked with the recovery.

Two deliberate faults: reports of other writers are believed (found), and reports of other services are acknowledged (found; at first not, with the service check alone removed: the guard refuses them too).

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -29,7 +29,7 @@
 // plannedKinds are the kinds of faults that must not lose requests: operations that operators
 // plan, and invalid records in the store. Faults of all other kinds are unplanned.
 var plannedKinds = map[string]bool{
-	kindTerm: true, kindReload: true, kindConfig: true, kindDrain: true, kindInvalidRecords: true, kindCold: true, kindEvacuate: true, kindLimit: true, kindLeave: true,
+	kindTerm: true, kindReload: true, kindConfig: true, kindDrain: true, kindInvalidRecords: true, kindCold: true, kindEvacuate: true, kindLimit: true, kindLeave: true, kindReport: true,
 }
 
 // inject injects one fault, waits for the duration of the fault and removes it. A fault without a
@@ -89,6 +89,8 @@
 		h.leaveUnreported(m, f)
 	case kindEvacuate:
 		h.evacuate(m.config.Zone, f.Duration)
+	case kindReport:
+		h.sendReport(m, f)
 	case kindReplace:
 		h.replaceVM(m, f)
 	case kindInvalidRecords:
--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -52,6 +52,7 @@
 	planCold             = planHeader + "3000 cold 2 - 300\n3000 cold 4 - 300\n6000 cold 6 - 300\n6000 cold 8 - 300\n9000 cold 2 - 300\n9000 cold 4 - 300\n12000 cold 6 - 300\n12000 cold 8 - 300\n"
 	planColdRestarts     = planHeader + "2000 drain 2 - 20000\n2000 drain 4 - 20000\n2000 drain 6 - 20000\n5000 cold 8 - 300\n5300 kill 8 - 300\n9000 cold 8 - 300\n9300 kill 8 - 300\n13000 cold 8 - 300\n13300 kill 8 - 300\n"
 	planLimits           = planHeader + "3000 limit 2 few 12000\n3000 limit 4 few 12000\n6000 kill 2 - 300\n"
+	planReports          = planHeader + "3000 report 1 writer 10\n3000 report 2 writer 10\n3000 report 3 writer 10\n3000 report 4 writer 10\n3000 report 5 writer 10\n3000 report 6 writer 10\n"
 	planLeaving          = planHeader + "3000 leave 2 same-id 8000\n3000 leave 4 new-id 8000\n"
 	planEvacuations      = planHeader + "3000 evacuate 2 - 8000\n"
 	planKeys             = "soak 950 8 30000\n3000 config 0 - 300\n7000 config 0 - 300\n11000 config 0 - 300\n15000 config 0 - 300\n"
@@ -99,6 +100,17 @@
 		edits: []edits.Edit{edits.New("sidecar/entry.go", "	e.respond(w, req, e.forward(req))\n", "	a := e.forward(req)\n	if req.id[len(req.id)-1] == '7' {\n		panic(http.ErrAbortHandler)\n	}\n	e.respond(w, req, a)\n")},
 		plan:  planReloads, wantViolation: "unanswered",
 	},
+	"reports of other writers are believed": {
+		edits: []edits.Edit{edits.New("core/lifecycle/identity.go", "case r.State != Ready || t.hasDepartedSurely(r.Incarnation):", "case r.State <= Gone:")},
+		plan:  planReports, wantViolation: "recovery",
+	},
+	"reports of other services are acknowledged": {
+		edits: []edits.Edit{
+			edits.New("sidecar/daemon.go", "if r.Service != d.service() {", "if r.Service == \"\" {"),
+			edits.New("core/lifecycle/identity.go", "case r.State != Ready || t.hasDepartedSurely(r.Incarnation):", "case r.State <= Gone:"),
+		},
+		plan:  planHeader + "3000 report 1 service 10\n", wantViolation: "report",
+	},
 	"truncated responses are delivered": {
 		edits: []edits.Edit{edits.New("hop/body.go", "case err != nil:\n			return nil, err", "case err != nil:\n			return body, nil")},
 		plan:  planCutResponses, wantViolation: "mixed",
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -65,6 +65,7 @@
 	kindEvacuate       = "evacuate"  // the zone of a VM is evacuated, and taken back cold
 	kindLimit          = "limit"     // an upstream limits the rate of its requests for a while
 	kindLeave          = "leave"     // an upstream leaves and tells so in its responses only
+	kindReport         = "report"    // a report arrives late, or comes from another writer than the upstream
 	kindReplace        = "replace"   // a VM is replaced by one of another service at the same address
 )
 
@@ -93,6 +94,9 @@
 	kindCold: {"-"}, kindEvacuate: {"-"},
 	// The upstream takes 10 requests a second, 2.5, or none.
 	kindLimit: {"some", "few", "none"}, kindLeave: {"same-id", "new-id"},
+	// The report names a service that is not configured, or the service of the upstream and another id, or arrives after
+	// the duration of the fault.
+	kindReport: {"service", "writer", "late"},
 	// In mode gone the connections to the old VM break. In mode dark its peer traffic is
 	// dropped.
 	kindReplace: {"gone", "dark"},
@@ -112,7 +116,7 @@
 	{kindKill, 4}, {kindTerm, 4}, {kindPause, 2}, {kindReload, 2}, {kindPeerProxy, 5}, {kindUpstreamProxy, 2}, {kindStoreProxy, 3},
 	{kindStore, 4}, {kindUpstream, 5}, {kindCrash, 3}, {kindDrain, 3}, {kindConfig, 5}, {kindInvalidRecords, 1}, {kindPoison, 1},
 	{kindKillAll, 1}, {kindReplace, 2}, {kindCold, 2}, {kindEvacuate, 1},
-	{kindLimit, 3}, {kindLeave, 2},
+	{kindLimit, 3}, {kindLeave, 2}, {kindReport, 3},
 }
 
 const (
@@ -127,6 +131,9 @@
 	minFaultDuration = 300 * time.Millisecond
 	// maxFaultDuration is the longest duration that is drawn for a fault.
 	maxFaultDuration = 4 * time.Second
+	// maxReportDelay is the longest time after a kill of all daemons at which a late report arrives, or one of
+	// another writer.
+	maxReportDelay = 3 * time.Second
 	// plannedOnlyDivisor determines the first part of a plan, which has only faults of
 	// plannedKinds. Its length is the length of the plan divided by plannedOnlyDivisor. Whether
 	// planned faults lose requests cannot be checked while unplanned faults are injected.
@@ -151,7 +158,22 @@
 			f.VM = 1 + rng.IntN(vms)
 		}
 		p.Faults = append(p.Faults, f)
+		if kind == kindKillAll {
+			p.Faults = append(p.Faults, reportsAfterKillOfAll(rng, at, length-faultFreeEnd, vms)...)
+		}
+	}
+}
+
+// reportsAfterKillOfAll draws reports that arrive when all daemons have just been killed at the instant at, at end at
+// the latest.
+func reportsAfterKillOfAll(rng *rand.Rand, at, end time.Duration, vms int) []Fault {
+	var faults []Fault
+	for vm := 1; vm <= vms; vm++ {
+		mode := faultModes[kindReport][rng.IntN(len(faultModes[kindReport]))]
+		delay := (time.Duration(rng.Float64() * float64(maxReportDelay))).Round(time.Millisecond)
+		faults = append(faults, Fault{At: at, Kind: kindReport, VM: vm, Mode: mode, Duration: min(delay, end-at)})
 	}
+	return faults
 }
 
 // drawKind draws a kind of fault according to kindWeights. If plannedOnly is set, it draws again
