--- a/hop/doc.go
+++ b/hop/doc.go
@@ -5,7 +5,8 @@
 // A Client sends to many addresses and streams bodies. A Pool holds the
 // connections to one address and buffers bodies in memory. If PoolRequest.Accept
 // is set, a Pool also checks whether a response belongs to the request, and
-// discards one that does not.
+// discards one that does not. A connection carries each PoolRequest.ID once, so
+// that the responses to two requests with the same ID are told apart.
 //
 // A Client wraps a net/http Transport whose connections count the bytes
 // written. If no byte of a failed attempt was written, the attempt provably did
