--- a/soak/mutants_test.go
+++ b/soak/mutants_test.go
@@ -109,7 +109,7 @@
 			edits.New("sidecar/daemon.go", "if r.Service != d.service() {", "if r.Service == \"\" {"),
 			edits.New("core/lifecycle/identity.go", "case r.State != Ready || t.hasDepartedSurely(r.Incarnation):", "case r.State <= Gone:"),
 		},
-		plan:  planHeader + "3000 report 1 service 10\n", wantViolation: "report",
+		plan: planHeader + "3000 report 1 service 10\n", wantViolation: "report",
 	},
 	"truncated responses are delivered": {
 		edits: []edits.Edit{edits.New("hop/body.go", "case err != nil:\n			return nil, err", "case err != nil:\n			return body, nil")},
