quota: a daemon holds nothing before it knows all others

What could happen: two holders of one share, and an account above its quota, when all daemons are killed, cut in two right after, and the store turns some away: those that it turns away learn of the others on their side from each other, but not of those that nobody on their side has heard, and take themselves for the holder.

Cause: the list of daemons counted as complete after the first exchange with any other daemon, and records that had not been heard were not passed on.

The list is complete once the directory was read, or all records were got from a daemon that knows them. Replies with all records hold the daemons whose record is not known, too, and say whether the sender knows all. While nobody does, another daemon is asked, with a backoff from 1 to 30 s.

The model: a daemon that started knew of each other one that was down with a probability of one half, also of those beyond the cut. The directory lists them all; only what is not beyond a cut can be found to be gone. TestDaemonsThatKnowAPartOfTheOthersHoldNoQuota is the check with the daemon's parts.

--- a/core/quota/faults_test.go
+++ b/core/quota/faults_test.go
@@ -175,6 +175,8 @@
 	"freeze for long":  func(f *fleet, size float64) { f.freeze(size, 13*time.Second) },
 	"lose messages":    func(f *fleet, size float64) { f.lossRate = size },
 	"lose none":        func(f *fleet, size float64) { f.lossRate = 0 },
+	"turn some away":   func(f *fleet, size float64) { f.turnedAway = size },
+	"turn none away":   func(f *fleet, size float64) { f.turnedAway = 0 },
 	"cut a zone": func(f *fleet, size float64) {
 		f.cutFor(15*time.Second, func(a, b *simDaemon) bool { return (a.zone == "zone-0") != (b.zone == "zone-0") })
 	},
@@ -226,12 +228,13 @@
 	})
 }
 
-// TestCutRightAfterKillOfAllExceedsNoQuota cuts the daemons in two right after all were killed. Those that start know
-// only a part of the others, so that both sides may take themselves for the majority.
+// TestCutRightAfterKillOfAllExceedsNoQuota cuts the daemons in two right after all were killed, while the directory turns
+// some away. Both sides could take themselves for all there are.
 func TestCutRightAfterKillOfAllExceedsNoQuota(t *testing.T) {
 	for seed := range uint64(20) {
 		q := account.Quota{PerSecond: 50}
 		f := newFleet(rand.New(rand.NewPCG(seed, 7)), 6, 1, q)
+		f.turnedAway = float64(seed%4) / 4
 		f.runUntil(5 * time.Second)
 		f.demand(f.now, time.Hour, constant(32*q.PerSecond), patterns["spread"](f), nil)
 		faults["kill all"](f, 1)
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -55,6 +55,8 @@
 	passed  []time.Duration
 	refused []time.Duration
 	unknown int
+	// turnedAway is the share of the reads of the directory that fail.
+	turnedAway float64
 }
 
 // simDaemon is a daemon of a fleet.
@@ -70,7 +72,9 @@
 	// frozenUntil is until when the daemon does nothing. Messages and requests wait.
 	frozenUntil time.Duration
 	ticking     bool
-	// known is set once the daemon has reached another one.
+	// listed is set once the daemon knows all others: by the directory, or by a daemon that knows them.
+	listed bool
+	// known is set once the daemon is listed and has reached another one.
 	known bool
 	// view holds the other daemons as this one knows them.
 	view map[string]Member
@@ -125,7 +129,8 @@
 	return model.Instant(time.Hour) + model.Instant(float64(d.fleet.now)*d.clockRate)
 }
 
-// start starts the daemon with a view of all that run. known states whether they know it at once.
+// start starts the daemon. It knows all others, unless the directory turns it away. known states whether they
+// know it at once.
 func (d *simDaemon) start(known bool) {
 	f := d.fleet
 	d.life++
@@ -133,26 +138,18 @@
 	d.node = NewNode(d.clock(), Config{Self: d.address, Zone: d.zone, Zones: f.zones(), Rules: f.rules, Random: f.random.Float64})
 	d.setQuota(f.quota)
 	d.view = make(map[string]Member)
-	for _, other := range f.daemons {
-		if other != d && !(other.down && f.random.IntN(2) == 0) {
-			d.view[other.address] = Member{Address: other.address, Zone: other.zone}
-		}
+	d.listed, d.known = known || f.turnedAway == 0 || f.random.Float64() >= f.turnedAway, known
+	if d.listed {
+		d.list()
 	}
-	d.known = known
 	d.node.SetMembers(d.clock(), d.members(), known)
 	if known {
 		return
 	}
 	life := d.life
 	d.learn(life)
+	d.noticeSilence(life)
 	for _, other := range f.daemons {
-		if other != d && f.cut(d, other) {
-			f.after(f.between(0, 2*time.Second), func() {
-				if f.cut(d, other) {
-					d.notice(life, other, Silent)
-				}
-			})
-		}
 		if other != d && other.node != nil && !f.cut(d, other) {
 			otherLife := other.life
 			f.after(f.between(0, 300*time.Millisecond), func() {
@@ -162,41 +159,6 @@
 	}
 }
 
-// learn completes the view of a daemon that has started, once it reaches another daemon.
-func (d *simDaemon) learn(life int) {
-	f := d.fleet
-	f.after(f.between(50*time.Millisecond, 500*time.Millisecond), func() {
-		for _, other := range f.daemons {
-			if other != d && !other.down && !f.cut(d, other) {
-				d.changeView(life, func() { d.known = true })
-				d.exchangeRecords(life)
-				return
-			}
-		}
-		if d.life == life {
-			d.learn(life)
-		}
-	})
-}
-
-// exchangeRecords has a daemon and those that it reaches learn of each other.
-func (d *simDaemon) exchangeRecords(life int) {
-	f := d.fleet
-	for _, other := range f.daemons {
-		if other == d || other.down || f.cut(d, other) {
-			continue
-		}
-		otherLife := other.life
-		f.after(f.between(0, 300*time.Millisecond), func() {
-			if d.life != life || other.life != otherLife || f.cut(d, other) {
-				return
-			}
-			other.changeView(otherLife, func() { other.view[d.address] = Member{Address: d.address, Zone: d.zone} })
-			d.changeView(life, func() { d.view[other.address] = Member{Address: other.address, Zone: other.zone} })
-		})
-	}
-}
-
 func (d *simDaemon) setQuota(q account.Quota) {
 	d.node.SetAccounts(d.clock(), map[account.Name]account.Quota{testAccount: q})
 }
--- a/sidecar/bootstrap.go
+++ b/sidecar/bootstrap.go
@@ -4,10 +4,17 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
 )
 
+// The pauses between two requests for all records while nobody is known to know all daemons.
+const (
+	minListedBackoff = time.Second
+	maxListedBackoff = 30 * time.Second
+)
+
 // scheduleFirstExchange schedules the first exchange with a peer that is new or has restarted. If
 // the peer is to be asked for all of its records, the exchange is a request for them. Otherwise,
 // it is a push of the local record.
@@ -41,6 +48,7 @@
 		}
 		p.scheduleFirstExchange(p.addPeer(Record{Address: e.Address, Zone: e.Zone}))
 	}
+	p.listed = true
 	if len(p.others) == 0 {
 		p.firstContactOnce.Do(func() { close(p.firstContact) })
 	}
@@ -88,3 +96,33 @@
 	p.generation++
 	return q
 }
+
+// updateListed is called with the reply of a peer that was asked for all records. listed states whether the peer
+// knows all daemons of the directory. If neither it nor this daemon does, another peer is asked later.
+func (p *peers) updateListed(q *peer, listed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = p.listed || listed
+	if p.listed {
+		return
+	}
+	time.AfterFunc(p.listedBackoff.Next(nil), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.listed && p.ctx.Err() == nil {
+			p.replaceBootstrapPeer(q)
+		}
+	})
+}
+
+// allKnown returns the records of all other daemons that are known, with nothing but address and zone if none
+// has been received yet. It also reports whether all daemons of the directory are among them.
+func (p *peers) allKnown() ([]Record, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var records []Record
+	for _, q := range p.others {
+		records = append(records, q.record)
+	}
+	return records, p.listed
+}
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -97,16 +97,19 @@
 	return addresses
 }
 
-// quotaMembers returns the daemons, this one included, as possible holders of quotas. The Generation also
-// changes at the first contact with another daemon, which makes the list complete.
+// quotaMembers returns the daemons, this one included, as possible holders of quotas. The list is complete once this
+// daemon knows all daemons of the directory and has had contact with another one: by a part of the list, two
+// daemons could take themselves for the holder. The Generation also changes then.
 func (p *peers) quotaMembers(lastGeneration uint64) quota.Membership {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := quota.Membership{Generation: (p.generation + 1) << 1}
 	select {
 	case <-p.firstContact:
-		m.Complete = true
-		m.Generation++
+		if p.listed {
+			m.Complete = true
+			m.Generation++
+		}
 	default:
 	}
 	if m.Generation == lastGeneration {
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -33,6 +33,8 @@
 	WantAll bool `json:"w,omitempty"`
 	// Records holds records that the sender holds, From not included. Only replies have any.
 	Records []Record `json:"k,omitempty"`
+	// Listed is set in a reply with all records if the sender knows all daemons of the directory.
+	Listed bool `json:"l,omitempty"`
 	// Version is the version of the configuration in force at the sender.
 	Version model.Version `json:"v"`
 	// Evacuations is the newest state of the evacuations that the sender knows, encoded by package
@@ -319,7 +321,8 @@
 // its record is newer than the one held here, that record is relayed inside the local zone.
 //
 // The reply holds the local record. If a record of the sender was held here before the merge, the
-// reply holds that one too. If the sender wants all records, the reply also holds all others.
+// reply holds that one too. If the sender wants all records, the reply also holds all others, and one with nothing
+// but address and zone for each daemon whose record is not held.
 func (p peerHandler) sync(w http.ResponseWriter, r *http.Request) {
 	var m syncMessage
 	if !readMessage(w, r, maxSyncBytes, &m) {
@@ -340,7 +343,9 @@
 		reply.Records = append(reply.Records, heldRecord)
 	}
 	if m.WantAll {
-		reply.Records = append(reply.Records, p.d.peers.records()[1:]...)
+		var known []Record
+		known, reply.Listed = p.d.peers.allKnown()
+		reply.Records = append(reply.Records, known...)
 	}
 	writeMessage(w, reply)
 }
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -10,6 +10,7 @@
 	"github.com/dottereltiller/dottereltiller/core/model"
 	"github.com/dottereltiller/dottereltiller/decision"
 	"github.com/dottereltiller/dottereltiller/hop"
+	"github.com/dottereltiller/dottereltiller/pause"
 )
 
 // Record is the state that a daemon announces about itself and its upstream. Only that daemon
@@ -151,6 +152,11 @@
 	announced bool
 	// ctx ends when the daemon stops. The goroutines that run syncLoop then end.
 	ctx context.Context
+	// listed is set once this daemon knows all daemons of the directory: it has read the directory, or has got all
+	// records of a daemon that knows them.
+	listed bool
+	// listedBackoff paces the requests for all records while no daemon has been found that knows all.
+	listedBackoff pause.Backoff
 	// firstContact is closed after the first successful exchange with another daemon, or when
 	// there is no other daemon.
 	firstContact     chan struct{}
@@ -170,6 +176,7 @@
 		ctx:           context.Background(),
 		firstContact:  make(chan struct{}),
 		directoryRead: make(chan struct{}),
+		listedBackoff: pause.Backoff{Min: minListedBackoff, Max: maxListedBackoff},
 
 		onReachable:     func() {},
 		onFullSync:      func(string) {},
--- a/sidecar/quota_test.go
+++ b/sidecar/quota_test.go
@@ -216,3 +216,38 @@
 		assert.Zero(t, m.scope.Snapshot().Counters()["control_bytes+direction=sent,kind=quota_request"].Value())
 	}
 }
+
+// TestDaemonsThatKnowAPartOfTheOthersHoldNoQuota guards against two holders of a share. After a kill of all daemons, and a cut
+// right after it, those on one side know only each other if the store turns them away. A daemon must hold nothing
+// until it knows all others, by the directory or by a daemon that does.
+func TestDaemonsThatKnowAPartOfTheOthersHoldNoQuota(t *testing.T) {
+	const near, beyondTheCut = "127.0.0.1:1", "127.0.0.1:2"
+	m := startReady(t, newStore(documentOf(1, "a")), "a", "a1")
+	eventually(t, "the directory is read", func() bool { _, listed := m.peers.allKnown(); return listed })
+	complete := func() bool { return m.peers.quotaMembers(0).Complete }
+	require.True(t, complete())
+	m.peers.mu.Lock()
+	m.peers.listed, m.peers.fullSyncCount = false, numBootstrapPeers
+	m.peers.mu.Unlock()
+	require.False(t, complete())
+
+	// A daemon that knows only a part replies.
+	asked := &peer{pool: newPeerPool(near), needsFullSync: true}
+	m.peers.recordExchange(asked, near, syncMessage{From: Record{Address: near, Zone: "z", Incarnation: 1, Sequence: 1}})
+	require.False(t, complete())
+	eventually(t, "another daemon is asked", func() bool {
+		m.peers.mu.Lock()
+		defer m.peers.mu.Unlock()
+		return m.peers.others[near].needsFullSync || m.peers.others[near].unreachable
+	})
+
+	// A daemon that knows all replies, also with one whose record it does not hold.
+	asked.needsFullSync = true
+	m.peers.recordExchange(asked, near, syncMessage{
+		From: Record{Address: near, Zone: "z", Incarnation: 1, Sequence: 2}, Records: []Record{{Address: beyondTheCut, Zone: "z"}}, Listed: true,
+	})
+	require.True(t, complete())
+	known, listed := m.peers.allKnown()
+	require.True(t, listed)
+	require.Contains(t, known, Record{Address: beyondTheCut, Zone: "z"})
+}
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -66,6 +66,9 @@
 		p.onFullSync(address)
 	}
 	p.merge(append([]Record{reply.From}, reply.Records...))
+	if fullSync {
+		p.updateListed(q, reply.Listed)
+	}
 	p.evacuations.receiveMessage(reply.Evacuations, address)
 	p.onVersion(address, reply.Version)
 	p.firstContactOnce.Do(func() { close(p.firstContact) })
