hop: a reset during an upload is no end of a response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response, with a Content-Length of what had come. The same for other statuses and for HTTP/1.0, on the users' platform and on the product's own interface.

Cause: Linux reports a reset to one system call only. While a request is being written, that is often the write. The reads that follow return the bytes that had arrived and then 0, which is the end of the stream, and the body of a response without a length ends there. A write that got ETIMEDOUT from TCP_USER_TIMEOUT has the same effect.

Why this works: the only other system calls on such a connection are its writes. At the end of the stream, Read interrupts a write in progress and waits for its result. If no write has got the error of a loss, none has occurred that a read could have missed. EPIPE as the first error says that the other side had ended its stream before the reset, so that all of it has arrived.

Traced: the daemon of the upstream had not acknowledged 6 MB within 120 ms, and the request was withdrawn.

--- a/daemon/response_test.go
+++ b/daemon/response_test.go
@@ -260,3 +260,34 @@
 		}
 	}
 }
+
+// TestResponseBrokenOffDuringUploadNeverLooksComplete has the upstream send a part of a response without a length to a long
+// upload, and reset the connection while the upload is being written. The caller must see an error or the outcome
+// "unknown".
+func TestResponseBrokenOffDuringUploadNeverLooksComplete(t *testing.T) {
+	const repetitions = 5
+	d, faultyUpstream := startWithFaultyUpstream(t)
+	upload := strings.Repeat("x", 6<<20)
+	for name, head := range map[string]string{
+		"HTTP/1.1": "HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\n",
+		"failure":  "HTTP/1.1 500 Internal Server Error\r\n\r\n",
+	} {
+		script := standin.Script{Response: []byte(head + "part of a reply"), CutAfter: len(head + "part of"), Reset: true, SkipBody: true}
+		for _, script.CloseDelay = range []time.Duration{0, 5 * time.Millisecond, 60 * time.Millisecond} {
+			for _, n := range d.Nodes {
+				t.Run(fmt.Sprintf("%s, reset after %s/%s", name, script.CloseDelay, n.Upstream.ID), func(t *testing.T) {
+					faultyUpstream.SetScript(script)
+					for range repetitions {
+						requestsBefore := faultyUpstream.Requests()
+						got := sendRequest(t, n.Daemon.CallerAddress(), http.MethodPost, upload)
+						if got.err == nil {
+							require.Equal(t, outcome.Unknown, got.outcome, "%+v", got)
+						}
+						require.Equal(t, requestsBefore+1, faultyUpstream.Requests(), "the request must be sent exactly once")
+					}
+				})
+			}
+		}
+	}
+}
--- a/hop/client.go
+++ b/hop/client.go
@@ -67,7 +67,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return &countingConn{Conn: &orderlyConn{Conn: conn}}, nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        o.MaxConns,
--- a/hop/doc.go
+++ b/hop/doc.go
@@ -8,6 +8,10 @@
 // discards one that does not. A connection carries each PoolRequest.ID once, so
 // that the responses to two requests with the same ID are told apart.
 //
+// A body without a length ends with its connection. It counts as complete only if
+// the server has ended the connection in order, not if it was reset, also while the
+// request is still being written.
+//
 // A Client wraps a net/http Transport whose connections count the bytes
 // written. If no byte of a failed attempt was written, the attempt provably did
 // not run. The Client then seals the connection, so that no byte can be written
--- a/hop/pool.go
+++ b/hop/pool.go
@@ -164,9 +164,10 @@
 	if p.opts.OnDial != nil {
 		p.opts.OnDial()
 	}
-	limiter := &headLimiter{source: conn}
+	orderly := &orderlyConn{Conn: conn}
+	limiter := &headLimiter{source: orderly}
 	return &pooledConn{
-		conn: conn, number: p.nextConn(), headLimiter: limiter, reader: bufio.NewReaderSize(limiter, bufferSize), idleTimeout: p.opts.IdleTimeout,
+		conn: orderly, number: p.nextConn(), headLimiter: limiter, reader: bufio.NewReaderSize(limiter, bufferSize), idleTimeout: p.opts.IdleTimeout,
 	}, nil
 }
 
@@ -252,7 +253,7 @@
 
 // pooledConn is one connection of a Pool.
 type pooledConn struct {
-	conn net.Conn
+	conn *orderlyConn
 	// number is Exchange.Conn.
 	number uint64
 	// reader reads from headLimiter, which reads from conn.
@@ -295,7 +296,7 @@
 // does not block if the server has closed the connection or has sent anything
 // since the last response.
 func (c *pooledConn) readWouldBlock() bool {
-	conn, ok := c.conn.(syscall.Conn)
+	conn, ok := c.conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/sidecar/bodies_test.go
+++ b/sidecar/bodies_test.go
@@ -83,11 +83,16 @@
 // postUntilAcknowledged sends a request, again for as long as it has not run because the daemon of the upstream did not
 // acknowledge it within ackTimeout. On a busy machine it may not do so in time.
 func (m *member) postUntilAcknowledged(t *testing.T, path string) (int, string) {
+	return m.uploadUntilAcknowledged(t, path, "pay")
+}
+
+// uploadUntilAcknowledged is postUntilAcknowledged for a request with the given body.
+func (m *member) uploadUntilAcknowledged(t *testing.T, path, requestBody string) (int, string) {
 	for end := time.Now().Add(waitLimit); ; {
-		status, body := m.post(t, path)
+		resp, body := m.sendRequest(t, http.MethodPost, path, requestBody)
 		notAcknowledged := body == string(outcome.ReasonWithdrawn)+"\n" || body == string(outcome.ReasonNoUpstream)+"\n"
-		if status != http.StatusServiceUnavailable || !notAcknowledged || time.Now().After(end) {
-			return status, body
+		if resp.StatusCode != http.StatusServiceUnavailable || !notAcknowledged || time.Now().After(end) {
+			return resp.StatusCode, body
 		}
 	}
 }
--- a/standin/faulty.go
+++ b/standin/faulty.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Script determines how a FaultyUpstream responds to requests.
@@ -18,6 +19,8 @@
 	CutAfter int
 	// Reset closes the connection after CutAfter bytes with a TCP RST instead of a FIN.
 	Reset bool
+	// CloseDelay is how long the connection stays open after CutAfter bytes. Default: 0.
+	CloseDelay time.Duration
 	// SkipBody makes the upstream respond without reading the request's body.
 	SkipBody bool
 	// Hang makes the upstream send no response and wait until the client closes the
@@ -146,6 +149,7 @@
 		return err == nil
 	}
 	_, _ = conn.Write(s.Response[:s.CutAfter])
+	time.Sleep(s.CloseDelay)
 	if tcp, ok := conn.(*net.TCPConn); ok && s.Reset {
 		_ = tcp.SetLinger(0)
 	}
