hop: a response without a valid status is no response

What callers saw: an upstream in trouble sent a status of 000 and then further bytes. On the users' platform, the head with 000 was skipped like an informational response: what followed, even the body of that response, was read as the next head. So a caller got a 200 from the middle of a broken response, or waited until its deadline. A status of 600 or 999, another protocol version and control characters in the reason phrase were handed on as answers. 000 alone and 099 gave 502 or 504, also on the product's own interface. An append to the log that was answered with 000 was reported as certainly not done, and an operator's command as done.

Cause: http.ReadResponse and http.Transport take any three characters that are a number of 0 or more as a status, and any version HTTP/d.d. Pool skipped everything below 200; the callers of a Client compared with single statuses only.

Why this works: each head, those of informational responses in a Pool included, is checked before anything else reads it. An invalid one ends the exchange: its connection is closed, and the outcome is that of a lost connection, unknown once a byte of the request was sent. Valid are 100 to 599 (RFC 9110, section 15) and HTTP/1.x.

--- a/daemon/response_test.go
+++ b/daemon/response_test.go
@@ -169,6 +169,13 @@
 		"chunk without end": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcX\r\n0\r\n\r\n",
 		"no status":         "HTTP/1.1 OK\r\nContent-Length: 3\r\n\r\nabc",
 		"not HTTP":          "SSH-2.0-x\r\n\r\n",
+		"status 000":        "HTTP/1.1 000 None\r\nContent-Length: 3\r\n\r\nabc",
+		"status 000, two":   "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"status 099":        "HTTP/1.1 099 None\r\nContent-Length: 3\r\n\r\nabc",
+		"status 600":        "HTTP/1.1 600 None\r\nContent-Length: 3\r\n\r\nabc",
+		"status 999":        "HTTP/1.1 999 None\r\nContent-Length: 3\r\n\r\nabc",
+		"another protocol":  "HTTP/2.0 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"control character": "HTTP/1.1 200 O\x00K\r\nContent-Length: 3\r\n\r\nabc",
 		"switches protocol": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nabc",
 	} {
 		for _, n := range d.Nodes {
--- a/hop/client.go
+++ b/hop/client.go
@@ -49,7 +49,7 @@
 // Client sends attempts to any number of addresses. An attempt is one try to
 // execute a request. A Client is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	transport *Transport
 	// unprotected turns off the protection against retries by the Transport and
 	// the protection against unsolicited responses. Only tests set it. They
 	// show that the Transport then sends some attempts twice and delivers some
@@ -77,7 +77,7 @@
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
 	}
-	return &Client{transport: t}
+	return &Client{transport: NewTransport(t)}
 }
 
 func (o Options) withDefaults() Options {
--- a/hop/doc.go
+++ b/hop/doc.go
@@ -8,6 +8,9 @@
 // discards one that does not. A connection carries each PoolRequest.ID once, so
 // that the responses to two requests with the same ID are told apart.
 //
+// A response whose head is not valid HTTP/1.x is an error (see InvalidHeadError),
+// whatever it states. A Transport checks that for clients of net/http.
+//
 // A body without a length ends with its connection. It counts as complete only if
 // the server has ended the connection in order, not if it was reset, also while the
 // request is still being written.
--- a/hop/exchange.go
+++ b/hop/exchange.go
@@ -241,12 +241,15 @@
 // readResponse reads the status line and the headers of the next final response.
 // A response with status 101 (Switching Protocols) counts as final. For each
 // earlier informational (1xx) response it calls r.OnInformational. The heads of all
-// of them together are limited in size.
+// of them together are limited in size. If one of them is invalid, the response is.
 func (c *pooledConn) readResponse(r *PoolRequest) (*http.Response, error) {
 	c.headLimiter.setLimit(defaultMaxHeaderBytes)
 	defer c.headLimiter.clearLimit()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err == nil {
+			err = checkHead(resp)
+		}
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/hop/head.go
@@ -0,0 +1,45 @@
+package hop
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// InvalidHeadError reports a response whose head is not valid HTTP/1.x. Nothing of such a response can be relied on: neither
+// its status nor where its body ends.
+type InvalidHeadError struct {
+	// Part names the part of the head that is not valid.
+	Part string
+	// Value is that part.
+	Value string
+}
+
+// Error names the part and gives its value.
+func (e *InvalidHeadError) Error() string {
+	return fmt.Sprintf("invalid response head: %s %q", e.Part, e.Value)
+}
+
+const (
+	// minStatus and maxStatus are the least and the greatest status code (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
+)
+
+// checkHead checks the parts of a response head that net/http does not check. The error is an *InvalidHeadError.
+func checkHead(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != 1:
+		return &InvalidHeadError{Part: "protocol version", Value: resp.Proto}
+	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+		return &InvalidHeadError{Part: "status", Value: resp.Status}
+	case strings.ContainsFunc(resp.Status, isControl):
+		return &InvalidHeadError{Part: "status", Value: resp.Status}
+	default:
+		return nil
+	}
+}
+
+// isControl reports whether a character is a control character that no part of a head may contain. A tab may stand between
+// words.
+func isControl(c rune) bool { return c < ' ' && c != '\t' || c == '\x7f' }
--- /dev/null
+++ b/hop/head_test.go
@@ -0,0 +1,108 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dottereltiller/dottereltiller/core/outcome"
+)
+
+// invalidStatusLines are responses whose status line is not HTTP/1.x or has no valid status code.
+var invalidStatusLines = map[string]string{
+	"status 000":                   "HTTP/1.1 000 None\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"status 000, no body":          "HTTP/1.1 000 None\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+	"status 000, no length":        "HTTP/1.1 000 None\r\nId: 1\r\n\r\nbody",
+	"status 000, then a response":  "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"status 000, body is response": "HTTP/1.1 000 None\r\nId: 1\r\nContent-Length: 49\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"status 099":                   "HTTP/1.1 099 None\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"status 099, then a response":  "HTTP/1.1 099 None\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"status 600":                   "HTTP/1.1 600 None\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"status 999":                   "HTTP/1.1 999 None\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"signed status":                "HTTP/1.1 +20 None\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"negative zero":                "HTTP/1.1 -00 None\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/2":                       "HTTP/2.0 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/0.9":                     "HTTP/0.9 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"NUL in the reason":            "HTTP/1.1 200 O\x00K\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"carriage return in reason":    "HTTP/1.1 200 OK\rId: 2\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+}
+
+// invalidInterimStatusLines are responses after an informational response whose status line is not valid. A Client does not
+// see it.
+var invalidInterimStatusLines = map[string]string{
+	"interim, NUL in the reason": "HTTP/1.1 103 Early\x00Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"interim, HTTP/2":            "HTTP/2.0 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+}
+
+// TestInvalidStatusLineInvalidatesResponse guards against responses whose status line is not valid and that are delivered, or
+// skipped like an informational response.
+func TestInvalidStatusLineInvalidatesResponse(t *testing.T) {
+	requireInvalidByPool(t, invalidStatusLines)
+	requireInvalidByPool(t, invalidInterimStatusLines)
+	requireInvalidByClient(t, invalidStatusLines)
+}
+
+// responseTimeout bounds the wait for a response that is there at once.
+const responseTimeout = 20 * time.Second
+
+// respondOnce returns a handler that sends the given bytes as the response to a request, and waits until the client closes the
+// connection.
+func respondOnce(response string) func(c net.Conn, r *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		readRequestID(r)
+		_, _ = io.WriteString(c, response)
+		waitForClose(c)
+	}
+}
+
+// requireInvalidByPool checks that a Pool rejects each of the responses at once, and does not use its connection again.
+func requireInvalidByPool(t *testing.T, responses map[string]string) {
+	for name, response := range responses {
+		t.Run("Pool/"+name, func(t *testing.T) {
+			s := startScriptedServer(t, respondOnce(response), echoIDs)
+			p := NewPool(s.address, PoolOptions{})
+			defer p.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), responseTimeout)
+			defer cancel()
+			r := requestWithID("1")
+			r.Method = http.MethodPost
+			resp, err := p.Do(ctx, r)
+			var invalid *InvalidHeadError
+			require.ErrorAs(t, err, &invalid, "%+v", resp)
+			var failure *RequestError
+			require.ErrorAs(t, err, &failure)
+			require.True(t, failure.Sent)
+			_, err = p.Do(t.Context(), requestWithID("2"))
+			require.NoError(t, err)
+			require.Equal(t, 2, s.connectionCount())
+		})
+	}
+}
+
+// requireInvalidByClient is requireInvalidByPool for a Client.
+func requireInvalidByClient(t *testing.T, responses map[string]string) {
+	for name, response := range responses {
+		t.Run("Client/"+name, func(t *testing.T) {
+			s := startScriptedServer(t, respondOnce(response), echoIDs)
+			c := NewClient(Options{})
+			defer c.CloseIdle()
+			ctx, cancel := context.WithTimeout(t.Context(), responseTimeout)
+			defer cancel()
+			r := Request{Address: s.address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"1"}}}
+			resp, o, err := c.Do(ctx, r)
+			var invalid *InvalidHeadError
+			require.ErrorAs(t, err, &invalid, "%+v", resp)
+			require.Equal(t, outcome.UnknownBecause(outcome.ReasonConnectionLost), o)
+			resp, _, err = c.Do(t.Context(), r)
+			require.NoError(t, err)
+			_ = resp.Body.Close()
+			require.Equal(t, 2, s.connectionCount())
+		})
+	}
+}
--- a/operator/quarantine.go
+++ b/operator/quarantine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	core "github.com/dottereltiller/dottereltiller/core/quarantine"
+	"github.com/dottereltiller/dottereltiller/hop"
 	"github.com/dottereltiller/dottereltiller/quarantine"
 )
 
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: &http.Transport{Proxy: nil, DisableKeepAlives: true}}
+	client := &http.Client{Transport: hop.NewTransport(&http.Transport{Proxy: nil, DisableKeepAlives: true})}
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
--- a/recordlog/client.go
+++ b/recordlog/client.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/dottereltiller/dottereltiller/hop"
 )
 
 // Client accesses the log over HTTP. It is safe for concurrent use.
@@ -39,12 +41,12 @@
 		httpClient: &http.Client{
 			Timeout:       clientTimeout,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-			Transport: &http.Transport{
+			Transport: hop.NewTransport(&http.Transport{
 				Proxy:               nil,
 				DialContext:         (&net.Dialer{Timeout: clientTimeout}).DialContext,
 				MaxIdleConnsPerHost: clientIdleConns,
 				DisableCompression:  true,
-			},
+			}),
 		},
 	}
 }
--- a/recordlog/recordlog_test.go
+++ b/recordlog/recordlog_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/dottereltiller/dottereltiller/bubble"
 	"github.com/dottereltiller/dottereltiller/loopback"
+	"github.com/dottereltiller/dottereltiller/standin"
 )
 
 func newTestClient(t *testing.T, h http.Handler) *Client {
@@ -63,6 +64,10 @@
 	lossyLog.SetFaults(Faults{LoseReplies: 1})
 	unusedAddress, err := loopback.UnusedAddress()
 	require.NoError(t, err)
+	invalid, err := standin.StartFaultyUpstream()
+	require.NoError(t, err)
+	defer func() { _ = invalid.Close() }()
+	invalid.SetScript(standin.Script{Response: []byte("HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n"), CutAfter: -1})
 	for name, c := range map[string]struct {
 		client        *Client
 		wantUncertain bool
@@ -73,6 +78,7 @@
 		"connection aborted": {newTestClient(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			panic(http.ErrAbortHandler)
 		})), true},
+		"invalid status": {NewClient(invalid.Address()), true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := c.client.Append(t.Context(), "s", [][]byte{[]byte("a")})
--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -135,3 +135,86 @@
 		}
 	}
 }
+
+// respondWith sends a response, in which each %[1]s stands for the id of the request.
+func respondWith(response string) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, response, r.Header.Get("T-Id"))
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+// wholeResponse is a response that a daemon delivers.
+const wholeResponse = "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Length: 4\r\n\r\nbody"
+
+// invalidStatuses are responses whose status is not valid.
+var invalidStatuses = map[string]string{
+	"000":                  "HTTP/1.1 000 None\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Length: 4\r\n\r\nbody",
+	"000, then a response": "HTTP/1.1 000 None\r\nT-Id: %[1]s\r\n\r\n" + wholeResponse,
+	"000, not run":         "HTTP/1.1 000 None\r\nT-Id: %[1]s\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	"099, then a response": "HTTP/1.1 099 None\r\nT-Id: %[1]s\r\n\r\n" + wholeResponse,
+	"600":                  "HTTP/1.1 600 None\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Length: 4\r\n\r\nbody",
+	"999":                  "HTTP/1.1 999 None\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/2":               "HTTP/2.0 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Length: 4\r\n\r\nbody",
+	"control character":    "HTTP/1.1 503 \x01\r\nT-Id: %[1]s\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+}
+
+// TestInvalidStatusIsNoAnswer guards against responses without a valid status that reach callers, or from which the caller gets
+// what follows their head.
+func TestInvalidStatusIsNoAnswer(t *testing.T) { requireNoAnswers(t, invalidStatuses) }
+
+// requireNoAnswers has the upstream send each of the responses. The outcome of a request that must not run twice is unknown then,
+// and it is not sent again. Any other request gets the response of another upstream.
+func requireNoAnswers(t *testing.T, responses map[string]string) {
+	up := &rawUpstream{id: "b1"}
+	members := startRawPair(t, up)
+	for name, response := range responses {
+		up.respond = respondWith(response)
+		for from, m := range members {
+			t.Run(name+", "+from, func(t *testing.T) {
+				ranBefore := up.ran.Load()
+				status, body := m.postUntilAcknowledged(t, "/unsafe/")
+				require.Equal(t, http.StatusBadGateway, status, body)
+				require.Equal(t, ranBefore+1, up.ran.Load())
+			})
+		}
+	}
+	other := startReady(t, members["one daemon"].source.store, "b", "b2")
+	for name, response := range responses {
+		up.respond = respondWith(response)
+		for from, m := range members {
+			m.waitForCandidates(t, "b", 2)
+			m.allowRetries()
+			t.Run("another upstream, "+name+", "+from, func(t *testing.T) {
+				for range 3 {
+					status, body := m.get(t, "/safe/")
+					require.Equal(t, http.StatusOK, status, body)
+					require.Equal(t, "answer of b2", body)
+				}
+			})
+		}
+	}
+	require.NotEmpty(t, other.upstream.requests())
+}
+
+// TestInvalidHeadOfAHealthResponseStatesNothing guards against health responses whose head is not valid and that are believed.
+func TestInvalidHeadOfAHealthResponseStatesNothing(t *testing.T) {
+	for name, response := range map[string]string{
+		"status 000, then a response": "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nT-Instance: b1\r\nContent-Length: 0\r\n\r\n",
+		"protocol":                    "HTTP/2.0 200 OK\r\nT-Instance: b1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := startReadyWith(t, newStore(documentOf(1, "b")), "b", "b1", func(o *Options) {
+				o.Addresses.Upstream = serveConns(t, func(conn net.Conn) {
+					defer func() { _ = conn.Close() }()
+					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+						_, _ = io.WriteString(conn, response)
+					}
+				})
+			})
+			info, healthy := m.guard.checkHealth(waitLimit, false)
+			require.False(t, healthy)
+			require.Equal(t, ResponseInfo{}, info)
+		})
+	}
+}
