hop: a response with an invalid header field is no response

What callers saw: a response in whose head the name of a field held a blank reached them as an answer, without that line. If the line was that of the length or of the transfer coding, the body was another one than the upstream's: the whole rest of the connection, two bytes of four, or the chunks as they were sent. If the line was Content-Encoding, a compressed body passed as plain. A refusal with such a line was believed. Load reports, replies between daemons and responses to the operator's client were taken in the same way. A control byte in a name gave 502 before, too; these cases stay as tests.

Cause: net/textproto accepts a blank in the name of a field, and keeps the name as it is. net/http then finds no length or coding under the name that it looks for, and writes a response without such a field.

Why this works: the names are checked by the grammar of HTTP before anything else reads the head, those of informational responses included, and an invalid one ends the exchange like an invalid status. httpguts, by the authors of net/http, has the check; its module was a dependency already.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/dottereltiller/dottereltiller/hop"
 )
 
 const (
@@ -23,7 +25,7 @@
 // follows no redirect.
 var client = &http.Client{
 	Timeout:       timeout,
-	Transport:     &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 1},
+	Transport:     hop.NewTransport(&http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 1}),
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
--- a/daemon/response_test.go
+++ b/daemon/response_test.go
@@ -176,6 +176,12 @@
 		"status 999":        "HTTP/1.1 999 None\r\nContent-Length: 3\r\n\r\nabc",
 		"another protocol":  "HTTP/2.0 200 OK\r\nContent-Length: 3\r\n\r\nabc",
 		"control character": "HTTP/1.1 200 O\x00K\r\nContent-Length: 3\r\n\r\nabc",
+		"blank in a name":   "HTTP/1.1 200 OK\r\nX Some: 1\r\nContent-Length: 3\r\n\r\nabc",
+		"blank, length":     "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 3\r\n\r\nabc",
+		"blank, no length":  "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nabc",
+		"blank, coding":     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"blank, interim":    "HTTP/1.1 103 Early Hints\r\nX Some: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"control in a name": "HTTP/1.1 200 OK\r\nX\x01Some: 1\r\nContent-Length: 3\r\n\r\nabc",
 		"switches protocol": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nabc",
 	} {
 		for _, n := range d.Nodes {
--- a/guard/poll.go
+++ b/guard/poll.go
@@ -14,6 +14,7 @@
 
 	"github.com/dottereltiller/dottereltiller/core/measure"
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/hop"
 )
 
 // DefaultMeasuringBudget is the share of each upstream's slot time that may be spent
@@ -62,12 +63,12 @@
 		scope:   scope,
 		timeout: pollTimeout,
 		client: &http.Client{
-			Transport: &http.Transport{
+			Transport: hop.NewTransport(&http.Transport{
 				DisableCompression:     true,
 				MaxConnsPerHost:        1,
 				MaxResponseHeaderBytes: maxReportBytes,
 				IdleConnTimeout:        time.Minute,
-			},
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/hop/head.go
+++ b/hop/head.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // InvalidHeadError reports a response whose head is not valid HTTP/1.x. Nothing of such a response can be relied on: neither
@@ -36,8 +38,19 @@
 	case strings.ContainsFunc(resp.Status, isControl):
 		return &InvalidHeadError{Part: "status", Value: resp.Status}
 	default:
-		return nil
+		return checkFields(resp.Header)
+	}
+}
+
+// checkFields checks the names of header fields. net/http accepts a blank in a name, and checks the values. The error is an
+// *InvalidHeadError.
+func checkFields(header map[string][]string) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &InvalidHeadError{Part: "header field", Value: name}
+		}
 	}
+	return nil
 }
 
 // isControl reports whether a character is a control character that no part of a head may contain. A tab may stand between
--- a/hop/transport.go
+++ b/hop/transport.go
@@ -4,11 +4,12 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 )
 
-// Transport is an http.RoundTripper for HTTP/1.x that returns no response whose head is invalid. It closes the connection of
-// such a response and returns an *InvalidHeadError instead.
+// Transport is an http.RoundTripper for HTTP/1.x that returns no response whose head is invalid, or the header of an
+// informational response before it. It closes the connection of such a response and returns an *InvalidHeadError instead.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that sends requests by base.
@@ -18,7 +19,8 @@
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var conn atomic.Pointer[net.Conn]
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		GotConn:        func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkFields(header) },
 	})
 	resp, err := t.base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
--- a/peer/client.go
+++ b/peer/client.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/dottereltiller/dottereltiller/core/model"
+	"github.com/dottereltiller/dottereltiller/hop"
 	peerv1 "github.com/dottereltiller/dottereltiller/proto/dottereltiller/peer/v1"
 	"github.com/dottereltiller/dottereltiller/proto/dottereltiller/peer/v1/peerv1connect"
 )
@@ -40,14 +41,14 @@
 func NewClientWithDial(secret string, dial DialFunc) *Client {
 	return &Client{
 		http: &http.Client{
-			Transport: &http.Transport{
+			Transport: hop.NewTransport(&http.Transport{
 				Proxy:               nil,
 				DialContext:         dial,
 				MaxIdleConns:        maxIdleConns,
 				MaxIdleConnsPerHost: 1,
 				IdleConnTimeout:     idleConnTimeout,
 				DisableCompression:  true,
-			},
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		options: []connect.ClientOption{
