hop: replies to long messages and appends are whole, too

What would be seen: a daemon, or the log, that replies to a long message without a length and whose connection is reset while the message is still being written is taken to have replied in whole. An empty or shortened message of protobuf is valid, so a daemon would go by a part of a reply. Not seen at users: daemons reply with a length or in chunks. The cause is that of the reset during an upload, in the clients that use net/http directly.

Why this works: the connections of each Transport end in order or with an error, as those of a Pool and of a Client do. Clients of the log, of other daemons, of load reports and of admin addresses all use a Transport.

--- a/hop/client.go
+++ b/hop/client.go
@@ -77,7 +77,7 @@
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
 	}
-	return &Client{transport: NewTransport(t)}
+	return &Client{transport: &Transport{base: t}}
 }
 
 func (o Options) withDefaults() Options {
--- a/hop/transport.go
+++ b/hop/transport.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -8,12 +9,27 @@
 	"sync/atomic"
 )
 
-// Transport is an http.RoundTripper for HTTP/1.x that returns no response whose head is invalid, or the header of an
-// informational response before it. It closes the connection of such a response and returns an *InvalidHeadError instead.
+// Transport is an http.RoundTripper for HTTP/1.x that returns no broken response as a whole one.
+//
+// If the head of a response is invalid, or the header of an informational response before it, Transport closes the connection
+// and returns an *InvalidHeadError. Reading a body without a length fails if its connection does not end in order.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a Transport that sends requests by base.
-func NewTransport(base *http.Transport) *Transport { return &Transport{base: base} }
+// NewTransport returns a Transport that sends requests by base. It changes base, which must not be used otherwise.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &orderlyConn{Conn: conn}, nil
+	}
+	return &Transport{base: base}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -32,3 +33,21 @@
 		})
 	}
 }
+
+// TestReplyBrokenOffDuringMessageIsNoReply guards against a part of a reply that is taken as a whole one. The reply has no length,
+// and the other daemon's connection is reset while a long message is being written.
+func TestReplyBrokenOffDuringMessageIsNoReply(t *testing.T) {
+	const repetitions = 10
+	response := "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n"
+	daemon, err := standin.StartFaultyUpstream()
+	require.NoError(t, err)
+	defer func() { _ = daemon.Close() }()
+	daemon.SetScript(standin.Script{Response: []byte(response), CutAfter: len(response), SkipBody: true, Reset: true, CloseDelay: 20 * time.Millisecond})
+	message := &peerv1.ExchangeRequest{Topics: []*peerv1.TopicMessage{{Topic: "max", Delta: make([]byte, 6<<20)}}}
+	for range repetitions {
+		c := NewClient("secret")
+		_, err = c.Exchange(t.Context(), model.DaemonID(daemon.Address()), message)
+		c.Close()
+		require.Error(t, err)
+	}
+}
