hop: a switch of protocols is no response

What callers saw: on the users' platform, a status of 101 (Switching Protocols) of an upstream reached the caller as the answer to a request that asks for no switch. The caller then waits for a final response, or takes what follows on its connection for another protocol. Idempotent requests were not sent to another upstream.

Cause: Pool took 101 for a final status, and only the guard of the product's own interface refuses it (with an unknown outcome, which stays).

Why this works: no request of a Pool has the header Upgrade, so a 101 is never valid there (RFC 9110, section 15.2.2). It ends the exchange like any other invalid head.

--- a/hop/exchange.go
+++ b/hop/exchange.go
@@ -35,8 +35,7 @@
 	// CloseAfter, if set, reports whether the connection must not carry another request
 	// after a response that belongs to this request.
 	CloseAfter func(*http.Response) bool
-	// OnInformational, if set, is called for each informational (1xx) response
-	// other than 101 (Switching Protocols).
+	// OnInformational, if set, is called for each informational (1xx) response.
 	OnInformational func()
 	// MaxResponseBytes limits the response body, in bytes. Default: 16 MiB.
 	MaxResponseBytes int64
@@ -238,9 +237,8 @@
 	return nil, errNoMatchingResponse
 }
 
-// readResponse reads the status line and the headers of the next final response.
-// A response with status 101 (Switching Protocols) counts as final. For each
-// earlier informational (1xx) response it calls r.OnInformational. The heads of all
+// readResponse reads the status line and the headers of the next final response. For
+// each earlier informational (1xx) response it calls r.OnInformational. The heads of all
 // of them together are limited in size. If one of them is invalid, the response is.
 func (c *pooledConn) readResponse(r *PoolRequest) (*http.Response, error) {
 	c.headLimiter.setLimit(defaultMaxHeaderBytes)
@@ -250,11 +248,14 @@
 		if err == nil {
 			err = checkHead(resp)
 		}
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols || resp.StatusCode >= http.StatusOK {
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			// No request asks to switch protocols.
+			return nil, &InvalidHeadError{Part: "status", Value: resp.Status}
 		}
 		if r.OnInformational != nil {
 			r.OnInformational()
@@ -266,7 +267,7 @@
 // for how long it may stay idle.
 func (c *pooledConn) updateReuse(resp *http.Response) {
 	bodyEndsAtClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	c.reusable = !resp.Close && !bodyEndsAtClose && resp.StatusCode != http.StatusSwitchingProtocols
+	c.reusable = !resp.Close && !bodyEndsAtClose
 	if timeout, ok := parseKeepAlive(resp.Header.Get("Keep-Alive")); ok {
 		c.idleTimeout = timeout
 	}
--- a/hop/head_test.go
+++ b/hop/head_test.go
@@ -82,6 +82,15 @@
 	requireInvalidByClient(t, invalidFields)
 }
 
+// TestPoolRejectsASwitchOfProtocols guards against a response that switches to another protocol and that is delivered as the
+// final response, though no request asks for a switch.
+func TestPoolRejectsASwitchOfProtocols(t *testing.T) {
+	requireInvalidByPool(t, map[string]string{
+		"upgrade":    "HTTP/1.1 101 Switching Protocols\r\nId: 1\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nabc",
+		"no upgrade": "HTTP/1.1 101 Switching Protocols\r\nId: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	})
+}
+
 // responseTimeout bounds the wait for a response that is there at once.
 const responseTimeout = 20 * time.Second
 
--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -182,6 +182,15 @@
 // body that is not the upstream's.
 func TestInvalidFieldIsNoAnswer(t *testing.T) { requireNoAnswers(t, invalidFields) }
 
+// TestSwitchOfProtocolsIsNoAnswer guards against a response that switches to another protocol and that reaches the caller, though
+// the request did not ask for a switch. The caller waits for a final response, or takes what follows for another protocol.
+func TestSwitchOfProtocolsIsNoAnswer(t *testing.T) {
+	requireNoAnswers(t, map[string]string{
+		"upgrade":    "HTTP/1.1 101 Switching Protocols\r\nT-Id: %[1]s\r\nT-Seal: s\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nabc",
+		"no upgrade": "HTTP/1.1 101 Switching Protocols\r\nT-Id: %[1]s\r\nT-Seal: s\r\n\r\n" + wholeResponse,
+	})
+}
+
 // requireNoAnswers has the upstream send each of the responses. The outcome of a request that must not run twice is unknown then,
 // and it is not sent again. Any other request gets the response of another upstream.
 func requireNoAnswers(t *testing.T, responses map[string]string) {
