inbound: a response that breaks off is reset for HTTP/1.0 callers

What callers saw: on the product's own interface, a caller that speaks HTTP/1.0 got a part of a response as a complete one. The upstream's response was of unknown length and broke off; the daemon had sent its beginning, and closed the connection in order. HTTP/1.1 callers see a last chunk missing. Daemons on the users' platform hold a response until it is whole and state its length; they are not concerned.

Cause: for HTTP/1.0, net/http ends a response of unknown length by closing the connection, and a handler that aborts has it closed in the same way.

Why this works: while an HTTP/1.0 request is handled, closing its connection resets it, whoever closes it. Once the handler has returned, the connection ends in order again.

--- a/daemon/response_test.go
+++ b/daemon/response_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -304,3 +305,34 @@
 		}
 	}
 }
+
+// sendHTTP10 sends an HTTP/1.0 request and returns what arrives until the connection ends.
+func sendHTTP10(t *testing.T, address string) (string, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /x HTTP/1.0\r\nHost: returdesk.fyn\r\n\r\n")
+	require.NoError(t, err)
+	text, err := io.ReadAll(conn)
+	return string(text), err
+}
+
+// TestTruncatedResponseNeverLooksCompleteToHTTP10 guards against a part of a response that a caller takes as complete because it
+// speaks HTTP/1.0: a response of unknown length then ends with its connection.
+func TestTruncatedResponseNeverLooksCompleteToHTTP10(t *testing.T) {
+	d, faultyUpstream := startWithFaultyUpstream(t)
+	response := completeResponses["chunked"]
+	for _, n := range d.Nodes {
+		for cutAfter := strings.Index(response, "whole") + len("whole"); cutAfter < len(response); cutAfter++ {
+			// The daemon has begun its response when the connection is closed.
+			faultyUpstream.SetScript(standin.Script{Response: []byte(response), CutAfter: cutAfter, CloseDelay: 10 * time.Millisecond})
+			text, err := sendHTTP10(t, n.Daemon.CallerAddress())
+			require.Error(t, err, "cut after %d bytes, %s: %q", cutAfter, n.Upstream.ID, text)
+		}
+		faultyUpstream.SetScript(standin.Script{Response: []byte(response), CutAfter: -1})
+		text, err := sendHTTP10(t, n.Daemon.CallerAddress())
+		require.NoError(t, err)
+		require.True(t, strings.HasSuffix(text, "\r\n\r\nwhole reply"), text)
+	}
+}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -91,7 +91,7 @@
 		address:  o.listener.Addr().String(),
 		listener: o.listener,
 		httpServer: &http.Server{
-			Handler:           inbound.AbortClosed(tracker.countInFlight(o.handler)),
+			Handler:           inbound.AbortClosed(inbound.ResetUnfinished(tracker.countInFlight(o.handler))),
 			ReadHeaderTimeout: o.headerTimeout,
 			IdleTimeout:       o.idleTimeout,
 			MaxHeaderBytes:    o.maxHeaderBytes,
--- a/inbound/doc.go
+++ b/inbound/doc.go
@@ -9,4 +9,7 @@
 // If the client closes the connection, net/http reports the close late on a busy
 // processor. Without this package, the request would be forwarded although nobody
 // waits for the response.
+//
+// An HTTP/1.0 client takes the end of its connection for the end of a response of unknown
+// length. This package resets the connection of such a response if it breaks off.
 package inbound
