hop: a response is delivered while its upload is blocked

What callers saw: on the product's own interface, a response to a long upload that the server does not read to its end could be withheld until the deadline of the attempt. Found by a test of responses that end in order during an upload; not seen at users.

Cause: after a response, Client checks whether any byte of the request was written, under a lock that a Write holds while it is blocked.

Why this works: the number of bytes written only grows. Once it has grown beyond that at the start of the attempt, the answer is known without the lock. If it has not, the check takes the lock as before, so that nothing is written after the connection is found unsent and sealed.

--- a/hop/conn.go
+++ b/hop/conn.go
@@ -30,10 +30,11 @@
 	net.Conn
 	// reading is set while a Read is in progress.
 	reading atomic.Bool
+	// writtenBytes is the number of bytes written so far. It changes only under mu.
+	writtenBytes atomic.Int64
 
+	// mu is held during a Write.
 	mu sync.Mutex
-	// writtenBytes is the number of bytes written so far.
-	writtenBytes int64
 	// sealed makes all further writes fail.
 	sealed bool
 	// checkUnread makes the next write check for unread bytes.
@@ -94,7 +95,7 @@
 		return 0, errSealed
 	}
 	n, err := c.Conn.Write(p)
-	c.writtenBytes += int64(n)
+	c.writtenBytes.Add(int64(n))
 	return n, err
 }
 
@@ -105,16 +106,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checkUnread = reused
-	return c.writtenBytes
+	return c.writtenBytes.Load()
 }
 
 // sealIfUnsent seals the connection if no byte was written since beginAttempt
 // returned writtenBefore. It reports whether it sealed the connection. If so,
 // no byte can be written any more.
 func (c *countingConn) sealIfUnsent(writtenBefore int64) bool {
+	if c.writtenBytes.Load() != writtenBefore {
+		// A Write of more bytes may be blocked until the server reads them.
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writtenBytes != writtenBefore {
+	if c.writtenBytes.Load() != writtenBefore {
 		return false
 	}
 	c.sealed = true
--- a/hop/eof_test.go
+++ b/hop/eof_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -156,6 +157,38 @@
 	}
 }
 
+// TestClientDeliversResponseWhileUploadIsBlocked guards against a response that is withheld until the deadline because the server
+// does not read the rest of the upload.
+func TestClientDeliversResponseWhileUploadIsBlocked(t *testing.T) {
+	const whole, repetitions = "whole response", 20
+	for name, framing := range map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\n", len(whole)), "end of the stream": ""} {
+		t.Run(name, func(t *testing.T) {
+			s := startScriptedServer(t, func(c net.Conn, r *bufio.Reader) {
+				limitReadBuffer(c)
+				_, _ = http.ReadRequest(r)
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 1\r\n%s\r\n%s", framing, whole)
+				_ = c.(*net.TCPConn).CloseWrite()
+				<-t.Context().Done()
+			})
+			c := NewClient(Options{})
+			defer c.CloseIdle()
+			ctx, cancel := context.WithTimeout(t.Context(), responseTimeout)
+			defer cancel()
+			for range repetitions {
+				resp, _, err := c.Do(ctx, Request{
+					Address: s.address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{},
+					Body: bytes.NewReader(make([]byte, uploadBytes)), ContentLength: uploadBytes,
+				})
+				require.NoError(t, err)
+				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				require.NoError(t, err)
+				require.Equal(t, whole, string(body))
+			}
+		})
+	}
+}
+
 // failingConn is a connection at the end of its stream whose writes fail.
 type failingConn struct {
 	net.Conn
