sidecar, daemon: two tests of broken responses don't depend on luck or load

* TestResponseBrokenOffDuringUploadIsRetried sent six requests and required that one of them reach the broken upstream; the daemon chooses between two.
It now sends until one has, 100 at most.
* TestTruncatedResponseNeverLooksCompleteToHTTP10 relied on the daemon having begun its response within 10 ms.
On a busy machine it may not have, and then answers 502 in whole, which is right.
That is allowed now, and nothing else that ends in order; the test still fails without the fix.

Seen by reading; neither had failed.

--- a/daemon/response_test.go
+++ b/daemon/response_test.go
@@ -325,10 +325,12 @@
 	response := completeResponses["chunked"]
 	for _, n := range d.Nodes {
 		for cutAfter := strings.Index(response, "whole") + len("whole"); cutAfter < len(response); cutAfter++ {
-			// The daemon has begun its response when the connection is closed.
+			// The daemon has begun its response when the upstream breaks off, unless the machine is busy.
 			faultyUpstream.SetScript(standin.Script{Response: []byte(response), CutAfter: cutAfter, CloseDelay: 10 * time.Millisecond})
 			text, err := sendHTTP10(t, n.Daemon.CallerAddress())
-			require.Error(t, err, "cut after %d bytes, %s: %q", cutAfter, n.Upstream.ID, text)
+			if err == nil {
+				require.True(t, strings.HasPrefix(text, "HTTP/1.0 502 "), "cut after %d bytes, %s: %q", cutAfter, n.Upstream.ID, text)
+			}
 		}
 		faultyUpstream.SetScript(standin.Script{Response: []byte(response), CutAfter: -1})
 		text, err := sendHTTP10(t, n.Daemon.CallerAddress())
--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -101,12 +101,13 @@
 	startReady(t, s, "b", "b2")
 	a.waitForCandidates(t, "b", 2)
 	a.allowRetries()
-	for range 6 {
+	const minRequests, maxRequests = 6, 100
+	for n := 0; n < minRequests || broken.ran.Load() == 0; n++ {
+		require.Less(t, n, maxRequests, "no request was sent to b1")
 		status, body := a.uploadUntilAcknowledged(t, "/safe/", upload)
 		require.Equal(t, http.StatusOK, status, body)
 		require.Equal(t, "answer of b2", body)
 	}
-	require.Positive(t, broken.ran.Load())
 }
 
 // TestEarlyResponsesThatEndInOrderAreDelivered checks that a response to an upload that is not read yet is delivered if it is
