hop: a test of a transfer coding in HTTP/1.0, known red; a space is called a space

* TestTransferEncodingInHTTP10InvalidatesResponse fails with a Pool and with a Client: the response is delivered with the chunks as its body.
No check changes.

--- a/guard/poll_test.go
+++ b/guard/poll_test.go
@@ -107,7 +107,7 @@
 	for name, tc := range map[string]struct{ head, wantResult string }{
 		"valid":           {"HTTP/1.1 200 OK\r\n", "agreed"},
 		"status 000":      {"HTTP/1.1 000 None\r\n", "failed"},
-		"blank in a name": {"HTTP/1.1 200 OK\r\nX Some: 1\r\n", "failed"},
+		"space in a name": {"HTTP/1.1 200 OK\r\nX Some: 1\r\n", "failed"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			upstream, err := standin.StartFaultyUpstream()
--- a/hop/head.go
+++ b/hop/head.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// checkFields checks the names of header fields. net/http accepts a blank in a name, and checks the values. The error is an
+// checkFields checks the names of header fields. net/http accepts a space in a name, and checks the values. The error is an
 // *InvalidHeadError.
 func checkFields(header map[string][]string) error {
 	for name := range header {
--- a/hop/head_test.go
+++ b/hop/head_test.go
@@ -50,15 +50,15 @@
 
 // invalidFields are responses with a header field, or one of an informational response before them, that is not valid.
 var invalidFields = map[string]string{
-	"blank before the colon":      "HTTP/1.1 200 OK\r\nId: 1\r\nX-Some : 1\r\nContent-Length: 4\r\n\r\nbody",
-	"blank in the name":           "HTTP/1.1 200 OK\r\nId: 1\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
-	"blank in the last name":      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nX Some: 1\r\n\r\nbody",
-	"blank after the length":      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 4\r\n\r\nbody",
-	"blank after another length":  "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 4\r\nContent-Length: 2\r\n\r\nbody",
-	"blank after the coding":      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-	"blank, response of no body":  "HTTP/1.1 204 No Content\r\nId: 1\r\nX Some: 1\r\n\r\n",
-	"blank, line feeds":           "HTTP/1.1 200 OK\nId: 1\nX Some: 1\nContent-Length: 4\n\nbody",
-	"blank, failure":              "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"space before the colon":      "HTTP/1.1 200 OK\r\nId: 1\r\nX-Some : 1\r\nContent-Length: 4\r\n\r\nbody",
+	"space in the name":           "HTTP/1.1 200 OK\r\nId: 1\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"space in the last name":      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nX Some: 1\r\n\r\nbody",
+	"space after the length":      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 4\r\n\r\nbody",
+	"space after another length":  "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 4\r\nContent-Length: 2\r\n\r\nbody",
+	"space after the coding":      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"space, response of no body":  "HTTP/1.1 204 No Content\r\nId: 1\r\nX Some: 1\r\n\r\n",
+	"space, line feeds":           "HTTP/1.1 200 OK\nId: 1\nX Some: 1\nContent-Length: 4\n\nbody",
+	"space, failure":              "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
 	"tab in the name":             "HTTP/1.1 200 OK\r\nId: 1\r\nX\tSome: 1\r\nContent-Length: 4\r\n\r\nbody",
 	"control byte in the name":    "HTTP/1.1 200 OK\r\nId: 1\r\nX\x01Some: 1\r\nContent-Length: 4\r\n\r\nbody",
 	"NUL in the name":             "HTTP/1.1 200 OK\r\nId: 1\r\nX\x00Some: 1\r\nContent-Length: 4\r\n\r\nbody",
@@ -70,9 +70,9 @@
 	"bytes over 127 in the name":  "HTTP/1.1 200 OK\r\nId: 1\r\nX\xe9: 1\r\nContent-Length: 4\r\n\r\nbody",
 	"NUL in a value":              "HTTP/1.1 200 OK\r\nId: 1\r\nX-Some: \x00\r\nContent-Length: 4\r\n\r\nbody",
 	"carriage return in a value":  "HTTP/1.1 200 OK\r\nId: 1\r\nX-Some: 1\rX: 2\r\nContent-Length: 4\r\n\r\nbody",
-	"interim, blank in the name":  "HTTP/1.1 103 Early Hints\r\nX Some: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"interim, space in the name":  "HTTP/1.1 103 Early Hints\r\nX Some: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
 	"interim, control byte":       "HTTP/1.1 103 Early Hints\r\nX\x01: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
-	"blank after continue":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"space after continue":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
 }
 
 // TestInvalidFieldInvalidatesResponse guards against responses with a header field whose name or value is not valid, and that are
@@ -91,6 +91,16 @@
 	})
 }
 
+// TestTransferEncodingInHTTP10InvalidatesResponse guards against an HTTP/1.0 response with a transfer coding whose chunks are
+// delivered as its body. HTTP/1.0 has no codings, so the framing of such a response is faulty (RFC 9112, section 6.1).
+func TestTransferEncodingInHTTP10InvalidatesResponse(t *testing.T) {
+	responses := map[string]string{
+		"length": "HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	}
+	requireInvalidByPool(t, responses)
+	requireInvalidByClient(t, responses)
+}
+
 // responseTimeout bounds the wait for a response that is there at once.
 const responseTimeout = 20 * time.Second
 
--- a/hop/transport.go
+++ b/hop/transport.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 )
 
-// Transport is an http.RoundTripper for HTTP/1.x that returns no broken response as a whole one.
+// Transport is an http.RoundTripper for HTTP/1.x that never presents a broken response as a complete one.
 //
 // If the head of a response is invalid, or the header of an informational response before it, Transport closes the connection
 // and returns an *InvalidHeadError. Reading a body without a length fails if its connection does not end in order.
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -19,7 +19,7 @@
 	}{
 		"valid":           {"HTTP/1.1 200 OK\r\n", false},
 		"status 000":      {"HTTP/1.1 000 None\r\n", true},
-		"blank in a name": {"HTTP/1.1 200 OK\r\nX Some: 1\r\n", true},
+		"space in a name": {"HTTP/1.1 200 OK\r\nX Some: 1\r\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			daemon, err := standin.StartFaultyUpstream()
--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -166,14 +166,14 @@
 
 // invalidFields are responses with a header field that is not valid.
 var invalidFields = map[string]string{
-	"blank in the name":             "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
-	"blank before the colon":        "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Length: 4\r\nX-Some : 1\r\n\r\nbody",
-	"blank after the length":        "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Length : 9\r\nContent-Length: 4\r\n\r\nbody and",
-	"blank after the coding":        "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nTransfer-Encoding : chunked\r\nContent-Length: 9\r\n\r\n4\r\nbody\r\n",
-	"blank after the encoding":      "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Encoding : gzip\r\nContent-Length: 4\r\n\r\nbody",
-	"blank, not run":                "HTTP/1.1 503 Service Unavailable\r\nT-Id: %[1]s\r\nT-Not-Run: 1\r\nX Some: 1\r\nContent-Length: 0\r\n\r\n",
-	"blank, failure":                "HTTP/1.1 500 Internal Server Error\r\nT-Id: %[1]s\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
-	"blank in an interim response":  "HTTP/1.1 103 Early Hints\r\nX Some: 1\r\n\r\n" + wholeResponse,
+	"space in the name":             "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"space before the colon":        "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Length: 4\r\nX-Some : 1\r\n\r\nbody",
+	"space after the length":        "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Length : 9\r\nContent-Length: 4\r\n\r\nbody and",
+	"space after the coding":        "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nTransfer-Encoding : chunked\r\nContent-Length: 9\r\n\r\n4\r\nbody\r\n",
+	"space after the encoding":      "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nContent-Encoding : gzip\r\nContent-Length: 4\r\n\r\nbody",
+	"space, not run":                "HTTP/1.1 503 Service Unavailable\r\nT-Id: %[1]s\r\nT-Not-Run: 1\r\nX Some: 1\r\nContent-Length: 0\r\n\r\n",
+	"space, failure":                "HTTP/1.1 500 Internal Server Error\r\nT-Id: %[1]s\r\nX Some: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"space in an interim response":  "HTTP/1.1 103 Early Hints\r\nX Some: 1\r\n\r\n" + wholeResponse,
 	"control byte in the name":      "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nX\x01: 1\r\nContent-Length: 4\r\n\r\nbody",
 	"carriage return in the name":   "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nX\rSome: 1\r\nContent-Length: 4\r\n\r\nbody",
 	"control byte in another value": "HTTP/1.1 200 OK\r\nT-Id: %[1]s\r\nT-Seal: s\r\nX: \x00\r\nContent-Length: 4\r\n\r\nbody",
@@ -231,7 +231,7 @@
 	for name, response := range map[string]string{
 		"status 000, then a response": "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nT-Instance: b1\r\nContent-Length: 0\r\n\r\n",
 		"protocol":                    "HTTP/2.0 200 OK\r\nT-Instance: b1\r\nContent-Length: 0\r\n\r\n",
-		"blank in a name":             "HTTP/1.1 200 OK\r\nT-Instance: b1\r\nX Some: 1\r\nContent-Length: 0\r\n\r\n",
+		"space in a name":             "HTTP/1.1 200 OK\r\nT-Instance: b1\r\nX Some: 1\r\nContent-Length: 0\r\n\r\n",
 		"control byte in a name":      "HTTP/1.1 200 OK\r\nT-Instance: b1\r\nX\x01: 1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
