hop: the error of an invalid head quotes its beginning only

The value in the error, and so in the line `run failed`, could be as long as a head may be, 64 KiB: found by reading the diff. TestInvalidHeadErrorIsShort. A test case is named after its header field.

--- a/hop/eof_test.go
+++ b/hop/eof_test.go
@@ -28,11 +28,11 @@
 
 // unframedHeads are heads of responses whose body ends with the connection.
 var unframedHeads = map[string]string{
-	"HTTP/1.1":        "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
-	"HTTP/1.0":        "HTTP/1.0 200 OK\r\nId: 1\r\n\r\n",
-	"failure":         "HTTP/1.1 500 Internal Server Error\r\nId: 1\r\n\r\n",
-	"after interim":   "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
-	"closes in order": "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n",
+	"HTTP/1.1":          "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+	"HTTP/1.0":          "HTTP/1.0 200 OK\r\nId: 1\r\n\r\n",
+	"failure":           "HTTP/1.1 500 Internal Server Error\r\nId: 1\r\n\r\n",
+	"after interim":     "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+	"Connection: close": "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n",
 }
 
 // uploaders send a POST request with a body of uploadBytes to a server, one by a Pool and one by a Client, and read the
--- a/hop/head.go
+++ b/hop/head.go
@@ -17,9 +17,12 @@
 	Value string
 }
 
-// Error names the part and gives its value.
+// maxQuotedLength is the number of characters of a value that an error message quotes. A head may be as long as its limit.
+const maxQuotedLength = 80
+
+// Error names the part and quotes the beginning of its value.
 func (e *InvalidHeadError) Error() string {
-	return fmt.Sprintf("invalid response head: %s %q", e.Part, e.Value)
+	return fmt.Sprintf("invalid response head: %s %.*q", e.Part, maxQuotedLength, e.Value)
 }
 
 const (
--- a/hop/head_test.go
+++ b/hop/head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,6 +92,13 @@
 	})
 }
 
+// TestInvalidHeadErrorIsShort guards against log lines as long as the head of a response may be.
+func TestInvalidHeadErrorIsShort(t *testing.T) {
+	err := checkHead(&http.Response{ProtoMajor: 1, Status: "000 " + strings.Repeat("x", defaultMaxHeaderBytes)})
+	require.ErrorContains(t, err, `status "000 xxx`)
+	require.Less(t, len(err.Error()), 2*maxQuotedLength)
+}
+
 // TestTransferEncodingInHTTP10InvalidatesResponse guards against an HTTP/1.0 response with a transfer coding whose chunks are
 // delivered as its body. HTTP/1.0 has no codings, so the framing of such a response is faulty (RFC 9112, section 6.1).
 func TestTransferEncodingInHTTP10InvalidatesResponse(t *testing.T) {
