hop: one trace for each request of a Client

A Client set a trace, and its Transport composed a second one with it, by reflection, for each request. The Transport now takes the Client's callback into its own trace.

checkHead had two cases with one result, and a test wrote a request a second time.

--- a/hop/client.go
+++ b/hop/client.go
@@ -134,8 +134,7 @@
 	target.Scheme = "http"
 	target.Host = r.Address
 	attempt := attemptConn{unprotected: c.unprotected}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: attempt.gotConn})
-	req := (&http.Request{
+	req := &http.Request{
 		Method:        r.Method,
 		URL:           target,
 		Host:          r.Host,
@@ -144,13 +143,13 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-	}).WithContext(ctx)
+	}
 	if c.unprotected {
 		setReplayable(req, r.Body)
 	} else {
 		setNotReplayable(req, r.Body)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.transport.roundTrip(ctx, req, attempt.gotConn)
 	if err != nil {
 		return nil, attempt.outcomeOf(err), err
 	}
--- a/hop/eof_test.go
+++ b/hop/eof_test.go
@@ -35,6 +35,14 @@
 	"Connection: close": "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n",
 }
 
+// uploadRequest returns a request of a Client with a body of uploadBytes.
+func uploadRequest(address string) Request {
+	return Request{
+		Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{},
+		Body: bytes.NewReader(make([]byte, uploadBytes)), ContentLength: uploadBytes,
+	}
+}
+
 // uploaders send a POST request with a body of uploadBytes to a server, one by a Pool and one by a Client, and read the
 // response to its end.
 var uploaders = map[string]func(t *testing.T, address string) ([]byte, error){
@@ -52,10 +60,7 @@
 	"Client": func(t *testing.T, address string) ([]byte, error) {
 		c := NewClient(Options{})
 		defer c.CloseIdle()
-		resp, _, err := c.Do(t.Context(), Request{
-			Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{},
-			Body: bytes.NewReader(make([]byte, uploadBytes)), ContentLength: uploadBytes,
-		})
+		resp, _, err := c.Do(t.Context(), uploadRequest(address))
 		if err != nil {
 			return nil, err
 		}
@@ -175,10 +180,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), responseTimeout)
 			defer cancel()
 			for range repetitions {
-				resp, _, err := c.Do(ctx, Request{
-					Address: s.address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{},
-					Body: bytes.NewReader(make([]byte, uploadBytes)), ContentLength: uploadBytes,
-				})
+				resp, _, err := c.Do(ctx, uploadRequest(s.address))
 				require.NoError(t, err)
 				body, err := io.ReadAll(resp.Body)
 				_ = resp.Body.Close()
--- a/hop/head.go
+++ b/hop/head.go
@@ -36,9 +36,7 @@
 	switch {
 	case resp.ProtoMajor != 1:
 		return &InvalidHeadError{Part: "protocol version", Value: resp.Proto}
-	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
-		return &InvalidHeadError{Part: "status", Value: resp.Status}
-	case strings.ContainsFunc(resp.Status, isControl):
+	case resp.StatusCode < minStatus, resp.StatusCode > maxStatus, strings.ContainsFunc(resp.Status, isControl):
 		return &InvalidHeadError{Part: "status", Value: resp.Status}
 	default:
 		return checkFields(resp.Header)
--- a/hop/transport.go
+++ b/hop/transport.go
@@ -33,9 +33,17 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	return t.roundTrip(req.Context(), req, func(httptrace.GotConnInfo) {})
+}
+
+// roundTrip sends a request with the given context in place of its own. It calls gotConn with the connection of the request.
+func (t *Transport) roundTrip(ctx context.Context, req *http.Request, gotConn func(httptrace.GotConnInfo)) (*http.Response, error) {
 	var conn atomic.Pointer[net.Conn]
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn.Store(&info.Conn)
+			gotConn(info)
+		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkFields(header) },
 	})
 	resp, err := t.base.RoundTrip(req.WithContext(ctx))
