sidecar: the stand-in of broken responses can be changed while it responds

The tests replaced the responder of a rawUpstream without synchronization. A hedge of an earlier request may still reach it then, on a busy machine, which the race detector would report; it has not yet. The responder is held like that of the other stand-ins, which may be replaced. Its health response is the existing healthResponse. The assertions are as before; go test -race ./sidecar passes.

--- a/sidecar/brokenanswer_test.go
+++ b/sidecar/brokenanswer_test.go
@@ -16,12 +16,17 @@
 
 // rawUpstream is an upstream that writes the bytes of its responses itself. Its health checks succeed.
 type rawUpstream struct {
-	id string
-	// respond responds to a request, of which only the headers have been read. The connection is closed then.
-	respond func(conn net.Conn, r *http.Request)
-	ran     atomic.Int64
+	id  string
+	ran atomic.Int64
+	// respond holds a responder. It may be replaced while a hedge of an earlier request still runs.
+	respond atomic.Pointer[responder]
 }
 
+// responder responds to a request, of which only the headers have been read. The connection is closed then.
+type responder func(conn net.Conn, r *http.Request)
+
+func (u *rawUpstream) setResponder(r responder) { u.respond.Store(&r) }
+
 func (u *rawUpstream) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	// The kernel does not take a whole upload that is not read.
@@ -32,11 +37,11 @@
 			return
 		}
 		if r.URL.Path == "/health" {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Instance: %s\r\nT-Slow: 1\r\nContent-Length: 0\r\n\r\n", u.id)
+			_, _ = io.WriteString(conn, strings.Replace(healthResponse, "a1", u.id, 1))
 			continue
 		}
 		u.ran.Add(1)
-		u.respond(conn, r)
+		(*u.respond.Load())(conn, r)
 		return
 	}
 }
@@ -61,7 +66,7 @@
 var upload = strings.Repeat("x", 6<<20)
 
 // breakOff sends a part of a response without a length, and resets the connection after a while.
-func breakOff(statusLine string, after time.Duration) func(net.Conn, *http.Request) {
+func breakOff(statusLine string, after time.Duration) responder {
 	return func(conn net.Conn, r *http.Request) {
 		_, _ = fmt.Fprintf(conn, "%s\r\nT-Id: %s\r\nT-Seal: seal of b1\r\n\r\npart of an answer", statusLine, r.Header.Get("T-Id"))
 		time.Sleep(after)
@@ -76,7 +81,7 @@
 	members := startRawPair(t, up)
 	for _, statusLine := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 404 Not Found", "HTTP/1.1 500 Internal Server Error"} {
 		for _, after := range []time.Duration{0, 5 * time.Millisecond, 60 * time.Millisecond} {
-			up.respond = breakOff(statusLine, after)
+			up.setResponder(breakOff(statusLine, after))
 			for name, m := range members {
 				t.Run(fmt.Sprintf("%s, %s, reset after %s", name, statusLine, after), func(t *testing.T) {
 					for range 3 {
@@ -96,7 +101,8 @@
 func TestResponseBrokenOffDuringUploadIsRetried(t *testing.T) {
 	s := newStore(documentOf(1, "b"))
 	a := startReady(t, s, "a", "a1")
-	broken := &rawUpstream{id: "b1", respond: breakOff("HTTP/1.1 200 OK", 0)}
+	broken := &rawUpstream{id: "b1"}
+	broken.setResponder(breakOff("HTTP/1.1 200 OK", 0))
 	startRaw(t, s, broken)
 	startReady(t, s, "b", "b2")
 	a.waitForCandidates(t, "b", 2)
@@ -125,10 +131,10 @@
 			_, _ = io.Copy(io.Discard, conn)
 		}},
 	} {
-		up.respond = func(conn net.Conn, r *http.Request) {
+		up.setResponder(func(conn net.Conn, r *http.Request) {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: seal of b1\r\n%s\r\nwhole answer", r.Header.Get("T-Id"), c.framing)
 			c.end(conn)
-		}
+		})
 		for from, m := range members {
 			status, body := m.uploadUntilAcknowledged(t, "/unsafe/", upload)
 			require.Equal(t, http.StatusOK, status, "%s, %s: %s", name, from, body)
@@ -138,7 +144,7 @@
 }
 
 // respondWith sends a response, in which each %[1]s stands for the id of the request.
-func respondWith(response string) func(net.Conn, *http.Request) {
+func respondWith(response string) responder {
 	return func(conn net.Conn, r *http.Request) {
 		_, _ = fmt.Fprintf(conn, response, r.Header.Get("T-Id"))
 		_, _ = io.Copy(io.Discard, conn)
@@ -198,7 +204,7 @@
 	up := &rawUpstream{id: "b1"}
 	members := startRawPair(t, up)
 	for name, response := range responses {
-		up.respond = respondWith(response)
+		up.setResponder(respondWith(response))
 		for from, m := range members {
 			t.Run(name+", "+from, func(t *testing.T) {
 				ranBefore := up.ran.Load()
@@ -210,7 +216,7 @@
 	}
 	other := startReady(t, members["one daemon"].source.store, "b", "b2")
 	for name, response := range responses {
-		up.respond = respondWith(response)
+		up.setResponder(respondWith(response))
 		for from, m := range members {
 			m.waitForCandidates(t, "b", 2)
 			m.allowRetries()
